--- /dev/null
+++ b/src/apricotstile/core/hashing.hpp
@@ -0,0 +1,22 @@
+// Hashing of keys to slices; the same on every host and every release.
+
+#ifndef APRICOTSTILE_CORE_HASHING_HPP
+#define APRICOTSTILE_CORE_HASHING_HPP
+
+#include <apricotstile/core/ids.hpp>
+
+#include <cstdint>
+#include <string_view>
+
+namespace apricotstile {
+
+/// xxHash64 of `bytes` with seed zero.
+[[nodiscard]] std::uint64_t stable_hash(std::string_view bytes);
+
+/// The slice of `key` among `slice_count` slices (not zero).
+[[nodiscard]] slice_id
+slice_of(std::string_view key, std::uint32_t slice_count);
+
+} // namespace apricotstile
+
+#endif
--- /dev/null
+++ b/src/apricotstile/request/outcome.hpp
@@ -0,0 +1,49 @@
+// What became of a request, in the three words that callers are told.
+
+#ifndef APRICOTSTILE_REQUEST_OUTCOME_HPP
+#define APRICOTSTILE_REQUEST_OUTCOME_HPP
+
+#include <cstdint>
+#include <string_view>
+
+namespace apricotstile::request {
+
+enum class outcome : std::uint8_t {
+    /// The upstream's whole answer is passed on.
+    answered,
+    /// It certainly did not run and never will.
+    not_run,
+    /// It may have run, or may still be running.
+    unknown
+};
+
+/// Why a request was not answered; told to the caller as a word.
+enum class refusal : std::uint8_t {
+    none,
+    malformed,
+    unknown_service,
+    unknown_customer,
+    not_allowed_by_plan,
+    over_plan,
+    no_owner,
+    not_owner,
+    lease_expired,
+    overloaded,
+    draining,
+    deadline_passed,
+    cancelled,
+    key_reused_with_other_body,
+    outcome_forgotten,
+    quarantined,
+    link_lost,
+    upstream_lost,
+    upstream_refused,
+    upstream_timed_out
+};
+
+[[nodiscard]] std::string_view to_string(outcome value);
+[[nodiscard]] std::string_view to_string(refusal value);
+
+} // namespace apricotstile::request
+
+#endif
--- /dev/null
+++ b/src/apricotstile/request/routed_request.hpp
@@ -0,0 +1,74 @@
+// A request and its response as they travel between daemons.
+
+#ifndef APRICOTSTILE_REQUEST_ROUTED_REQUEST_HPP
+#define APRICOTSTILE_REQUEST_ROUTED_REQUEST_HPP
+
+#include <apricotstile/core/codec.hpp>
+#include <apricotstile/core/ids.hpp>
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/request/outcome.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace apricotstile::request {
+
+/// Importance of work; a lower value goes first.
+enum class work_class : std::uint8_t { critical, normal, background };
+
+constexpr std::size_t work_class_count = 3;
+
+struct routed_request {
+    request_id id;
+    service_id service;
+    std::string key;
+    customer_id customer;
+    work_class importance{work_class::normal};
+    /// True when running it twice does no harm.
+    bool idempotent{true};
+    /// Empty unless the caller sent one; always there when not idempotent.
+    idempotency_key caller_key;
+    /// The ticket that the caller's key was issued as; empty when none.
+    std::string ticket;
+    /// Time left until the caller's deadline, as of sending.
+    duration time_left{0};
+    /// The map that the sender routed by.
+    map_version routed_by;
+    std::string method;
+    /// Path and query for the upstream, beginning with '/'.
+    std::string target;
+    std::string body;
+};
+
+struct routed_response {
+    request_id id;
+    request::outcome outcome{outcome::unknown};
+    request::refusal refusal{refusal::none};
+    /// With `not_run`: when to come back, zero for "any time".
+    duration retry_after{0};
+    /// The responder's map, newer than `routed_by` when ownership has moved.
+    map_version responder_map;
+    /// The upstream's status, content type and whole body with `answered`.
+    std::uint16_t status{0};
+    std::string content_type;
+    std::string body;
+};
+
+template <class Archive>
+void serialize(Archive& archive, routed_request& value) {
+    archive(value.id, value.service, value.key, value.customer);
+    archive(value.importance, value.idempotent, value.caller_key);
+    archive(value.ticket, value.time_left, value.routed_by);
+    archive(value.method, value.target, value.body);
+}
+
+template <class Archive>
+void serialize(Archive& archive, routed_response& value) {
+    archive(value.id, value.outcome, value.refusal, value.retry_after);
+    archive(value.responder_map, value.status, value.content_type);
+    archive(value.body);
+}
+
+} // namespace apricotstile::request
+
+#endif
