Add leases from guardians, joining and deposition

Cause: nothing decided who may own slices.

Change: the lease topic holds one pure state for a daemon, 'participant', with its step function, messages, events and actions: heartbeats to three guardians, promises counted from sending less a drift margin, consent, batched depositions conditional on the member's row, repair of guardian lists, renewal in the table with fewer than four daemons, joining and leaving. The member topic gains the member set, the choice of guardians and the settling of writes of the own row. A small world on a virtual clock under tests/lease runs daemons against the fake table.

--- /dev/null
+++ b/src/apricotstile/lease/internal/deposer.hpp
@@ -0,0 +1,105 @@
+// Deposition of members whose guardians' promises have run out. Runs on the
+// planner, or on a deputy; any number at once do no harm, since the table
+// accepts a deposition only for the row version that was consented to.
+
+#ifndef APRICOTSTILE_LEASE_INTERNAL_DEPOSER_HPP
+#define APRICOTSTILE_LEASE_INTERNAL_DEPOSER_HPP
+
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/lease/action.hpp>
+#include <apricotstile/lease/internal/operation_counter.hpp>
+#include <apricotstile/lease/message.hpp>
+#include <apricotstile/lease/policy.hpp>
+#include <apricotstile/member/member_row.hpp>
+#include <apricotstile/platform/operations.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace apricotstile::lease {
+
+struct suspect {
+    instant noticed;
+    /// The row must be read before anything is done.
+    bool unread{true};
+    /// The row as last read.
+    std::optional<member::member_row> row;
+    /// Guardians that consented under the generation of `row`.
+    std::set<member::member_ref> consented;
+    /// When each guardian is asked next; absent: at once.
+    std::map<member::member_ref, instant> next_request;
+};
+
+/// A member that renews its lease in the table, as a reader sees it.
+struct watched_row {
+    member::member_row row;
+    /// When this version was first and last seen.
+    instant first_seen;
+    instant last_seen;
+};
+
+struct deposer {
+    std::map<member::member_ref, suspect> suspects;
+    std::map<member::member_ref, watched_row> watched;
+
+    /// The read in flight; zero when none.
+    platform::operation_id read;
+    instant next_read = instant::min();
+    instant next_watch = instant::min();
+    instant table_answered = instant::min();
+
+    /// The transaction in flight; zero when none.
+    platform::operation_id commit;
+    std::vector<member::member_row> committing;
+    instant next_commit = instant::min();
+    /// When the first deposition became possible; empty while none is.
+    std::optional<instant> ready_since;
+    /// Halved by each conflict, since one changed row fails the whole batch.
+    std::size_t batch_limit = deposition_batch;
+};
+
+void take_suspicion(
+    deposer& state, const suspicion& told, const policy& limits, instant now
+);
+void take_consent(deposer& state, const consent& given);
+void take_refusal(
+    deposer& state,
+    const consent_refusal& given,
+    const policy& limits,
+    instant now
+);
+
+/// Starts the reads, requests and transactions that are due. Watches rows
+/// renewed in the table while `watches`.
+void advance(
+    deposer& state,
+    bool watches,
+    operation_counter& operations,
+    const policy& limits,
+    instant now,
+    actions& out
+);
+
+/// Takes the answer of its own read; ignores others.
+void take_rows(
+    deposer& state,
+    const platform::rows_read& answer,
+    const policy& limits,
+    instant now,
+    actions& out
+);
+
+/// Takes the answer of its own transaction; ignores others.
+void take_commit(
+    deposer& state,
+    const platform::transaction_done& done,
+    const policy& limits,
+    instant now,
+    actions& out
+);
+
+} // namespace apricotstile::lease
+
+#endif
--- /dev/null
+++ b/src/apricotstile/lease/internal/deposer_table.cpp
@@ -0,0 +1,283 @@
+// Reads of members' rows and the deposing transaction.
+
+#include <apricotstile/lease/internal/deposer_table.hpp>
+
+#include <apricotstile/member/guardian_choice.hpp>
+#include <apricotstile/member/member_set.hpp>
+#include <apricotstile/member/own_row.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::lease {
+
+namespace {
+
+/// Consents that a deposition needs.
+constexpr std::size_t consent_majority = 2;
+
+bool is_alive(const member::member_record& record) {
+    return record.state == member::member_state::active ||
+           record.state == member::member_state::draining;
+}
+
+/// The narrowest prefix that covers every unread suspect.
+std::string prefix_to_read(const deposer& state, bool watch_is_due) {
+    if (watch_is_due || count_unread(state) != 1) {
+        return member::member_rows_prefix;
+    }
+    const auto unread = std::find_if(
+        state.suspects.begin(),
+        state.suspects.end(),
+        [](const auto& one) {
+            return one.second.unread;
+        }
+    );
+    return member::member_row_key(unread->first.host);
+}
+
+void take_suspect_row(deposer& state, const member::member_row& seen) {
+    const auto found = state.suspects.find(seen.record.self);
+    if (found == state.suspects.end()) {
+        return;
+    }
+    suspect& one = found->second;
+    const bool same_list =
+        one.row && one.row->record.generation == seen.record.generation;
+    if (!same_list) {
+        one.consented.clear();
+        one.next_request.clear();
+    }
+    one.row = seen;
+    one.unread = false;
+}
+
+void watch(deposer& state, const member::member_row& seen, instant now) {
+    const member::member_ref& holder = seen.record.self;
+    if (!is_alive(seen.record) || member::is_guarded(seen.record)) {
+        state.watched.erase(holder);
+        return;
+    }
+    watched_row& known = state.watched[holder];
+    if (known.row.version != seen.version) {
+        known = {seen, now, now};
+    }
+    known.last_seen = now;
+}
+
+/// Suspects that own nothing, renew in the table or have a newer incarnation.
+void drop_settled_suspects(
+    deposer& state, const std::vector<member::member_row>& rows
+) {
+    for (const member::member_row& seen : rows) {
+        const member::member_record& record = seen.record;
+        const bool stays = is_alive(record) && member::is_guarded(record);
+        std::erase_if(state.suspects, [&](const auto& one) {
+            return one.first.host == record.self.host &&
+                   (one.first != record.self || !stays);
+        });
+    }
+}
+
+bool is_expired(const watched_row& known, const policy& limits) {
+    return known.last_seen - known.first_seen >= promised_for(limits);
+}
+
+bool is_consented(const suspect& one) {
+    return !one.unread && one.consented.size() >= consent_majority;
+}
+
+std::vector<member::member_row>
+rows_to_depose(const deposer& state, const policy& limits) {
+    std::vector<member::member_row> ready;
+    for (const auto& [holder, one] : state.suspects) {
+        if (is_consented(one)) {
+            ready.push_back(*one.row);
+        }
+    }
+    for (const auto& [holder, known] : state.watched) {
+        if (is_expired(known, limits)) {
+            ready.push_back(known.row);
+        }
+    }
+    if (ready.size() > state.batch_limit) {
+        ready.resize(state.batch_limit);
+    }
+    return ready;
+}
+
+bool all_suspects_are_ready(const deposer& state) {
+    return std::all_of(
+        state.suspects.begin(),
+        state.suspects.end(),
+        [](const auto& one) {
+            return is_consented(one.second);
+        }
+    );
+}
+
+/// Whether to go on waiting for further depositions of the same batch.
+bool gathers(deposer& state, const policy& limits, instant now) {
+    if (!state.ready_since) {
+        state.ready_since = now;
+    }
+    return !all_suspects_are_ready(state) &&
+           now < *state.ready_since + limits.deposition_gathering;
+}
+
+/// Has the rows of a transaction that may not have taken effect read again.
+void reread_committing(deposer& state) {
+    for (const member::member_row& row : state.committing) {
+        const auto found = state.suspects.find(row.record.self);
+        if (found != state.suspects.end()) {
+            found->second.unread = true;
+        }
+        state.watched.erase(row.record.self);
+    }
+}
+
+void add_deposition(
+    platform::transaction& work, const member::member_row& row
+) {
+    member::member_record deposed = row.record;
+    deposed.state = member::member_state::deposed;
+    platform::transaction one = member::conditional_write(deposed, row.version);
+    work.conditions.push_back(std::move(one.conditions.front()));
+    work.mutations.push_back(std::move(one.mutations.front()));
+}
+
+void take_committed(
+    deposer& state, const platform::commit_result& result, actions& out
+) {
+    members_seen seen;
+    members_deposed gone;
+    for (std::size_t i = 0; i < state.committing.size(); ++i) {
+        member::member_row row = state.committing[i];
+        row.version = result.versions.at(i);
+        row.record.state = member::member_state::deposed;
+        state.suspects.erase(row.record.self);
+        state.watched.erase(row.record.self);
+        gone.members.push_back(row.record.self);
+        seen.rows.push_back(std::move(row));
+    }
+    out.emplace_back(std::move(seen));
+    out.emplace_back(std::move(gone));
+}
+
+} // namespace
+
+std::size_t count_unread(const deposer& state) {
+    return static_cast<std::size_t>(std::count_if(
+        state.suspects.begin(),
+        state.suspects.end(),
+        [](const auto& one) {
+            return one.second.unread;
+        }
+    ));
+}
+
+void start_read(
+    deposer& state,
+    bool watches,
+    operation_counter& operations,
+    const policy& limits,
+    instant now,
+    actions& out
+) {
+    const bool watch_is_due = watches && now >= state.next_watch;
+    const bool read_is_due = count_unread(state) != 0 && now >= state.next_read;
+    const bool idle = state.read == platform::operation_id{};
+    if (!idle || (!watch_is_due && !read_is_due)) {
+        return;
+    }
+    state.read = next_operation(operations);
+    state.next_watch = now + limits.table_renewal;
+    out.emplace_back(platform::read_rows{
+        state.read, prefix_to_read(state, watch_is_due)});
+}
+
+void take_rows(
+    deposer& state,
+    const platform::rows_read& answer,
+    const policy& limits,
+    instant now,
+    actions& out
+) {
+    if (answer.id != state.read) {
+        return;
+    }
+    state.read = {};
+    if (!answer.result.answered) {
+        state.next_read = now + limits.first_backoff;
+        // Members couldn't renew either: watch each for a whole lease again.
+        state.watched.clear();
+        return;
+    }
+    state.table_answered = now;
+    state.next_read = now + limits.consent_retry;
+    members_seen seen{member::decode_member_rows(answer.result.rows)};
+    drop_settled_suspects(state, seen.rows);
+    for (const member::member_row& row : seen.rows) {
+        take_suspect_row(state, row);
+        watch(state, row, now);
+    }
+    out.emplace_back(std::move(seen));
+}
+
+void start_commit(
+    deposer& state,
+    operation_counter& operations,
+    const policy& limits,
+    instant now,
+    actions& out
+) {
+    if (state.commit != platform::operation_id{} || now < state.next_commit) {
+        return;
+    }
+    std::vector<member::member_row> ready = rows_to_depose(state, limits);
+    if (ready.empty()) {
+        state.ready_since.reset();
+        return;
+    }
+    if (gathers(state, limits, now)) {
+        return;
+    }
+    state.ready_since.reset();
+    platform::transaction work;
+    for (const member::member_row& row : ready) {
+        add_deposition(work, row);
+    }
+    state.commit = next_operation(operations);
+    state.committing = std::move(ready);
+    out.emplace_back(platform::submit_transaction{state.commit, std::move(work)}
+    );
+}
+
+void take_commit(
+    deposer& state,
+    const platform::transaction_done& done,
+    const policy& limits,
+    instant now,
+    actions& out
+) {
+    if (done.id != state.commit) {
+        return;
+    }
+    state.commit = {};
+    if (done.result.status == platform::commit_status::committed) {
+        state.batch_limit = deposition_batch;
+        state.table_answered = now;
+        take_committed(state, done.result, out);
+        state.committing.clear();
+        return;
+    }
+    reread_committing(state);
+    state.committing.clear();
+    if (done.result.status == platform::commit_status::conflict) {
+        state.batch_limit = std::max<std::size_t>(1, state.batch_limit / 2);
+        return;
+    }
+    state.next_commit = now + limits.first_backoff;
+    state.next_read = now + limits.first_backoff;
+}
+
+} // namespace apricotstile::lease
--- /dev/null
+++ b/src/apricotstile/member/own_row.cpp
@@ -0,0 +1,91 @@
+// Writes of the own row and how their outcomes are settled.
+
+#include <apricotstile/member/own_row.hpp>
+
+namespace apricotstile::member {
+
+namespace {
+
+bool ends(const own_row& row, const member_record& seen) {
+    const member_ref& self = row.confirmed.record.self;
+    return seen.self.incarnation > self.incarnation ||
+           (seen.self == self && seen.state == member_state::deposed);
+}
+
+void drop_pending_unless_uncertain(own_row& row) {
+    if (row.pending->uncertain) {
+        row.pending->operation = {};
+        row.must_read = true;
+        return;
+    }
+    row.pending.reset();
+}
+
+} // namespace
+
+platform::transaction
+conditional_write(const member_record& record, platform::row_version version) {
+    const platform::row_key key{member_row_key(record.self.host)};
+    return {{{key, version}}, {{key, encode(record)}}};
+}
+
+platform::submit_transaction submit_write(
+    own_row& row,
+    const member_record& record,
+    platform::operation_id operation,
+    instant now
+) {
+    if (row.pending) {
+        row.pending->operation = operation;
+    } else {
+        row.pending = pending_write{record, now, operation, false};
+    }
+    return {
+        operation,
+        conditional_write(row.pending->record, row.confirmed.version)};
+}
+
+row_news take_commit(own_row& row, const platform::transaction_done& done) {
+    if (!row.pending || row.pending->operation != done.id ||
+        done.id == platform::operation_id{}) {
+        return row_news::none;
+    }
+    switch (done.result.status) {
+    case platform::commit_status::committed:
+        row.confirmed.version = done.result.versions.at(0);
+        row.confirmed.record = row.pending->record;
+        row.pending.reset();
+        return row_news::confirmed;
+    case platform::commit_status::unavailable:
+        drop_pending_unless_uncertain(row);
+        return row_news::none;
+    case platform::commit_status::conflict:
+    case platform::commit_status::unknown:
+        break;
+    }
+    // An earlier attempt, or a deposition, may be what the write met.
+    row.pending->uncertain = true;
+    row.pending->operation = {};
+    row.must_read = true;
+    return row_news::none;
+}
+
+row_news take_sighting(own_row& row, const member_row& seen) {
+    if (seen.version <= row.confirmed.version) {
+        return row_news::none;
+    }
+    if (ends(row, seen.record)) {
+        return row_news::over;
+    }
+    if (seen.record.self != row.confirmed.record.self) {
+        return row_news::none;
+    }
+    // Only this incarnation writes the row while it lives, so the pending
+    // write took effect, and no attempt at an older version still can.
+    row.confirmed = seen;
+    row.pending.reset();
+    row.must_read = false;
+    return row_news::confirmed;
+}
+
+} // namespace apricotstile::member
--- /dev/null
+++ b/tests/lease/world.hpp
@@ -0,0 +1,126 @@
+// Daemons of a few hosts on a virtual clock, with a fake network and the fake
+// table between them, for tests of leases under faults.
+
+#ifndef APRICOTSTILE_TESTS_LEASE_WORLD_HPP
+#define APRICOTSTILE_TESTS_LEASE_WORLD_HPP
+
+#include <apricotstile/lease/participant.hpp>
+#include <tests/support/fake_table.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace apricotstile::tests {
+
+/// True time since the start; every process has a clock of its own.
+using true_time = duration;
+
+/// Mistakes that the properties must catch.
+struct seeded_faults {
+    bool no_drift_margin{false};
+    /// A restarted guardian keeps its identity and forgets the rest.
+    bool guardian_forgets{false};
+    bool deposition_unconditional{false};
+    bool promise_after_consent{false};
+};
+
+struct conditions {
+    duration least_delay = std::chrono::microseconds{500};
+    duration most_delay = std::chrono::milliseconds{10};
+    duration store_latency = std::chrono::milliseconds{5};
+    unsigned loss_percent{0};
+    unsigned duplicate_percent{0};
+    /// Messages that arrive up to three seconds late.
+    unsigned late_percent{0};
+    unsigned lost_answer_percent{0};
+    /// Of a thousand steps, those followed by a pause before their actions.
+    unsigned pause_per_mille{0};
+};
+
+/// One run of a daemon.
+struct process {
+    host_id host;
+    lease::participant self;
+    random_source random;
+    /// Parts in a million that the clock runs fast (or slow, if negative).
+    std::int64_t drift_ppm{0};
+    true_time paused_until{};
+    bool dead{false};
+    /// Messages to the host come to this run; a later run takes them away.
+    bool has_address{true};
+};
+
+struct world {
+    struct planned {
+        true_time at;
+        std::uint64_t order;
+        std::function<void()> run;
+
+        bool operator<(const planned& other) const {
+            return std::tie(other.at, other.order) <
+                   std::tie(this->at, this->order);
+        }
+    };
+
+    true_time now{};
+    conditions around;
+    seeded_faults faults;
+    lease::policy limits;
+    random_source random;
+    fake_table table;
+    std::vector<process> processes;
+    std::priority_queue<planned> events;
+    std::uint64_t planned_events{0};
+    /// Ordered pairs of hosts whose messages are dropped; host zero is the
+    /// store.
+    std::set<std::pair<host_id, host_id>> cut;
+    host_id planner;
+
+    std::map<host_id, member::member_record> records;
+    std::map<member::member_ref, true_time> deposed;
+    std::set<member::member_ref> joined;
+    /// The first promise that was broken; empty while all held.
+    std::string violation;
+
+    std::uint64_t messages{0};
+    std::uint64_t message_bytes{0};
+    bool counts_bytes{false};
+};
+
+/// A world of `count` hosts, spread over `regions` with two failure domains
+/// each. Nothing runs until `start`.
+void make_hosts(
+    world& all, std::uint64_t seed, std::size_t count, std::size_t regions
+);
+
+/// Starts a run of the daemon on the host numbered `index` (from one).
+std::size_t start(world& all, std::size_t index);
+[[nodiscard]] host_id host_of(std::size_t index);
+[[nodiscard]] location location_of(std::size_t index, std::size_t regions);
+
+/// The run that has the host's address and isn't dead, or null.
+[[nodiscard]] process* current(world& all, host_id host);
+
+void plan(world& all, true_time at, std::function<void()> run);
+void run_until(world& all, true_time end);
+void send_event(world& all, std::size_t index, const lease::event& what);
+
+[[nodiscard]] instant local_time(const process& one, true_time when);
+[[nodiscard]] bool has_lease(const process& one, true_time when);
+
+void pause(world& all, host_id host, duration length);
+/// Ends the run on `host`, with everything it holds.
+void kill(world& all, host_id host);
+/// Starts another run on `host`. The former goes on without the address when
+/// `frozen` isn't zero: it wakes after that long.
+void replace(world& all, host_id host, duration frozen);
+void set_planner(world& all, host_id planner);
+
+} // namespace apricotstile::tests
+
+#endif
