Route a request through two daemons, thin

A caller's HTTP request goes from the ingress duty over an authenticated TCP link to the dispatch duty beside the owner, and from there to its upstream. Duties are threads joined by bounded rings. The control duty is a first one: it reads members and assignments from the table at an interval.

--- /dev/null
+++ b/src/apricotstile/daemon/internal/local_upstream.hpp
@@ -0,0 +1,41 @@
+// An upstream beside this daemon, as it last announced itself.
+
+#ifndef APRICOTSTILE_DAEMON_INTERNAL_LOCAL_UPSTREAM_HPP
+#define APRICOTSTILE_DAEMON_INTERNAL_LOCAL_UPSTREAM_HPP
+
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/daemon/messages.hpp>
+#include <apricotstile/host/address.hpp>
+#include <apricotstile/http/client_pool.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace apricotstile::daemon::internal {
+
+/// The body of an announcement.
+struct announcement {
+    apricotstile::address address;
+    bool leaving{false};
+    std::vector<announced_service> services;
+    /// The least number of slots and of connections of its services.
+    std::size_t max_at_once{0};
+};
+
+/// Reads an announcement's JSON; nothing when it is malformed.
+[[nodiscard]] std::optional<announcement>
+parse_announcement(const std::string& body);
+
+struct local_upstream {
+    announcement said;
+    instant last_heard;
+    std::unique_ptr<http::client_pool> pool;
+    /// Grants, cancellations and health, apart from the slots for work.
+    std::unique_ptr<http::client_pool> side_pool;
+};
+
+} // namespace apricotstile::daemon::internal
+
+#endif
--- /dev/null
+++ b/src/apricotstile/daemon/internal/peer_connection.hpp
@@ -0,0 +1,37 @@
+// One TCP connection to a peer daemon.
+
+#ifndef APRICOTSTILE_DAEMON_INTERNAL_PEER_CONNECTION_HPP
+#define APRICOTSTILE_DAEMON_INTERNAL_PEER_CONNECTION_HPP
+
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/link/session.hpp>
+
+#include <QTcpSocket>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace apricotstile::daemon::internal {
+
+struct peer_connection {
+    /// Never reused, so a late answer can't meet another connection.
+    std::uint64_t number{0};
+    /// Set for connections that this side opened.
+    host_id target;
+    std::unique_ptr<QTcpSocket> socket;
+    link::session session;
+    /// Encoded frames that wait for the peer's hello; bounded.
+    std::vector<std::string> waiting;
+    /// Ids of the requests in `waiting`, which certainly were not sent.
+    std::vector<request_id> waiting_requests;
+    instant opened_at;
+    instant last_received;
+    /// Requests sent on this connection that have no answer yet.
+    std::uint64_t unanswered{0};
+};
+
+} // namespace apricotstile::daemon::internal
+
+#endif
--- /dev/null
+++ b/src/apricotstile/daemon/messages.hpp
@@ -0,0 +1,156 @@
+// What the duties of one daemon tell each other, and what daemons send over
+// TCP links.
+
+#ifndef APRICOTSTILE_DAEMON_MESSAGES_HPP
+#define APRICOTSTILE_DAEMON_MESSAGES_HPP
+
+#include <apricotstile/core/codec.hpp>
+#include <apricotstile/member/member_record.hpp>
+#include <apricotstile/platform/operations.hpp>
+#include <apricotstile/request/routed_request.hpp>
+
+#include <variant>
+
+namespace apricotstile::daemon {
+
+/// Where the answer of a request goes: to this daemon's own ingress, or back
+/// over one particular connection of a link.
+struct request_origin {
+    /// Zero for this daemon's own ingress.
+    host_id host;
+    /// The link's connection, which is never reused; zero for own ingress.
+    std::uint64_t connection{0};
+};
+
+/// A request for the owner's side of this daemon.
+struct incoming_work {
+    request_origin origin;
+    request::routed_request request;
+    instant received_at;
+};
+
+/// The caller has gone.
+struct cancelled_work {
+    request_origin origin;
+    request_id id;
+};
+
+using dispatch_message = std::variant<incoming_work, cancelled_work>;
+
+/// A request to send to the daemon on `host`.
+struct outgoing_request {
+    host_id host;
+    request::routed_request request;
+};
+
+struct outgoing_cancel {
+    host_id host;
+    request_id id;
+};
+
+/// An answer to send back where the request came from.
+struct outgoing_response {
+    request_origin origin;
+    request::routed_response response;
+};
+
+/// Bulk control traffic, too large for a datagram.
+struct outgoing_control {
+    host_id host;
+    std::string payload;
+};
+
+using link_message = std::variant<
+    outgoing_request,
+    outgoing_cancel,
+    outgoing_response,
+    outgoing_control>;
+
+/// An answer for this daemon's own ingress.
+struct finished_request {
+    /// Where it was sent.
+    host_id host;
+    request::routed_response response;
+};
+
+/// The link to `host` broke; what was in flight on it may have run.
+struct link_broken {
+    host_id host;
+};
+
+/// A request that never left: the link could not be opened.
+struct request_not_sent {
+    host_id host;
+    request_id id;
+};
+
+using ingress_message =
+    std::variant<finished_request, link_broken, request_not_sent>;
+
+using store_request = std::variant<
+    platform::submit_transaction,
+    platform::read_rows,
+    platform::put_object,
+    platform::get_object>;
+
+using store_result = std::variant<
+    platform::transaction_done,
+    platform::rows_read,
+    platform::object_put,
+    platform::object_got>;
+
+/// One service in an upstream's announcement.
+struct announced_service {
+    member::served_service service;
+    /// Whether each key has one owner.
+    bool keyed{false};
+    /// How many slices a keyed service is divided into.
+    std::uint32_t slice_count{0};
+
+    friend bool
+    operator==(const announced_service&, const announced_service&) = default;
+};
+
+/// Bulk control traffic as it came in.
+struct incoming_control {
+    host_id host;
+    std::string payload;
+};
+
+/// What the upstreams beside this daemon serve now; empty while there are
+/// none or all are leaving.
+struct served_services {
+    std::vector<announced_service> services;
+};
+
+using control_message =
+    std::variant<store_result, incoming_control, served_services>;
+
+/// Payloads of TCP frames.
+struct cancel_frame {
+    request_id id;
+};
+
+struct control_frame {
+    std::string payload;
+};
+
+template <class Archive>
+void serialize(Archive& archive, cancel_frame& value) {
+    archive(value.id);
+}
+
+template <class Archive>
+void serialize(Archive& archive, control_frame& value) {
+    archive(value.payload);
+}
+
+using frame = std::variant<
+    request::routed_request,
+    request::routed_response,
+    cancel_frame,
+    control_frame>;
+
+} // namespace apricotstile::daemon
+
+#endif
--- /dev/null
+++ b/src/apricotstile/http/client_pool.hpp
@@ -0,0 +1,71 @@
+// Connections to one HTTP server: opened on demand up to a bound, kept while
+// they are healthy, closed when an exchange on them times out.
+
+#ifndef APRICOTSTILE_HTTP_CLIENT_POOL_HPP
+#define APRICOTSTILE_HTTP_CLIENT_POOL_HPP
+
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/host/address.hpp>
+#include <apricotstile/http/client_connection.hpp>
+
+#include <QTimer>
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace apricotstile::http {
+
+using client_exchange = strong_id<struct client_exchange_tag, std::uint64_t>;
+
+class client_pool {
+public:
+    /// At most `max_connections` exchanges run at once.
+    client_pool(const address& where, std::size_t max_connections);
+    client_pool(const client_pool&) = delete;
+    client_pool& operator=(const client_pool&) = delete;
+    ~client_pool();
+
+    /// Whether another exchange may start now.
+    [[nodiscard]] bool has_room() const;
+    [[nodiscard]] std::size_t running() const;
+    [[nodiscard]] std::size_t idle() const;
+    /// Exchanges that ended because their time was up.
+    [[nodiscard]] std::uint64_t timed_out() const;
+
+    /// Starts an exchange, which ends as `lost` when `time_allowed` has passed
+    /// without a whole answer. `done` runs once, later, in this thread. Throws
+    /// `std::logic_error` without room.
+    client_exchange start(
+        const http_request& request,
+        duration time_allowed,
+        client_connection::done_handler done
+    );
+
+    /// Closes the exchange's connection; its `done` isn't called.
+    void abandon(client_exchange exchange);
+
+private:
+    struct running_exchange {
+        std::unique_ptr<client_connection> connection;
+        instant deadline;
+        client_connection::done_handler done;
+    };
+
+    void finished(client_exchange exchange, exchange_result&& result);
+    void expire();
+
+    address server;
+    std::size_t most;
+    /// At most `most`, together with no bound on idle ones but that.
+    std::unordered_map<client_exchange, running_exchange> exchanges;
+    std::vector<std::unique_ptr<client_connection>> idle_connections;
+    client_exchange last;
+    std::uint64_t expired{0};
+    QTimer timer;
+};
+
+} // namespace apricotstile::http
+
+#endif
--- /dev/null
+++ b/src/apricotstile/http/internal/guarded_listener.hpp
@@ -0,0 +1,41 @@
+// A listener that bounds what a connection may make the HTTP server hold.
+// Qt's HTTP server takes a body of any size, so the bytes of a request are
+// counted on the socket before the server reads them.
+
+#ifndef APRICOTSTILE_HTTP_INTERNAL_GUARDED_LISTENER_HPP
+#define APRICOTSTILE_HTTP_INTERNAL_GUARDED_LISTENER_HPP
+
+#include <QTcpServer>
+
+#include <cstddef>
+#include <functional>
+
+class QTcpSocket;
+
+namespace apricotstile::http::internal {
+
+class guarded_listener : public QTcpServer {
+public:
+    /// `on_bytes` runs on each arrival before the HTTP server reads it.
+    /// Connections beyond `max_connections` are closed at once.
+    guarded_listener(
+        std::size_t max_connections, std::function<void(QTcpSocket&)> on_bytes
+    );
+
+    [[nodiscard]] std::size_t open_connections() const;
+    [[nodiscard]] std::size_t refused_connections() const;
+
+protected:
+    void incomingConnection(qintptr descriptor) override;
+
+private:
+    std::size_t most;
+    std::function<void(QTcpSocket&)> bytes_arrived;
+    /// At most `most`.
+    std::size_t open{0};
+    std::size_t refused{0};
+};
+
+} // namespace apricotstile::http::internal
+
+#endif
--- /dev/null
+++ b/src/apricotstile/http/server.hpp
@@ -0,0 +1,120 @@
+// An HTTP/1.1 server whose answers may come later, on Qt's HTTP server.
+
+#ifndef APRICOTSTILE_HTTP_SERVER_HPP
+#define APRICOTSTILE_HTTP_SERVER_HPP
+
+#include <apricotstile/core/ids.hpp>
+#include <apricotstile/host/address.hpp>
+#include <apricotstile/http/message.hpp>
+
+#include <QAbstractHttpServer>
+#include <QPointer>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace apricotstile::http {
+
+namespace internal {
+class guarded_listener;
+}
+
+/// One request and the answer it waits for; never reused.
+using exchange_id = strong_id<struct exchange_id_tag, std::uint64_t>;
+
+struct server_limits {
+    std::size_t max_connections{4096};
+    /// Request line, headers and body together.
+    std::size_t max_request_bytes{1U << 20U};
+    /// Requests of one connection that wait for an earlier one's answer.
+    std::size_t max_pipelined{8};
+};
+
+struct server_counters {
+    std::uint64_t requests{0};
+    std::uint64_t refused_too_large{0};
+    std::uint64_t refused_pipelined{0};
+    std::uint64_t closed_idle{0};
+    std::uint64_t hung_up{0};
+    /// Connections that ended with a partial or malformed request.
+    std::uint64_t incomplete{0};
+};
+
+class server : public QAbstractHttpServer {
+public:
+    using request_handler = std::function<void(exchange_id, http_request&&)>;
+    using cancel_handler = std::function<void(exchange_id)>;
+
+    /// `on_request` runs for each complete request and is answered by `reply`,
+    /// then or later. `on_cancel` runs when the peer hung up before that.
+    server(
+        server_limits limits,
+        request_handler on_request,
+        cancel_handler on_cancel
+    );
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+    ~server() override;
+
+    /// Starts listening. Throws `std::runtime_error` when it can't.
+    void listen_on(const address& where);
+    /// Stops taking connections; open ones are told to close with their next
+    /// response.
+    void stop_listening();
+    /// Answers an exchange; ignored when its peer has hung up.
+    void reply(exchange_id exchange, http_response response);
+
+    [[nodiscard]] const server_counters& counters() const;
+    [[nodiscard]] std::size_t open_connections() const;
+    [[nodiscard]] std::size_t waiting_exchanges() const;
+
+protected:
+    bool handleRequest(const QHttpServerRequest& request, QTcpSocket* socket)
+        override;
+    void missingHandler(const QHttpServerRequest& request, QTcpSocket* socket)
+        override;
+
+private:
+    struct connection {
+        QPointer<QTcpSocket> socket;
+        /// The exchange being answered; zero while there is none.
+        exchange_id current;
+        std::deque<http_request> pipelined;
+        /// Bytes since the last complete request.
+        std::size_t partial_bytes{0};
+        /// Bytes that the HTTP server left in the socket's buffer.
+        std::size_t left_bytes{0};
+        std::uint64_t last_active_tick{0};
+        bool refused{false};
+    };
+
+    connection& connection_of(QTcpSocket& socket);
+    void bytes_arrived(QTcpSocket& socket);
+    void after_read(QTcpSocket& socket);
+    void forget(QTcpSocket* socket);
+    void start(connection& where, http_request&& request);
+    void refuse(connection& where, std::uint16_t status);
+    void close_idle();
+
+    server_limits limits;
+    request_handler on_request;
+    cancel_handler on_cancel;
+    std::unique_ptr<internal::guarded_listener> listener;
+    std::unordered_map<QTcpSocket*, connection> connections;
+    /// The connection of each exchange that waits for its answer.
+    std::unordered_map<exchange_id, QTcpSocket*> waiting;
+    exchange_id last_exchange;
+    server_counters counted;
+    QTimer idle_timer;
+    std::uint64_t tick{0};
+    bool stopping{false};
+};
+
+} // namespace apricotstile::http
+
+#endif
