Keep the assignment map in rows and follow it from peers

Cause: daemons need one map of owners that survives any of them and costs the table little. A served service now tells its number of slices.

--- /dev/null
+++ b/src/apricotstile/assignment/map_follower.cpp
@@ -0,0 +1,506 @@
+// The follower's steps: news by digest, differences from the bounded history,
+// snapshots of the changed chunks for those too far behind.
+
+#include <apricotstile/assignment/map_follower.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace apricotstile::assignment {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t max_history_size = 16'384;
+constexpr std::size_t max_changes_per_message = 4'096;
+constexpr std::size_t chunks_per_part = 16;
+constexpr std::size_t max_newer_peers = 16;
+constexpr std::size_t max_early_changes = 64;
+/// Peers told at once of a new version; the rest hear by heartbeats.
+constexpr std::size_t news_fanout = 4;
+constexpr duration fetch_timeout = 500ms;
+constexpr duration read_wait = 1s;
+/// Spreads the table's reads when all daemons start together.
+constexpr duration read_spread_per_peer = 10ms;
+constexpr duration read_retry = 5s;
+
+void send(follower_actions& actions, host_id to, map_message message) {
+    actions.emplace_back(send_map_message{to, std::move(message)});
+}
+
+void tell_news(
+    const map_follower& follower,
+    random_source& random,
+    follower_actions& actions
+) {
+    std::vector<host_id> chosen;
+    std::sample(
+        follower.peers.begin(),
+        follower.peers.end(),
+        std::back_inserter(chosen),
+        news_fanout,
+        random
+    );
+    for (const host_id peer : chosen) {
+        send(actions, peer, digest_of(follower));
+    }
+}
+
+void remember(map_follower& follower, const map_change& change) {
+    follower.history.push_back(change);
+    follower.history_size += size_of(change);
+    while (follower.history_size > max_history_size) {
+        follower.history_size -= size_of(follower.history.front());
+        follower.history.pop_front();
+    }
+}
+
+void apply_next(map_follower& follower, const map_change& change) {
+    apply_change(follower.map, change);
+    apply_to_head(follower.head, change);
+    remember(follower, change);
+}
+
+void apply_early(map_follower& follower, std::vector<map_change>& applied) {
+    auto& early = follower.early;
+    while (!early.empty() &&
+           early.begin()->first <= next(follower.map.version)) {
+        const auto first = early.extract(early.begin());
+        if (first.key() == next(follower.map.version)) {
+            apply_next(follower, first.mapped());
+            applied.push_back(first.mapped());
+        }
+    }
+}
+
+/// Applies those of `changes` that follow the present version.
+std::vector<map_change> apply_following(
+    map_follower& follower, const std::vector<map_change>& changes
+) {
+    std::vector<map_change> applied;
+    for (const map_change& one : changes) {
+        if (one.version == next(follower.map.version)) {
+            apply_next(follower, one);
+            applied.push_back(one);
+        }
+    }
+    apply_early(follower, applied);
+    return applied;
+}
+
+void forget_reached_peers(map_follower& follower) {
+    std::erase_if(follower.newer_peers, [&](const auto& one) {
+        return one.second <= follower.map.version;
+    });
+}
+
+void publish(
+    map_follower& follower,
+    std::vector<map_change> changes,
+    random_source& random,
+    follower_actions& actions
+) {
+    forget_reached_peers(follower);
+    follower.read_at.reset();
+    actions.emplace_back(
+        publish_map{follower.map.version, std::move(changes)}
+    );
+    tell_news(follower, random, actions);
+}
+
+void start_fetch(
+    map_follower& follower, instant now, follower_actions& actions
+) {
+    if (follower.fetch || follower.newer_peers.empty()) {
+        return;
+    }
+    const auto newest = std::max_element(
+        follower.newer_peers.begin(),
+        follower.newer_peers.end(),
+        [](const auto& a, const auto& b) {
+            return a.second < b.second;
+        }
+    );
+    follower.fetch = map_fetch{newest->first, newest->second, now, {}};
+    send(actions, newest->first, get_map_changes{follower.map.version});
+}
+
+void end_fetch(map_follower& follower, host_id peer) {
+    if (follower.fetch && follower.fetch->peer == peer) {
+        follower.fetch.reset();
+    }
+}
+
+void note_planner(
+    map_follower& follower, std::uint64_t beat, member::member_ref planner
+) {
+    if (beat > follower.planner_beat) {
+        follower.planner_beat = beat;
+        follower.planner = planner;
+    }
+}
+
+void take(
+    map_follower& follower,
+    host_id from,
+    const map_digest& digest,
+    instant now,
+    random_source& /*random*/,
+    follower_actions& actions
+) {
+    note_planner(follower, digest.planner_beat, digest.planner);
+    if (digest.version <= follower.map.version) {
+        return;
+    }
+    const bool room = follower.newer_peers.size() < max_newer_peers;
+    if (room || follower.newer_peers.contains(from)) {
+        follower.newer_peers[from] = digest.version;
+    }
+    start_fetch(follower, now, actions);
+}
+
+map_changes
+changes_after(const map_follower& follower, map_version have) {
+    map_changes answer;
+    std::size_t size = 0;
+    for (const map_change& one : follower.history) {
+        if (one.version <= have) {
+            continue;
+        }
+        size += size_of(one);
+        if (size > max_changes_per_message && !answer.changes.empty()) {
+            break;
+        }
+        answer.changes.push_back(one);
+    }
+    return answer;
+}
+
+std::vector<chunk_part>
+chunks_after(const map_follower& follower, map_version have) {
+    std::vector<chunk_part> parts;
+    for (const auto& [service, layout] : follower.head.services) {
+        for (std::uint32_t i = 0; i < layout.chunk_versions.size(); ++i) {
+            const map_version changed_at = layout.chunk_versions[i];
+            if (changed_at > have) {
+                const chunk_id id{service, i};
+                parts.push_back(
+                    {id, extract_chunk(follower.map, id, changed_at)}
+                );
+            }
+        }
+    }
+    return parts;
+}
+
+void send_snapshot(
+    const map_follower& follower,
+    host_id to,
+    map_version have,
+    follower_actions& actions
+) {
+    auto chunks = chunks_after(follower, have);
+    const std::size_t count =
+        (chunks.size() + chunks_per_part - 1) / chunks_per_part;
+    for (std::size_t part = 0; part < count; ++part) {
+        map_snapshot_part message;
+        message.since = have;
+        message.head = follower.head;
+        message.part = static_cast<std::uint32_t>(part);
+        message.part_count = static_cast<std::uint32_t>(count);
+        const std::size_t first = part * chunks_per_part;
+        const std::size_t last =
+            std::min(first + chunks_per_part, chunks.size());
+        for (std::size_t i = first; i < last; ++i) {
+            message.chunks.push_back(std::move(chunks[i]));
+        }
+        send(actions, to, std::move(message));
+    }
+}
+
+void take(
+    map_follower& follower,
+    host_id from,
+    const get_map_changes& request,
+    instant /*now*/,
+    random_source& /*random*/,
+    follower_actions& actions
+) {
+    if (request.have >= follower.map.version) {
+        return;
+    }
+    const bool in_history =
+        !follower.history.empty() &&
+        follower.history.front().version <= next(request.have);
+    if (in_history) {
+        send(actions, from, changes_after(follower, request.have));
+    } else {
+        send_snapshot(follower, from, request.have, actions);
+    }
+}
+
+void take(
+    map_follower& follower,
+    host_id from,
+    const map_changes& message,
+    instant now,
+    random_source& random,
+    follower_actions& actions
+) {
+    auto applied = apply_following(follower, message.changes);
+    end_fetch(follower, from);
+    if (!applied.empty()) {
+        publish(follower, std::move(applied), random, actions);
+    }
+    start_fetch(follower, now, actions);
+}
+
+bool belongs_to(const map_fetch& fetch, const map_snapshot_part& part) {
+    if (fetch.parts.empty()) {
+        return true;
+    }
+    const map_snapshot_part& first = fetch.parts.begin()->second;
+    return first.since == part.since &&
+           first.head.version == part.head.version;
+}
+
+void apply_snapshot(map_follower& follower, const map_fetch& fetch) {
+    follower.head = fetch.parts.begin()->second.head;
+    for (const auto& [number, part] : fetch.parts) {
+        for (const chunk_part& one : part.chunks) {
+            const auto& layout = follower.head.services.at(one.id.service);
+            insert_chunk(
+                follower.map, one.id, layout.slice_count, one.chunk
+            );
+        }
+    }
+    follower.map.version = follower.head.version;
+    follower.history.clear();
+    follower.history_size = 0;
+}
+
+void take(
+    map_follower& follower,
+    host_id from,
+    const map_snapshot_part& part,
+    instant now,
+    random_source& random,
+    follower_actions& actions
+) {
+    const bool usable = follower.fetch && follower.fetch->peer == from &&
+                        part.since == follower.map.version &&
+                        part.head.version > follower.map.version;
+    if (!usable) {
+        return;
+    }
+    map_fetch& fetch = *follower.fetch;
+    if (!belongs_to(fetch, part)) {
+        fetch.parts.clear();
+    }
+    fetch.parts.emplace(part.part, part);
+    fetch.sent_at = now;
+    if (fetch.parts.size() < part.part_count) {
+        return;
+    }
+    apply_snapshot(follower, fetch);
+    end_fetch(follower, from);
+    publish(follower, {}, random, actions);
+    start_fetch(follower, now, actions);
+}
+
+/// Load reports are the planner's business.
+void take(
+    map_follower& /*follower*/,
+    host_id /*from*/,
+    const load_report& /*report*/,
+    instant /*now*/,
+    random_source& /*random*/,
+    follower_actions& /*actions*/
+) {}
+
+void replace_by_rows(
+    map_follower& follower,
+    const map_rows& rows,
+    random_source& random,
+    follower_actions& actions
+) {
+    if (rows.head.version <= follower.map.version) {
+        return;
+    }
+    auto map = to_map(rows);
+    if (!map) {
+        return;
+    }
+    follower.map = std::move(*map);
+    follower.head = rows.head;
+    follower.history.clear();
+    follower.history_size = 0;
+    publish(follower, {}, random, actions);
+}
+
+void expire_fetch(
+    map_follower& follower, instant now, follower_actions& actions
+) {
+    const bool expired =
+        follower.fetch && now - follower.fetch->sent_at >= fetch_timeout;
+    if (expired) {
+        // Its next digest brings the peer back.
+        follower.newer_peers.erase(follower.fetch->peer);
+        follower.fetch.reset();
+    }
+    start_fetch(follower, now, actions);
+}
+
+bool needs_table(const map_follower& follower) {
+    return follower.map.version == map_version{} && !follower.fetch &&
+           follower.newer_peers.empty();
+}
+
+void read_table_if_due(
+    map_follower& follower,
+    instant now,
+    random_source& random,
+    follower_actions& actions
+) {
+    if (!needs_table(follower)) {
+        follower.read_at.reset();
+        return;
+    }
+    if (!follower.read_at) {
+        const auto spread = std::chrono::nanoseconds{
+            read_spread_per_peer *
+            static_cast<std::int64_t>(follower.peers.size() + 1)};
+        const auto delay = random_below(
+            random, static_cast<std::uint64_t>(spread.count())
+        );
+        follower.read_at =
+            now + read_wait + duration{static_cast<std::int64_t>(delay)};
+        return;
+    }
+    if (now < *follower.read_at) {
+        return;
+    }
+    follower.read_at = now + read_retry;
+    for (auto& one : start_reading(follower.reader, {})) {
+        actions.emplace_back(std::move(one));
+    }
+}
+
+void take(
+    map_follower& follower,
+    const follower_tick& /*tick*/,
+    instant now,
+    random_source& random,
+    follower_actions& actions
+) {
+    expire_fetch(follower, now, actions);
+    read_table_if_due(follower, now, random, actions);
+}
+
+void take(
+    map_follower& follower,
+    const peers_changed& event,
+    instant /*now*/,
+    random_source& /*random*/,
+    follower_actions& /*actions*/
+) {
+    follower.peers = event.peers;
+}
+
+void take(
+    map_follower& follower,
+    const follower_message& event,
+    instant now,
+    random_source& random,
+    follower_actions& actions
+) {
+    std::visit(
+        [&](const auto& message) {
+            take(follower, event.from, message, now, random, actions);
+        },
+        event.message
+    );
+}
+
+void take(
+    map_follower& follower,
+    const change_committed& event,
+    instant /*now*/,
+    random_source& random,
+    follower_actions& actions
+) {
+    follower.early.emplace(event.change.version, event.change);
+    while (follower.early.size() > max_early_changes) {
+        follower.early.erase(std::prev(follower.early.end()));
+    }
+    auto applied = apply_following(follower, {});
+    if (!applied.empty()) {
+        publish(follower, std::move(applied), random, actions);
+    }
+}
+
+void take(
+    map_follower& follower,
+    const map_was_read& event,
+    instant /*now*/,
+    random_source& random,
+    follower_actions& actions
+) {
+    replace_by_rows(follower, event.rows, random, actions);
+}
+
+void take(
+    map_follower& follower,
+    const planner_seen& event,
+    instant /*now*/,
+    random_source& random,
+    follower_actions& actions
+) {
+    const bool is_news = event.planner != follower.planner;
+    note_planner(follower, event.beat, event.planner);
+    if (is_news) {
+        tell_news(follower, random, actions);
+    }
+}
+
+void take(
+    map_follower& follower,
+    const platform::rows_read& event,
+    instant /*now*/,
+    random_source& random,
+    follower_actions& actions
+) {
+    for (auto& one : take_rows(follower.reader, event)) {
+        actions.emplace_back(std::move(one));
+    }
+    if (follower.reader.status == reader_status::idle) {
+        replace_by_rows(follower, follower.reader.rows, random, actions);
+        follower.reader.rows = {};
+    }
+}
+
+} // namespace
+
+follower_actions step(
+    map_follower& follower,
+    const follower_event& event,
+    instant now,
+    random_source& random
+) {
+    follower_actions actions;
+    std::visit(
+        [&](const auto& one) {
+            take(follower, one, now, random, actions);
+        },
+        event
+    );
+    return actions;
+}
+
+map_digest digest_of(const map_follower& follower) {
+    return {follower.map.version, follower.planner_beat, follower.planner};
+}
+
+} // namespace apricotstile::assignment
--- /dev/null
+++ b/src/apricotstile/assignment/map_messages.hpp
@@ -0,0 +1,86 @@
+// What daemons tell each other to keep their maps up to date. The digest also
+// rides on heartbeats.
+
+#ifndef APRICOTSTILE_ASSIGNMENT_MAP_MESSAGES_HPP
+#define APRICOTSTILE_ASSIGNMENT_MAP_MESSAGES_HPP
+
+#include <apricotstile/assignment/load_report.hpp>
+#include <apricotstile/assignment/map_rows.hpp>
+
+#include <variant>
+#include <vector>
+
+namespace apricotstile::assignment {
+
+/// The newest map and the latest sign of a planner that the sender knows.
+struct map_digest {
+    map_version version;
+    /// The version of the planner's row; rises with each renewal.
+    std::uint64_t planner_beat{0};
+    /// Host zero while no planner is known.
+    member::member_ref planner;
+
+    friend bool operator==(const map_digest&, const map_digest&) = default;
+};
+
+/// Asks for everything after version `have`.
+struct get_map_changes {
+    map_version have;
+};
+
+/// Changes with consecutive versions.
+struct map_changes {
+    std::vector<map_change> changes;
+};
+
+struct chunk_part {
+    chunk_id id;
+    map_chunk chunk;
+};
+
+/// One of `part_count` messages that together bring a map of version `since`
+/// to the head's version: the chunks that changed after `since`.
+struct map_snapshot_part {
+    map_version since;
+    map_head head;
+    std::uint32_t part{0};
+    std::uint32_t part_count{0};
+    std::vector<chunk_part> chunks;
+};
+
+using map_message = std::variant<
+    map_digest,
+    get_map_changes,
+    map_changes,
+    map_snapshot_part,
+    load_report>;
+
+template <class Archive>
+void serialize(Archive& archive, map_digest& value) {
+    archive(value.version, value.planner_beat, value.planner);
+}
+
+template <class Archive>
+void serialize(Archive& archive, get_map_changes& value) {
+    archive(value.have);
+}
+
+template <class Archive>
+void serialize(Archive& archive, map_changes& value) {
+    archive(value.changes);
+}
+
+template <class Archive>
+void serialize(Archive& archive, chunk_part& value) {
+    archive(value.id, value.chunk);
+}
+
+template <class Archive>
+void serialize(Archive& archive, map_snapshot_part& value) {
+    archive(value.since, value.head, value.part, value.part_count);
+    archive(value.chunks);
+}
+
+} // namespace apricotstile::assignment
+
+#endif
--- a/src/apricotstile/member/member_record.hpp
+++ b/src/apricotstile/member/member_record.hpp
@@ -43,6 +43,9 @@
     std::uint32_t slots{0};
     /// Whether the upstream refuses work that carries an old fencing token.
     bool checks_tokens{false};
+    /// How many slices the service's keys are divided into; zero for a
+    /// service that isn't divided by key.
+    std::uint32_t slice_count{0};
 
     friend bool
     operator==(const served_service&, const served_service&) = default;
@@ -80,6 +83,7 @@
 template <class Archive>
 void serialize(Archive& archive, served_service& value) {
     archive(value.service, value.slots, value.checks_tokens);
+    archive(value.slice_count);
 }
 
 template <class Archive>
