Remember idempotency keys at a slice's owner

Non-idempotent work must run at most once although callers resend and owners change. A ticket names slice, token and time of issue, so that an owner without the record can tell a new key from a forgotten one; a key without a ticket is in doubt for one window after a loss.

Random schedules of resends, losses, moves, late and repeated hand-overs find no second run.

--- /dev/null
+++ b/src/apricotstile/request/begin_result.hpp
@@ -0,0 +1,30 @@
+// What an owner does with a non-idempotent request that has arrived.
+
+#ifndef APRICOTSTILE_REQUEST_BEGIN_RESULT_HPP
+#define APRICOTSTILE_REQUEST_BEGIN_RESULT_HPP
+
+#include <apricotstile/request/kept_answer.hpp>
+
+#include <variant>
+
+namespace apricotstile::request {
+
+/// Run it, then call `finish` exactly once.
+struct run_it {};
+
+/// It has finished before; give the same answer again.
+struct replay_it {
+    kept_answer answer;
+};
+
+/// Don't run it; answer `outcome` with `refusal`.
+struct refuse_it {
+    request::outcome outcome{request::outcome::not_run};
+    request::refusal refusal{request::refusal::none};
+};
+
+using begin_result = std::variant<run_it, replay_it, refuse_it>;
+
+} // namespace apricotstile::request
+
+#endif
--- a/src/apricotstile/request/outcome.cpp
+++ b/src/apricotstile/request/outcome.cpp
@@ -58,6 +58,8 @@
         return "upstream_refused";
     case refusal::upstream_timed_out:
         return "upstream_timed_out";
+    case refusal::in_progress:
+        return "in_progress";
     }
     return "invalid";
 }
--- a/src/apricotstile/request/outcome.hpp
+++ b/src/apricotstile/request/outcome.hpp
@@ -38,7 +38,9 @@
     link_lost,
     upstream_lost,
     upstream_refused,
-    upstream_timed_out
+    upstream_timed_out,
+    /// An earlier request with the same key is still running.
+    in_progress
 };
 
 [[nodiscard]] std::string_view to_string(outcome value);
--- a/src/apricotstile/request/routed_request.hpp
+++ b/src/apricotstile/request/routed_request.hpp
@@ -48,6 +48,8 @@
     duration retry_after{0};
     /// The responder's map, newer than `routed_by` when ownership has moved.
     map_version responder_map;
+    /// A fresh ticket for later keys; empty when the responder owns nothing.
+    std::string ticket;
     /// The upstream's status, content type and whole body with `answered`.
     std::uint16_t status{0};
     std::string content_type;
@@ -65,8 +67,8 @@
 template <class Archive>
 void serialize(Archive& archive, routed_response& value) {
     archive(value.id, value.outcome, value.refusal, value.retry_after);
-    archive(value.responder_map, value.status, value.content_type);
-    archive(value.body);
+    archive(value.responder_map, value.ticket, value.status);
+    archive(value.content_type, value.body);
 }
 
 } // namespace apricotstile::request
--- /dev/null
+++ b/src/apricotstile/request/slice_handover.hpp
@@ -0,0 +1,62 @@
+// The memory of one slice as its owner sends it to the next one.
+
+#ifndef APRICOTSTILE_REQUEST_SLICE_HANDOVER_HPP
+#define APRICOTSTILE_REQUEST_SLICE_HANDOVER_HPP
+
+#include <apricotstile/core/codec.hpp>
+#include <apricotstile/core/ids.hpp>
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/request/memory_record.hpp>
+
+#include <vector>
+
+namespace apricotstile::request {
+
+/// A token whose tickets the memory can vouch for.
+struct handed_token {
+    fencing_token token;
+    /// How long ago the token's owner opened the slice.
+    duration age{0};
+    /// How long ago it released the slice.
+    duration since_closed{0};
+};
+
+struct handed_record {
+    record_id id;
+    memory_record record;
+    /// Until the record may be forgotten.
+    duration time_left{0};
+};
+
+/// Sent only once the release is known to be committed: a copy sent earlier
+/// could miss what its owner ran after a release that failed.
+struct slice_handover {
+    service_id service;
+    slice_id slice;
+    /// The token that the release gave to the next owner.
+    fencing_token released_to;
+    /// How much longer a key without a ticket may be one that was lost.
+    duration doubt_left{0};
+    std::vector<handed_token> tokens;
+    std::vector<handed_record> records;
+};
+
+template <class Archive>
+void serialize(Archive& archive, handed_token& value) {
+    archive(value.token, value.age, value.since_closed);
+}
+
+template <class Archive>
+void serialize(Archive& archive, handed_record& value) {
+    archive(value.id, value.record, value.time_left);
+}
+
+template <class Archive>
+void serialize(Archive& archive, slice_handover& value) {
+    archive(value.service, value.slice, value.released_to);
+    archive(value.doubt_left, value.tokens, value.records);
+}
+
+} // namespace apricotstile::request
+
+#endif
--- /dev/null
+++ b/tests/request/owner_memory.tests.cpp
@@ -0,0 +1,323 @@
+// At most one run of each non-idempotent request, whatever is lost, resent,
+// moved or forgotten. A fake upstream keeps the record of what ran.
+
+#include <apricotstile/request/owner_memory.hpp>
+#include <tests/support/schedule.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace apricotstile;
+using namespace apricotstile::request;
+using namespace apricotstile::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t owner_count = 3;
+constexpr std::size_t key_count = 8;
+const slice_ref the_slice{service_id{"release"}, slice_id{3}};
+
+/// A caller's key: sent first at `first_sent`, with or without a ticket.
+struct caller_key {
+    bool sent{false};
+    bool ticketed{false};
+    instant first_sent;
+    std::optional<request::ticket> ticket;
+    int runs{0};
+    std::optional<keyed_request> running;
+    std::string answer;
+};
+
+struct world {
+    std::array<owner_memory, owner_count> owners;
+    std::size_t owner{0};
+    fencing_token token{1};
+    instant now{1h};
+    std::array<caller_key, key_count> keys;
+    std::optional<slice_handover> on_its_way;
+    memory_policy stated;
+};
+
+owner_memory& current(world& it) {
+    return it.owners.at(it.owner);
+}
+
+world start(const memory_policy& policy) {
+    world it;
+    it.stated = policy;
+    for (owner_memory& one : it.owners) {
+        one.policy = policy;
+    }
+    open_slice(
+        current(it), the_slice, it.token, slice_origin::never_owned, it.now
+    );
+    return it;
+}
+
+keyed_request make_request(const world& it, std::size_t index) {
+    keyed_request result{
+        the_slice.first, the_slice.second, it.token, {}, 1, {}};
+    result.id.key.value = std::to_string(index);
+    result.ticket = it.keys.at(index).ticket;
+    return result;
+}
+
+void first_send(world& it, caller_key& key, bool ticketed) {
+    key.sent = true;
+    key.first_sent = it.now;
+    key.ticketed = ticketed;
+    if (ticketed) {
+        key.ticket = issue_ticket(current(it), the_slice, it.token, it.now);
+    }
+}
+
+violation send(world& it, std::size_t index, bool ticketed) {
+    caller_key& key = it.keys.at(index);
+    if (!key.sent) {
+        first_send(it, key, ticketed);
+    }
+    // Callers' only duty: a key without a ticket isn't resent for longer
+    // than the stated window.
+    if (!key.ticket && it.now - key.first_sent >= it.stated.window) {
+        return {};
+    }
+    const keyed_request sent = make_request(it, index);
+    const begin_result result = begin(current(it), sent, it.now);
+    if (const auto* replay = std::get_if<replay_it>(&result)) {
+        const bool same = replay->answer.outcome != outcome::answered ||
+                          replay->answer.body == key.answer;
+        return same ? violation{} : "another request's answer was replayed";
+    }
+    if (std::holds_alternative<run_it>(result)) {
+        ++key.runs;
+        key.running = sent;
+        return key.runs > 1 ? violation{"ran twice"} : violation{};
+    }
+    const auto& refused = std::get<refuse_it>(result);
+    if (refused.outcome == outcome::not_run && key.runs > 0 &&
+        refused.refusal != refusal::not_owner) {
+        return "not_run was said of a key that ran";
+    }
+    return {};
+}
+
+/// The upstream ends a run: shed before it ran, answered, or died.
+void end_run(world& it, std::size_t index, std::uint32_t how) {
+    caller_key& key = it.keys.at(index);
+    if (!key.running) {
+        return;
+    }
+    kept_answer answer{outcome::answered, refusal::none, 200, "text", {}};
+    key.answer = "answer " + std::to_string(index);
+    answer.body = key.answer;
+    if (how == 0) {
+        answer = {outcome::not_run, refusal::upstream_refused, 0, {}, {}};
+        --key.runs;
+    } else if (how == 1) {
+        answer = {outcome::unknown, refusal::upstream_lost, 0, {}, {}};
+    }
+    finish(current(it), *key.running, answer, it.now);
+    key.running.reset();
+}
+
+void forget_running(world& it) {
+    for (caller_key& key : it.keys) {
+        key.running.reset();
+    }
+}
+
+void give_to_next_owner(world& it) {
+    forget_running(it);
+    it.owner = (it.owner + 1) % owner_count;
+    it.token = next(it.token);
+    open_slice(
+        current(it), the_slice, it.token, slice_origin::owned_before, it.now
+    );
+}
+
+void crash_owner(world& it) {
+    current(it) = owner_memory{};
+    current(it).policy = it.stated;
+    it.on_its_way.reset();
+    give_to_next_owner(it);
+}
+
+void planned_move(world& it) {
+    owner_memory& old = current(it);
+    freeze_slice(old, the_slice);
+    it.on_its_way = hand_over(old, the_slice, next(it.token), it.now);
+    give_to_next_owner(it);
+}
+
+/// A hand-over may arrive late, twice or never.
+void deliver_handover(world& it) {
+    if (it.on_its_way) {
+        take_over(current(it), *it.on_its_way, it.now);
+    }
+}
+
+violation check_bounds(const world& it) {
+    for (const owner_memory& one : it.owners) {
+        if (one.records > it.stated.max_records + key_count) {
+            return "too many records";
+        }
+        if (one.answer_bytes > it.stated.max_answer_bytes) {
+            return "too many bytes";
+        }
+    }
+    return {};
+}
+
+violation run(const schedule& moves, const memory_policy& policy) {
+    world it = start(policy);
+    for (const std::uint32_t number : moves) {
+        move_reader move{number};
+        const std::uint32_t kind = move.below(12);
+        const std::size_t key = move.below(key_count);
+        violation broken;
+        if (kind < 4) {
+            broken = send(it, key, move.below(2) == 0);
+        } else if (kind < 7) {
+            end_run(it, key, move.below(4));
+        } else if (kind == 7) {
+            crash_owner(it);
+        } else if (kind == 8) {
+            planned_move(it);
+        } else if (kind == 9) {
+            deliver_handover(it);
+        } else {
+            it.now += 1s * move.below(120);
+        }
+        broken = broken ? broken : check_bounds(it);
+        if (broken) {
+            return broken;
+        }
+    }
+    return {};
+}
+
+memory_policy small_policy() {
+    memory_policy policy;
+    policy.max_records = 3;
+    policy.max_answer_bytes = 30;
+    policy.max_kept_answer = 12;
+    return policy;
+}
+
+int cases_to_catch(memory_faults faults) {
+    memory_policy policy = small_policy();
+    policy.faults = faults;
+    constexpr int limit = 2000;
+    const int cases = cases_until_violation(
+        [&](const schedule& moves) {
+            return run(moves, policy);
+        },
+        limit
+    );
+    REQUIRE(cases <= limit);
+    return cases;
+}
+
+keyed_request simple_request() {
+    return {the_slice.first, the_slice.second, {1}, {{"c"}, {"k"}}, 7, {}};
+}
+
+} // namespace
+
+TEST_CASE("a non-idempotent request runs at most once", "[owner_memory]") {
+    rc::prop("under any schedule of loss, moves and resends", [] {
+        const schedule moves = *any_schedule();
+        RC_ASSERT(run(moves, small_policy()) == violation{});
+        RC_ASSERT(run(moves, memory_policy{}) == violation{});
+    });
+}
+
+TEST_CASE("each mistake in the memory is caught", "[owner_memory][faults]") {
+    memory_faults older;
+    older.trusts_older_tickets = true;
+    WARN("trusts older tickets: caught at case " << cases_to_catch(older));
+    memory_faults age;
+    age.ignores_ticket_age = true;
+    WARN("ignores a ticket's age: caught at case " << cases_to_catch(age));
+    memory_faults doubt;
+    doubt.runs_without_ticket_after_loss = true;
+    WARN("ignores a loss: caught at case " << cases_to_catch(doubt));
+    memory_faults early;
+    early.forgets_when_full = true;
+    WARN("forgets when full: caught at case " << cases_to_catch(early));
+    memory_faults empty;
+    empty.hands_over_nothing = true;
+    WARN("hands over nothing: caught at case " << cases_to_catch(empty));
+}
+
+TEST_CASE("a resend with another body is refused", "[owner_memory]") {
+    owner_memory memory;
+    open_slice(memory, the_slice, {1}, slice_origin::never_owned, instant{});
+    keyed_request request = simple_request();
+    REQUIRE(std::holds_alternative<run_it>(begin(memory, request, instant{})));
+    request.content_hash = 8;
+    const begin_result result = begin(memory, request, instant{});
+    REQUIRE(
+        std::get<refuse_it>(result).refusal ==
+        refusal::key_reused_with_other_body
+    );
+}
+
+TEST_CASE("a resend while the first one runs is not run", "[owner_memory]") {
+    owner_memory memory;
+    open_slice(memory, the_slice, {1}, slice_origin::never_owned, instant{});
+    const keyed_request request = simple_request();
+    REQUIRE(std::holds_alternative<run_it>(begin(memory, request, instant{})));
+    const begin_result result = begin(memory, request, instant{});
+    REQUIRE(std::get<refuse_it>(result).outcome == outcome::unknown);
+    REQUIRE(std::get<refuse_it>(result).refusal == refusal::in_progress);
+}
+
+TEST_CASE("after a loss a ticket lets new keys run at once", "[owner_memory]") {
+    owner_memory memory;
+    open_slice(memory, the_slice, {2}, slice_origin::owned_before, instant{});
+    keyed_request request = simple_request();
+    request.token = {2};
+    const begin_result in_doubt = begin(memory, request, instant{});
+    REQUIRE(
+        std::get<refuse_it>(in_doubt).refusal == refusal::outcome_forgotten
+    );
+    request.ticket = issue_ticket(memory, the_slice, {2}, instant{});
+    REQUIRE(std::holds_alternative<run_it>(begin(memory, request, instant{})));
+}
+
+TEST_CASE("without a ticket doubt ends with the window", "[owner_memory]") {
+    owner_memory memory;
+    open_slice(memory, the_slice, {2}, slice_origin::owned_before, instant{});
+    keyed_request request = simple_request();
+    request.token = {2};
+    const instant later = instant{} + memory.policy.window;
+    const begin_result early = begin(memory, request, later - 1ns);
+    REQUIRE(std::holds_alternative<refuse_it>(early));
+    REQUIRE(std::holds_alternative<run_it>(begin(memory, request, later)));
+}
+
+TEST_CASE("a hand-over survives encoding and decoding", "[owner_memory]") {
+    owner_memory memory;
+    open_slice(memory, the_slice, {1}, slice_origin::never_owned, instant{});
+    const keyed_request request = simple_request();
+    REQUIRE(std::holds_alternative<run_it>(begin(memory, request, instant{})));
+    const auto sent = hand_over(memory, the_slice, {2}, instant{} + 1s);
+    const auto got = decode<slice_handover>(encode(sent.value()));
+    REQUIRE(got.released_to == fencing_token{2});
+    REQUIRE(got.records.size() == 1);
+    REQUIRE(got.records.front().id == request.id);
+    REQUIRE(memory.records == 0);
+}
+
+TEST_CASE("tickets are read exactly or not at all", "[ticket]") {
+    rc::prop("each comes back from its text", [](std::uint64_t token) {
+        const ticket sent{slice_id{9}, fencing_token{token}, 12ms};
+        RC_ASSERT(parse_ticket(to_text(sent)) == sent);
+    });
+    for (const char* text :
+         {"", "1", "1.2.3", "2.1.1.1", "1.1.1.-1", "1.1.1.1.", "1.1.1.1x"}) {
+        REQUIRE(parse_ticket(text) == std::nullopt);
+    }
+}
