--- /dev/null
+++ b/src/apricotstile/plan/internal/list_reader.cpp
@@ -0,0 +1,427 @@
+// Reading of the lists' fields with their ranges.
+
+#include <apricotstile/plan/internal/list_reader.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <initializer_list>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+
+namespace apricotstile::plan::internal {
+
+namespace {
+
+constexpr std::size_t max_name_length = 128;
+constexpr std::string_view name_rule =
+    "a name of 1 to 128 letters, digits, '-', '_' or '.'";
+
+struct number_range {
+    std::uint64_t lowest{0};
+    std::uint64_t highest{0};
+};
+
+bool is_name_character(char c) {
+    const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    const bool digit = c >= '0' && c <= '9';
+    return letter || digit || c == '-' || c == '_' || c == '.';
+}
+
+bool is_name(std::string_view text) {
+    return !text.empty() && text.size() <= max_name_length &&
+           std::all_of(text.begin(), text.end(), is_name_character);
+}
+
+void check_name(
+    const json_member& member, const std::string& path, finding_sink& sink
+) {
+    if (!is_name(member.key)) {
+        report(
+            sink,
+            member.line,
+            path,
+            std::string{name_rule},
+            "\"" + member.key + "\""
+        );
+    }
+}
+
+bool expect(
+    const json_value& value,
+    json_kind kind,
+    std::string_view expected,
+    const std::string& path,
+    finding_sink& sink
+) {
+    if (value.kind == kind) {
+        return true;
+    }
+    report(sink, value.line, path, std::string{expected}, describe(value));
+    return false;
+}
+
+/// Reports members that repeat an earlier key of the same object.
+void check_duplicates(
+    const json_value& object, const std::string& path, finding_sink& sink
+) {
+    std::unordered_map<std::string_view, std::uint64_t> lines;
+    lines.reserve(object.members.size());
+    for (const json_member& member : object.members) {
+        const auto [first, fresh] = lines.emplace(member.key, member.line);
+        if (!fresh) {
+            report(
+                sink,
+                member.line,
+                child_path(path, member.key),
+                "each key once",
+                fmt::format("a duplicate of line {}", first->second)
+            );
+        }
+    }
+}
+
+void check_known(
+    const json_value& object,
+    std::initializer_list<std::string_view> known,
+    const std::string& path,
+    finding_sink& sink
+) {
+    for (const json_member& member : object.members) {
+        if (std::find(known.begin(), known.end(), member.key) != known.end()) {
+            continue;
+        }
+        report(
+            sink,
+            member.line,
+            child_path(path, member.key),
+            fmt::format("one of {}", fmt::join(known, ", ")),
+            "an unknown key"
+        );
+    }
+}
+
+const json_value* find(const json_value& object, std::string_view key) {
+    for (const json_member& member : object.members) {
+        if (member.key == key) {
+            return &member.value;
+        }
+    }
+    return nullptr;
+}
+
+const json_value* require(
+    const json_value& object,
+    const std::string& key,
+    const std::string& path,
+    finding_sink& sink
+) {
+    const json_value* found = find(object, key);
+    if (found == nullptr) {
+        report(sink, object.line, child_path(path, key), "this key", "nothing");
+    }
+    return found;
+}
+
+std::optional<std::uint64_t> read_number(
+    const json_value& value,
+    number_range range,
+    const std::string& path,
+    finding_sink& sink
+) {
+    const bool fits = value.kind == json_kind::integer &&
+                      value.number >= range.lowest &&
+                      value.number <= range.highest;
+    if (fits) {
+        return value.number;
+    }
+    report(
+        sink,
+        value.line,
+        path,
+        fmt::format(
+            "a whole number from {} to {}", range.lowest, range.highest
+        ),
+        describe(value)
+    );
+    return std::nullopt;
+}
+
+std::uint64_t read_required_number(
+    const json_value& object,
+    const std::string& key,
+    number_range range,
+    const std::string& path,
+    finding_sink& sink
+) {
+    const json_value* value = require(object, key, path, sink);
+    if (value == nullptr) {
+        return range.lowest;
+    }
+    return read_number(*value, range, child_path(path, key), sink)
+        .value_or(range.lowest);
+}
+
+std::uint64_t read_optional_number(
+    const json_value& object,
+    const std::string& key,
+    number_range range,
+    std::uint64_t fallback,
+    const std::string& path,
+    finding_sink& sink
+) {
+    const json_value* value = find(object, key);
+    if (value == nullptr) {
+        return fallback;
+    }
+    return read_number(*value, range, child_path(path, key), sink)
+        .value_or(fallback);
+}
+
+std::vector<service_id> read_services(
+    const json_value& plan, const std::string& path, finding_sink& sink
+) {
+    std::vector<service_id> services;
+    const json_value* list = require(plan, "services", path, sink);
+    const std::string list_path = child_path(path, "services");
+    if (list == nullptr ||
+        !expect(*list, json_kind::array, "an array", list_path, sink)) {
+        return services;
+    }
+    if (list->elements.empty()) {
+        report(sink, list->line, list_path, "at least one service", "none");
+    }
+    for (std::size_t at = 0; at < list->elements.size(); ++at) {
+        const json_value& element = list->elements[at];
+        const std::string at_path = child_path(list_path, std::to_string(at));
+        if (element.kind != json_kind::string || !is_name(element.text)) {
+            report(
+                sink,
+                element.line,
+                at_path,
+                std::string{name_rule},
+                describe(element)
+            );
+            continue;
+        }
+        const service_id service{element.text};
+        if (std::find(services.begin(), services.end(), service) !=
+            services.end()) {
+            report(
+                sink,
+                element.line,
+                at_path,
+                "each service once",
+                describe(element)
+            );
+            continue;
+        }
+        services.push_back(service);
+    }
+    std::sort(services.begin(), services.end());
+    return services;
+}
+
+request::work_class read_work_class(
+    const json_value& plan, const std::string& path, finding_sink& sink
+) {
+    const json_value* value = find(plan, "work_class");
+    if (value == nullptr || value->text == "normal") {
+        return request::work_class::normal;
+    }
+    if (value->kind == json_kind::string && value->text == "critical") {
+        return request::work_class::critical;
+    }
+    if (value->kind == json_kind::string && value->text == "background") {
+        return request::work_class::background;
+    }
+    report(
+        sink,
+        value->line,
+        child_path(path, "work_class"),
+        "\"critical\", \"normal\" or \"background\"",
+        describe(*value)
+    );
+    return request::work_class::normal;
+}
+
+plan_limits
+read_plan(const json_value& plan, const std::string& path, finding_sink& sink) {
+    plan_limits limits;
+    if (!expect(plan, json_kind::object, "an object", path, sink)) {
+        return limits;
+    }
+    check_duplicates(plan, path, sink);
+    check_known(
+        plan,
+        {"services",
+         "requests_per_second",
+         "burst",
+         "requests_at_once",
+         "work_class",
+         "cross_region_bytes_per_second"},
+        path,
+        sink
+    );
+    limits.services = read_services(plan, path, sink);
+    limits
+        .requests_per_second = static_cast<std::uint32_t>(read_required_number(
+        plan, "requests_per_second", {1, max_requests_per_second}, path, sink
+    ));
+    limits.burst = static_cast<std::uint32_t>(read_optional_number(
+        plan, "burst", {1, max_burst}, limits.requests_per_second, path, sink
+    ));
+    limits.requests_at_once = static_cast<std::uint32_t>(read_required_number(
+        plan, "requests_at_once", {1, max_requests_at_once}, path, sink
+    ));
+    limits.importance = read_work_class(plan, path, sink);
+    limits.cross_region_bytes_per_second = read_optional_number(
+        plan,
+        "cross_region_bytes_per_second",
+        {0, max_cross_region_bytes_per_second},
+        default_cross_region_bytes_per_second,
+        path,
+        sink
+    );
+    return limits;
+}
+
+upstream_capacity read_capacity(
+    const json_value& value, const std::string& path, finding_sink& sink
+) {
+    upstream_capacity capacity;
+    if (!expect(value, json_kind::object, "an object", path, sink)) {
+        return capacity;
+    }
+    check_duplicates(value, path, sink);
+    check_known(value, {"requests_per_second", "requests_at_once"}, path, sink);
+    const number_range range{1, max_capacity};
+    capacity.requests_per_second =
+        read_required_number(value, "requests_per_second", range, path, sink);
+    capacity.requests_at_once =
+        read_required_number(value, "requests_at_once", range, path, sink);
+    return capacity;
+}
+
+/// The object under `key` of the file's object, or null after a finding.
+const json_value* open_section(
+    const json_value& root, const std::string& key, finding_sink& sink
+) {
+    const json_value* section = require(root, key, "", sink);
+    const std::string path = child_path("", key);
+    if (section == nullptr ||
+        !expect(*section, json_kind::object, "an object", path, sink)) {
+        return nullptr;
+    }
+    check_duplicates(*section, path, sink);
+    return section;
+}
+
+bool open_root(
+    const json_value& root,
+    std::initializer_list<std::string_view> known,
+    finding_sink& sink
+) {
+    if (!expect(root, json_kind::object, "an object", "", sink)) {
+        return false;
+    }
+    check_duplicates(root, "", sink);
+    check_known(root, known, "", sink);
+    return true;
+}
+
+} // namespace
+
+std::string child_path(const std::string& parent, const std::string& key) {
+    std::string path = parent + "/";
+    for (const char c : key) {
+        if (c == '~') {
+            path += "~0";
+        } else if (c == '/') {
+            path += "~1";
+        } else {
+            path += c;
+        }
+    }
+    return path;
+}
+
+void report(
+    finding_sink& sink,
+    std::uint64_t line,
+    std::string path,
+    std::string expected,
+    std::string found
+) {
+    sink.findings.push_back(
+        {severity::error,
+         sink.file,
+         line,
+         std::move(path),
+         std::move(expected),
+         std::move(found)}
+    );
+}
+
+std::vector<read_customer>
+read_customers(const json_value& root, finding_sink& sink) {
+    std::vector<read_customer> customers;
+    if (!open_root(root, {"customers"}, sink)) {
+        return customers;
+    }
+    const json_value* section = open_section(root, "customers", sink);
+    if (section == nullptr) {
+        return customers;
+    }
+    customers.reserve(section->members.size());
+    for (const json_member& member : section->members) {
+        const json_value& value = member.value;
+        const bool good =
+            is_name(member.key) && value.kind == json_kind::string;
+        if (!good) {
+            const std::string path = child_path("/customers", member.key);
+            check_name(member, path, sink);
+            expect(value, json_kind::string, "the name of a plan", path, sink);
+            continue;
+        }
+        customers.push_back(
+            {customer_id{member.key}, plan_id{value.text}, value.line}
+        );
+    }
+    return customers;
+}
+
+plan_list read_plans(const json_value& root, finding_sink& sink) {
+    plan_list list;
+    if (!open_root(root, {"plans", "upstream_capacity"}, sink)) {
+        return list;
+    }
+    if (const json_value* plans = open_section(root, "plans", sink)) {
+        for (const json_member& member : plans->members) {
+            const std::string path = child_path("/plans", member.key);
+            check_name(member, path, sink);
+            list.plans.emplace(
+                plan_id{member.key}, read_plan(member.value, path, sink)
+            );
+        }
+    }
+    if (find(root, "upstream_capacity") == nullptr) {
+        return list;
+    }
+    const json_value* capacities =
+        open_section(root, "upstream_capacity", sink);
+    if (capacities == nullptr) {
+        return list;
+    }
+    for (const json_member& member : capacities->members) {
+        const std::string path = child_path("/upstream_capacity", member.key);
+        check_name(member, path, sink);
+        list.capacities.emplace(
+            service_id{member.key}, read_capacity(member.value, path, sink)
+        );
+    }
+    return list;
+}
+
+} // namespace apricotstile::plan::internal
--- /dev/null
+++ b/src/apricotstile/plan/internal/list_reader.hpp
@@ -0,0 +1,47 @@
+// Reads one list from its tree and collects findings on the way.
+
+#ifndef APRICOTSTILE_PLAN_INTERNAL_LIST_READER_HPP
+#define APRICOTSTILE_PLAN_INTERNAL_LIST_READER_HPP
+
+#include <apricotstile/plan/finding.hpp>
+#include <apricotstile/plan/internal/positioned_json.hpp>
+#include <apricotstile/plan/plan_lists.hpp>
+
+#include <string>
+#include <vector>
+
+namespace apricotstile::plan::internal {
+
+/// Where findings of one file go.
+struct finding_sink {
+    std::string file;
+    std::vector<finding> findings;
+};
+
+/// A customer as written, for the check against the plans.
+struct read_customer {
+    customer_id customer;
+    plan_id plan;
+    std::uint64_t line{0};
+};
+
+[[nodiscard]] std::vector<read_customer>
+read_customers(const json_value& root, finding_sink& sink);
+
+[[nodiscard]] plan_list read_plans(const json_value& root, finding_sink& sink);
+
+/// A JSON pointer to `key` below `parent`.
+[[nodiscard]] std::string
+child_path(const std::string& parent, const std::string& key);
+
+void report(
+    finding_sink& sink,
+    std::uint64_t line,
+    std::string path,
+    std::string expected,
+    std::string found
+);
+
+} // namespace apricotstile::plan::internal
+
+#endif
