Check leases under random schedules of faults

Cause: safety rested on an argument alone, and three faults were in the code: a guardian that had heard of a deposition forgot its consent and promised again; a daemon that had left consented in its own former name at once; and nobody watched table leases when the planner's host was lost.

Change: guardians answer heartbeats of members that are over with a refusal of its own, identity counts from the end of the last membership, deputies watch table leases too. Random schedules of faults over three to eight hosts check that no lease outlives its deposition, that generations and incarnations only rise, that every host recovers and that a lost host is deposed within 1.5 s. Four seeded faults must be caught.

--- a/src/apricotstile/lease/internal/deposer_table.cpp
+++ b/src/apricotstile/lease/internal/deposer_table.cpp
@@ -15,11 +15,6 @@
 /// Consents that a deposition needs.
 constexpr std::size_t consent_majority = 2;
 
-bool is_alive(const member::member_record& record) {
-    return record.state == member::member_state::active ||
-           record.state == member::member_state::draining;
-}
-
 /// The narrowest prefix that covers every unread suspect.
 std::string prefix_to_read(const deposer& state, bool watch_is_due) {
     if (watch_is_due || count_unread(state) != 1) {
@@ -53,7 +48,7 @@
 
 void watch(deposer& state, const member::member_row& seen, instant now) {
     const member::member_ref& holder = seen.record.self;
-    if (!is_alive(seen.record) || member::is_guarded(seen.record)) {
+    if (!owns_slices(seen.record.state) || member::is_guarded(seen.record)) {
         state.watched.erase(holder);
         return;
     }
@@ -70,7 +65,8 @@
 ) {
     for (const member::member_row& seen : rows) {
         const member::member_record& record = seen.record;
-        const bool stays = is_alive(record) && member::is_guarded(record);
+        const bool stays =
+            owns_slices(record.state) && member::is_guarded(record);
         std::erase_if(state.suspects, [&](const auto& one) {
             return one.first.host == record.self.host &&
                    (one.first != record.self || !stays);
@@ -190,7 +186,7 @@
         return;
     }
     state.read = next_operation(operations);
-    state.next_watch = now + limits.table_renewal;
+    state.next_watch = now + limits.table_watch;
     out.emplace_back(platform::read_rows{
         state.read, prefix_to_read(state, watch_is_due)});
 }
--- a/src/apricotstile/lease/internal/joining.cpp
+++ b/src/apricotstile/lease/internal/joining.cpp
@@ -60,11 +60,6 @@
     join.next_attempt = join.previous_since + promised_for(self.limits);
 }
 
-bool owns_nothing(const member::member_record& record) {
-    return record.state == member::member_state::deposed ||
-           record.state == member::member_state::left;
-}
-
 member::member_record
 first_record(const participant& self, const member::member_row* before) {
     member::member_record record = self.wish;
@@ -171,7 +166,7 @@
     out.emplace_back(std::move(seen));
     const member::member_row* before =
         member::find(self.members, self.wish.self.host);
-    if (before != nullptr && !owns_nothing(before->record)) {
+    if (before != nullptr && owns_slices(before->record.state)) {
         await_previous(self, *before, now);
         return;
     }
--- a/src/apricotstile/lease/internal/keeping.cpp
+++ b/src/apricotstile/lease/internal/keeping.cpp
@@ -172,6 +172,7 @@
     spread_own_row(self, out);
     if (confirmed(self).state == member::member_state::left) {
         self.stage = phase::left;
+        self.identity_since = now;
         out.emplace_back(left{});
     }
 }
--- a/src/apricotstile/lease/message.hpp
+++ b/src/apricotstile/lease/message.hpp
@@ -37,7 +37,9 @@
     /// The guardian has consented to depose the holder under `generation`.
     consented,
     /// The addressed incarnation of the guardian is gone.
-    not_this_incarnation
+    not_this_incarnation,
+    /// The holder was deposed, left or has a newer incarnation.
+    holder_is_over
 };
 
 /// The guardian promises nothing.
--- a/src/apricotstile/lease/participant.cpp
+++ b/src/apricotstile/lease/participant.cpp
@@ -83,10 +83,46 @@
     }
 }
 
+/// Deputies that watch rows renewed in the table besides the planner, so that
+/// its own loss is seen too.
+constexpr std::size_t watching_deputies = 2;
+
+bool knows_unguarded(const participant& self) {
+    return std::any_of(
+        self.members.rows.begin(),
+        self.members.rows.end(),
+        [](const auto& one) {
+            const member::member_record& record = one.second.record;
+            return !member::is_guarded(record) && owns_slices(record.state);
+        }
+    );
+}
+
+bool is_watching_deputy(const participant& self) {
+    for (std::size_t number = 1; number <= watching_deputies; ++number) {
+        if (deputy_of(self, number) == self.wish.self.host) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Whether this daemon reads the rows of members that renew in the table.
 bool watches_table(const participant& self) {
-    return self.stage == phase::joined &&
-           (self.planner == self.wish.self.host ||
-            !member::is_guarded(self.row.confirmed.record));
+    if (!member::is_guarded(self.row.confirmed.record)) {
+        return true;
+    }
+    return knows_unguarded(self) &&
+           (self.planner == self.wish.self.host || is_watching_deputy(self));
+}
+
+void review_watch(const context& in) {
+    watch_review& review = in.self.watching;
+    if (in.now < review.next) {
+        return;
+    }
+    review.next = in.now + in.self.limits.table_renewal;
+    review.watches = watches_table(in.self);
 }
 
 void on(const context& in, const tick& what) {
@@ -100,9 +136,10 @@
     }
     advance_keeping(self, in.now, in.random, in.out);
     report_suspects(in);
+    review_watch(in);
     advance(
         self.deposing,
-        watches_table(self),
+        self.watching.watches,
         self.operations,
         self.limits,
         in.now,
@@ -119,6 +156,19 @@
     if (from != body.holder.host) {
         return;
     }
+    // A ward that is over was forgotten, and its consent with it.
+    if (member::is_over(self.members, body.holder)) {
+        reply(
+            in,
+            from,
+            refusal{
+                body.holder,
+                body.guardian,
+                refusal_reason::holder_is_over,
+                body.generation}
+        );
+        return;
+    }
     const guardian_identity own = identity_of(self);
     reply(in, from, answer(self.guarding, own, body, self.limits, in.now));
 }
@@ -156,6 +206,10 @@
         return;
     }
     note_answer(self, body.guardian, in.now);
+    if (body.reason == refusal_reason::holder_is_over) {
+        self.row.must_read = true;
+        return;
+    }
     self.keep.consented = std::max(self.keep.consented, body.generation);
 }
 
--- a/src/apricotstile/lease/participant.hpp
+++ b/src/apricotstile/lease/participant.hpp
@@ -31,6 +31,12 @@
     left
 };
 
+/// Whether this daemon watches members that renew in the table.
+struct watch_review {
+    instant next = instant::min();
+    bool watches{false};
+};
+
 /// Change it only through `step`.
 struct participant {
     policy limits;
@@ -39,7 +45,7 @@
     /// taken from here.
     member::member_record wish;
     phase stage{phase::joining};
-    /// When this process took its first event or was last deposed.
+    /// When this process took its first event, or last ceased to be a member.
     std::optional<instant> identity_since;
     joining join;
     /// Meaningful while joined, like `held`, `repair` and `keep`.
@@ -49,6 +55,7 @@
     keeping keep;
     guardian guarding;
     deposer deposing;
+    watch_review watching;
     member::member_set members;
     /// Zero while nobody is known to be the planner.
     host_id planner;
--- a/src/apricotstile/lease/policy.hpp
+++ b/src/apricotstile/lease/policy.hpp
@@ -35,8 +35,10 @@
     duration margin = drift_margin;
     duration heartbeat = heartbeat_interval;
 
-    /// Between renewals in the table, and between readings by those that watch.
+    /// Between renewals in the table.
     duration table_renewal = 250ms;
+    /// Between readings by those that watch such renewals.
+    duration table_watch = 100ms;
 
     /// A first member waits up to this long before it joins, so that hosts
     /// started together see each other.
--- a/src/apricotstile/member/member_record.hpp
+++ b/src/apricotstile/member/member_record.hpp
@@ -27,6 +27,11 @@
     left
 };
 
+/// Whether a member in `state` may still own slices.
+[[nodiscard]] constexpr bool owns_slices(member_state state) {
+    return state == member_state::active || state == member_state::draining;
+}
+
 /// One member and the incarnation meant.
 struct member_ref {
     host_id host;
--- a/tests/lease/world.cpp
+++ b/tests/lease/world.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr true_time tick_length = std::chrono::milliseconds{15};
 constexpr true_time longest_lateness = std::chrono::seconds{3};
 constexpr true_time store_timeout = std::chrono::seconds{1};
 constexpr host_id store_host{};
@@ -96,8 +95,38 @@
     return record.state == member::member_state::deposed;
 }
 
+/// Seeds a deposition conditional on the member alone, whatever its generation.
+void ignore_versions(const world& all, platform::transaction& work) {
+    for (std::size_t i = 0; i < work.conditions.size(); ++i) {
+        const auto wanted =
+            decode<member::member_record>(*work.mutations[i].value);
+        const auto known = all.records.find(wanted.self.host);
+        const auto row = all.table.rows.find(work.conditions[i].key.value);
+        if (known != all.records.end() && known->second.self == wanted.self &&
+            member::owns_slices(known->second.state)) {
+            work.conditions[i].version = row->second.version;
+        }
+    }
+}
+
 void deliver(world& all, std::size_t index, const lease::event& what);
 
+/// What the caller makes of an answer that didn't come in time.
+platform::transaction_done timed_out(const platform::transaction_done& done) {
+    return {done.id, {platform::commit_status::unknown, {}}};
+}
+
+platform::rows_read timed_out(const platform::rows_read& done) {
+    return {done.id, {}};
+}
+
+template <class Result>
+void time_out(world& all, std::size_t index, const Result& done) {
+    plan(all, all.now + store_timeout, [&all, index, done] {
+        deliver(all, index, timed_out(done));
+    });
+}
+
 /// Gives a result to the process that asked, unless it lost its address.
 template <class Result>
 void answer(world& all, std::size_t index, duration delay, Result result) {
@@ -105,6 +134,8 @@
         const process& one = all.processes[index];
         if (one.has_address && !is_cut(all, store_host, one.host)) {
             deliver(all, index, result);
+        } else {
+            time_out(all, index, result);
         }
     });
 }
@@ -113,7 +144,7 @@
     world& all, std::size_t index, platform::submit_transaction asked
 ) {
     if (all.faults.deposition_unconditional && deposes(asked.work)) {
-        asked.work.conditions.clear();
+        ignore_versions(all, asked.work);
     }
     platform::transaction_done done{asked.id, {}};
     done.result = commit(all.table, asked.work);
@@ -121,12 +152,8 @@
         check_committed(all, asked.work);
     }
     const bool lost = chance(all, all.around.lost_answer_percent, 100);
-    const bool cut = is_cut(all, store_host, all.processes[index].host);
-    if ((lost || cut) && !all.table.down) {
-        done.result = {platform::commit_status::unknown, {}};
-        plan(all, all.now + store_timeout, [&all, index, done] {
-            deliver(all, index, done);
-        });
+    if (lost && !all.table.down) {
+        time_out(all, index, done);
         return;
     }
     answer(all, index, all.around.store_latency / 2, done);
@@ -137,10 +164,7 @@
 ) {
     const host_id host = all.processes[index].host;
     if (is_cut(all, host, store_host)) {
-        const platform::transaction_done done{asked.id, {}};
-        plan(all, all.now + store_timeout, [&all, index, done] {
-            deliver(all, index, done);
-        });
+        time_out(all, index, platform::transaction_done{asked.id, {}});
         return;
     }
     const duration delay = all.around.store_latency / 2 +
@@ -154,11 +178,8 @@
 
 void perform(world& all, std::size_t index, const platform::read_rows& asked) {
     const host_id host = all.processes[index].host;
-    if (is_cut(all, host, store_host) || is_cut(all, store_host, host)) {
-        const platform::rows_read done{asked.id, {}};
-        plan(all, all.now + store_timeout, [&all, index, done] {
-            deliver(all, index, done);
-        });
+    if (is_cut(all, host, store_host)) {
+        time_out(all, index, platform::rows_read{asked.id, {}});
         return;
     }
     const duration half = all.around.store_latency / 2;
@@ -290,7 +311,7 @@
         run_step(all, index, lease::tick{});
     }
     const true_time next =
-        std::max(all.now + tick_length, all.processes[index].paused_until);
+        std::max(all.now + all.around.tick, all.processes[index].paused_until);
     plan(all, next, [&all, index] {
         tick_on(all, index);
     });
@@ -337,7 +358,7 @@
 std::size_t start(world& all, std::size_t index) {
     process& one = all.processes[index - 1];
     one.dead = false;
-    plan(all, all.now + random_duration(all, tick_length), [&all, index] {
+    plan(all, all.now + random_duration(all, all.around.tick), [&all, index] {
         tick_on(all, index - 1);
     });
     return index - 1;
@@ -394,6 +415,30 @@
     }
 }
 
+namespace {
+
+/// Seeds a restart that keeps the member and forgets what it promised and
+/// consented to.
+void keep_identity(
+    lease::participant& fresh, const lease::participant& former
+) {
+    fresh = former;
+    for (auto& [holder, ward] : fresh.guarding.wards) {
+        ward.promised_until = instant::min();
+        ward.listed_since = instant::min();
+        ward.consented = {};
+    }
+    fresh.deposing = {};
+    fresh.row.read = {};
+    fresh.row.must_read = true;
+    if (fresh.row.pending) {
+        fresh.row.pending->operation = {};
+        fresh.row.pending->uncertain = true;
+    }
+}
+
+} // namespace
+
 void replace(world& all, host_id host, duration frozen) {
     process* former = nullptr;
     for (process& one : all.processes) {
@@ -408,10 +453,9 @@
     fresh.self.planner = all.planner;
     fresh.random.seed(all.random());
     fresh.drift_ppm = former->drift_ppm;
-    if (all.faults.guardian_forgets && !former->dead) {
-        fresh.self = former->self;
-        fresh.self.guarding = {};
-        fresh.self.deposing = {};
+    const bool was_member = former->self.stage == lease::phase::joined;
+    if (all.faults.guardian_forgets && was_member) {
+        keep_identity(fresh.self, former->self);
     }
     if (frozen == duration{} || all.faults.guardian_forgets) {
         former->dead = true;
--- a/tests/lease/world.hpp
+++ b/tests/lease/world.hpp
@@ -33,6 +33,7 @@
     duration least_delay = std::chrono::microseconds{500};
     duration most_delay = std::chrono::milliseconds{10};
     duration store_latency = std::chrono::milliseconds{5};
+    duration tick = std::chrono::milliseconds{15};
     unsigned loss_percent{0};
     unsigned duplicate_percent{0};
     /// Messages that arrive up to three seconds late.
