Tell peers only of member rows that are news

Cause: each reading of the table was spread to everybody, changed or not, and the guardian list was reviewed at each tick.

Change: only rows newer than the known ones are shown; the list is reviewed every 50 ms; the test world moves its events instead of copying them.

--- a/src/apricotstile/lease/internal/deposer.hpp
+++ b/src/apricotstile/lease/internal/deposer.hpp
@@ -82,13 +82,13 @@
     actions& out
 );
 
-/// Takes the answer of its own read; ignores others.
-void take_rows(
+/// Takes the answer of its own read and returns the rows in it; ignores
+/// others.
+std::vector<member::member_row> take_rows(
     deposer& state,
     const platform::rows_read& answer,
     const policy& limits,
-    instant now,
-    actions& out
+    instant now
 );
 
 /// Takes the answer of its own transaction; ignores others.
--- a/src/apricotstile/lease/internal/deposer_table.cpp
+++ b/src/apricotstile/lease/internal/deposer_table.cpp
@@ -191,32 +191,32 @@
         state.read, prefix_to_read(state, watch_is_due)});
 }
 
-void take_rows(
+std::vector<member::member_row> take_rows(
     deposer& state,
     const platform::rows_read& answer,
     const policy& limits,
-    instant now,
-    actions& out
+    instant now
 ) {
     if (answer.id != state.read) {
-        return;
+        return {};
     }
     state.read = {};
     if (!answer.result.answered) {
         state.next_read = now + limits.first_backoff;
         // Members couldn't renew either: watch each for a whole lease again.
         state.watched.clear();
-        return;
+        return {};
     }
     state.table_answered = now;
     state.next_read = now + limits.consent_retry;
-    members_seen seen{member::decode_member_rows(answer.result.rows)};
-    drop_settled_suspects(state, seen.rows);
-    for (const member::member_row& row : seen.rows) {
+    std::vector<member::member_row> rows =
+        member::decode_member_rows(answer.result.rows);
+    drop_settled_suspects(state, rows);
+    for (const member::member_row& row : rows) {
         take_suspect_row(state, row);
         watch(state, row, now);
     }
-    out.emplace_back(std::move(seen));
+    return rows;
 }
 
 void start_commit(
--- a/src/apricotstile/lease/internal/joining.cpp
+++ b/src/apricotstile/lease/internal/joining.cpp
@@ -159,11 +159,15 @@
         back_off(self, now, random);
         return;
     }
-    members_seen seen{member::decode_member_rows(answer.result.rows)};
-    for (const member::member_row& row : seen.rows) {
-        member::merge(self.members, row);
+    members_seen seen;
+    for (const auto& row : member::decode_member_rows(answer.result.rows)) {
+        if (member::merge(self.members, row)) {
+            seen.rows.push_back(row);
+        }
+    }
+    if (!seen.rows.empty()) {
+        out.emplace_back(std::move(seen));
     }
-    out.emplace_back(std::move(seen));
     const member::member_row* before =
         member::find(self.members, self.wish.self.host);
     if (before != nullptr && owns_slices(before->record.state)) {
--- a/src/apricotstile/lease/internal/keeping.cpp
+++ b/src/apricotstile/lease/internal/keeping.cpp
@@ -14,6 +14,9 @@
 /// For how long promises of guardians no longer asked are kept.
 constexpr duration promise_memory = 10s;
 
+/// Between looks at the guardian list.
+constexpr duration repair_interval = 50ms;
+
 repair_view view_of(const participant& self) {
     return {self.row, self.members, self.held, self.limits};
 }
@@ -218,7 +221,10 @@
     participant& self, instant now, random_source& random, actions& out
 ) {
     if (self.wish.state != member::member_state::left) {
-        advance(self.repair, view_of(self), now, random);
+        if (now >= self.keep.next_repair) {
+            self.keep.next_repair = now + repair_interval;
+            advance(self.repair, view_of(self), now, random);
+        }
         send_heartbeats(self, now, out);
     }
     start_own_call(self, now, out);
--- a/src/apricotstile/lease/internal/keeping.hpp
+++ b/src/apricotstile/lease/internal/keeping.hpp
@@ -15,6 +15,7 @@
 
 struct keeping {
     instant next_heartbeat = instant::min();
+    instant next_repair = instant::min();
     /// No call about the own row before this.
     instant next_call = instant::min();
     instant next_renewal = instant::min();
--- a/src/apricotstile/lease/participant.cpp
+++ b/src/apricotstile/lease/participant.cpp
@@ -261,22 +261,26 @@
     take_commit(self.deposing, what, self.limits, in.now, in.out);
 }
 
-void learn_members(
+/// Takes rows in and returns those that are news.
+std::vector<member::member_row> learn_members(
     const context& in, const std::vector<member::member_row>& rows
 ) {
     participant& self = in.self;
-    bool news = false;
+    std::vector<member::member_row> news;
     for (const member::member_row& row : rows) {
-        news = member::merge(self.members, row) || news;
+        if (member::merge(self.members, row)) {
+            news.push_back(row);
+        }
         const bool own = row.record.self.host == self.wish.self.host;
         if (own && self.stage == phase::joined) {
             take_own_sighting(self, row, in.now, in.out);
         }
     }
-    if (news && self.stage == phase::joined) {
+    if (!news.empty() && self.stage == phase::joined) {
         const member::member_ref own = self.row.confirmed.record.self;
         take_members(self.guarding, own, self.members, in.now);
     }
+    return news;
 }
 
 void on(const context& in, const platform::rows_read& what) {
@@ -286,18 +290,18 @@
     } else if (self.stage == phase::joined) {
         take_keeping_rows(self, what, in.now, in.out);
     }
-    const bool deposers = what.id == self.deposing.read;
-    take_rows(self.deposing, what, self.limits, in.now, in.out);
+    const auto rows = take_rows(self.deposing, what, self.limits, in.now);
     std::erase_if(self.deposing.watched, [&](const auto& one) {
         return one.first.host == self.wish.self.host;
     });
-    if (deposers && what.result.answered) {
-        learn_members(in, member::decode_member_rows(what.result.rows));
+    auto news = learn_members(in, rows);
+    if (!news.empty()) {
+        in.out.emplace_back(members_seen{std::move(news)});
     }
 }
 
 void on(const context& in, const members_changed& what) {
-    learn_members(in, what.rows);
+    (void)learn_members(in, what.rows);
 }
 
 void on(const context& in, const planner_changed& what) {
--- a/tests/lease/world.cpp
+++ b/tests/lease/world.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace apricotstile::tests {
 
 namespace {
@@ -374,13 +376,15 @@
 }
 
 void plan(world& all, true_time at, std::function<void()> run) {
-    all.events.push({at, ++all.planned_events, std::move(run)});
+    all.events.push_back({at, ++all.planned_events, std::move(run)});
+    std::push_heap(all.events.begin(), all.events.end());
 }
 
 void run_until(world& all, true_time end) {
-    while (!all.events.empty() && all.events.top().at <= end) {
-        world::planned next = all.events.top();
-        all.events.pop();
+    while (!all.events.empty() && all.events.front().at <= end) {
+        std::pop_heap(all.events.begin(), all.events.end());
+        const world::planned next = std::move(all.events.back());
+        all.events.pop_back();
         all.now = next.at;
         next.run();
     }
--- a/tests/lease/world.hpp
+++ b/tests/lease/world.hpp
@@ -10,9 +10,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <queue>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace apricotstile::tests {
@@ -75,7 +75,8 @@
     random_source random;
     fake_table table;
     std::vector<process> processes;
-    std::priority_queue<planned> events;
+    /// A heap, the next event first.
+    std::vector<planned> events;
     std::uint64_t planned_events{0};
     /// Ordered pairs of hosts whose messages are dropped; host zero is the
     /// store.
