Let a body up to the limit fit in the socket's buffer

Qt's HTTP server takes a body only once the whole of it is buffered, so a 64 KiB buffer made larger bodies wait until they timed out. The buffer now holds a whole request.

--- a/src/apricotstile/http/internal/guarded_listener.cpp
+++ b/src/apricotstile/http/internal/guarded_listener.cpp
@@ -6,16 +6,13 @@
 
 namespace apricotstile::http::internal {
 
-namespace {
-
-constexpr qint64 socket_buffer_bytes = 65536;
-
-} // namespace
-
 guarded_listener::guarded_listener(
-    std::size_t max_connections, std::function<void(QTcpSocket&)> on_bytes
+    std::size_t max_connections,
+    std::size_t buffer_bytes,
+    std::function<void(QTcpSocket&)> on_bytes
 )
-    : most(max_connections), bytes_arrived(std::move(on_bytes)) {
+    : most(max_connections), buffered(buffer_bytes),
+      bytes_arrived(std::move(on_bytes)) {
     this->setMaxPendingConnections(static_cast<int>(max_connections));
 }
 
@@ -41,7 +38,7 @@
     }
     ++this->open;
     socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    socket->setReadBufferSize(socket_buffer_bytes);
+    socket->setReadBufferSize(static_cast<qint64>(this->buffered));
     QObject::connect(socket, &QTcpSocket::disconnected, this, [this] {
         --this->open;
     });
--- a/src/apricotstile/http/internal/guarded_listener.hpp
+++ b/src/apricotstile/http/internal/guarded_listener.hpp
@@ -17,9 +17,13 @@
 class guarded_listener : public QTcpServer {
 public:
     /// `on_bytes` runs on each arrival before the HTTP server reads it.
-    /// Connections beyond `max_connections` are closed at once.
+    /// Connections beyond `max_connections` are closed at once. A socket
+    /// holds at most `buffer_bytes` that the server hasn't taken, which must
+    /// be more than a whole request: the server takes a body all at once.
     guarded_listener(
-        std::size_t max_connections, std::function<void(QTcpSocket&)> on_bytes
+        std::size_t max_connections,
+        std::size_t buffer_bytes,
+        std::function<void(QTcpSocket&)> on_bytes
     );
 
     [[nodiscard]] std::size_t open_connections() const;
@@ -30,6 +34,7 @@
 
 private:
     std::size_t most;
+    std::size_t buffered;
     std::function<void(QTcpSocket&)> bytes_arrived;
     /// At most `most`.
     std::size_t open{0};
--- a/src/apricotstile/http/server.cpp
+++ b/src/apricotstile/http/server.cpp
@@ -24,6 +24,7 @@
 constexpr std::uint64_t partial_request_ticks = 10;
 constexpr std::uint64_t idle_connection_ticks = 120;
 
+constexpr std::size_t spare_buffer_bytes = 65536;
 constexpr std::uint16_t status_request_timeout = 408;
 constexpr std::uint16_t status_too_large = 413;
 constexpr std::uint16_t status_unavailable = 503;
@@ -85,6 +86,7 @@
 void server::listen_on(const address& where) {
     this->listener = std::make_unique<internal::guarded_listener>(
         this->limits.max_connections,
+        this->limits.max_request_bytes + spare_buffer_bytes,
         [this](QTcpSocket& socket) {
             this->bytes_arrived(socket);
         }
--- a/src/apricotstile/settings/internal/json_fields.cpp
+++ b/src/apricotstile/settings/internal/json_fields.cpp
@@ -125,7 +125,7 @@
         return words.front();
     }
     if (found->is_string()) {
-        const auto value = found->get<std::string>();
+        auto value = found->get<std::string>();
         if (std::find(words.begin(), words.end(), value) != words.end()) {
             return value;
         }
