Plan owners and release ranges by conditional transactions

Cause: slices need an owner when a service appears, when a member is lost and when a member leaves. Change: planner role with placement, move queue and rebalance; the owner's side of a move; the decision before each dispatch.

--- /dev/null
+++ b/src/apricotstile/assignment/dispatch.cpp
@@ -0,0 +1,72 @@
+// The decision before each dispatch.
+
+#include <apricotstile/assignment/dispatch.hpp>
+
+#include <apricotstile/assignment/owner.hpp>
+#include <apricotstile/assignment/owner_lookup.hpp>
+
+namespace apricotstile::assignment {
+
+namespace {
+
+bool has_ended(const owner_state& owner, const range_owner& found) {
+    const auto ended = owner.ended.find(found.range);
+    return ended != owner.ended.end() &&
+           found.assignment.token <= ended->second;
+}
+
+bool leaving_too_long(const owner_state& owner, instant now) {
+    return owner.leaving_since &&
+           now - *owner.leaving_since >= leaving_work_limit;
+}
+
+/// The verdict for a range that the map says is this member's.
+void decide_owned(
+    dispatch_decision& decision,
+    const dispatch_view& view,
+    const range_owner& found,
+    instant now
+) {
+    const auto release = view.owner.releases.find(found.range);
+    if (release != view.owner.releases.end()) {
+        decision.verdict = dispatch_verdict::drained;
+        decision.member = release->second.to;
+        return;
+    }
+    const bool ended = has_ended(view.owner, found);
+    if (ended || leaving_too_long(view.owner, now)) {
+        decision.verdict = dispatch_verdict::drained;
+        decision.member = found.assignment.next_owner;
+        return;
+    }
+    const bool leased = view.lease_until && now < *view.lease_until;
+    decision.verdict =
+        leased ? dispatch_verdict::serve : dispatch_verdict::hold;
+}
+
+} // namespace
+
+dispatch_decision decide_dispatch(
+    const dispatch_view& view,
+    const service_id& service,
+    std::string_view key,
+    instant now
+) {
+    dispatch_decision decision;
+    decision.map_version = view.map.version;
+    const auto found = find_owner(view.map, service, key);
+    if (!found) {
+        return decision;
+    }
+    decision.range = found->range;
+    decision.token = found->assignment.token;
+    decision.member = found->assignment.owner;
+    if (found->assignment.owner == view.owner.self) {
+        decide_owned(decision, view, *found, now);
+    } else if (found->assignment.next_owner == view.owner.self) {
+        decision.verdict = dispatch_verdict::hold;
+    }
+    return decision;
+}
+
+} // namespace apricotstile::assignment
--- /dev/null
+++ b/src/apricotstile/assignment/internal/planning.cpp
@@ -0,0 +1,351 @@
+// One pass over the map finds lost owners; moves come from the move queue.
+
+#include <apricotstile/assignment/internal/planning.hpp>
+
+#include <apricotstile/assignment/owner_lookup.hpp>
+#include <apricotstile/assignment/set_owner.hpp>
+#include <apricotstile/core/hashing.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace apricotstile::assignment::internal {
+
+namespace {
+
+constexpr std::size_t max_entries_per_change = 16'384;
+constexpr std::size_t max_chunks_per_change = 128;
+/// Longer than the owner's own limit, so that the owner serves again before
+/// its move is cancelled.
+constexpr duration move_limit = std::chrono::seconds{15};
+
+std::map<service_id, std::uint32_t> announced_services(const planner& planner) {
+    std::map<service_id, std::uint32_t> announced;
+    for (const auto& [host, record] : planner.members) {
+        for (const member::served_service& one : record.services) {
+            const bool usable = record.state == member::member_state::active;
+            if (usable && one.slice_count > 0) {
+                announced.emplace(one.service, one.slice_count);
+            }
+        }
+    }
+    return announced;
+}
+
+/// Remembers the answer for the owner asked about last; neighbours in the
+/// map often have the same one.
+struct loss_check {
+    const planner& state;
+    std::map<member::member_ref, bool> known;
+
+    bool operator()(const member::member_ref& owner) {
+        if (owner == member::member_ref{}) {
+            return true;
+        }
+        const auto found = this->known.find(owner);
+        if (found != this->known.end()) {
+            return found->second;
+        }
+        const bool lost = is_lost(this->state.members, owner);
+        this->known.emplace(owner, lost);
+        return lost;
+    }
+};
+
+bool takes_ranges(const planner& planner, const member::member_ref& ref) {
+    const auto found = planner.members.find(ref.host);
+    return found != planner.members.end() && found->second.self == ref &&
+           found->second.state == member::member_state::active;
+}
+
+bool is_leaving(const planner& planner, const member::member_ref& ref) {
+    const auto found = planner.members.find(ref.host);
+    return found != planner.members.end() && found->second.self == ref &&
+           found->second.state == member::member_state::draining;
+}
+
+struct ownership_scan {
+    planner& state;
+    change_builder& builder;
+    instant now;
+    loss_check lost;
+    std::vector<range_with_load> without_owner;
+    bool complete{true};
+
+    bool touch_or_defer(const range_id& range) {
+        const bool touched = touch(this->builder, range);
+        this->complete = this->complete && touched;
+        return touched;
+    }
+
+    /// Plans and moves of a range that has a living owner.
+    void look_at_plan(
+        const range_id& range, const slice_assignment& assignment
+    ) {
+        const bool planned = assignment.next_owner != member::member_ref{};
+        if (planned && !takes_ranges(this->state, assignment.next_owner)) {
+            if (this->touch_or_defer(range)) {
+                set_next_owner(
+                    this->builder.change, this->state.reader.rows, range, {}
+                );
+                end_move(this->state.moves, range, false, this->now);
+            }
+            return;
+        }
+        if (planned) {
+            this->state.moves.active.try_emplace(
+                range,
+                active_move{
+                    range,
+                    assignment.owner,
+                    assignment.next_owner,
+                    this->now}
+            );
+            return;
+        }
+        if (is_leaving(this->state, assignment.owner)) {
+            const double load = load_of(this->state.load, range);
+            add_pending(
+                this->state.moves, {range, assignment.owner, load, true}
+            );
+        }
+    }
+
+    void look_at_slice(
+        const range_id& range, const slice_assignment& assignment
+    ) {
+        if (!this->lost(assignment.owner)) {
+            this->look_at_plan(range, assignment);
+            return;
+        }
+        if (this->touch_or_defer(range)) {
+            this->without_owner.push_back(
+                {range, load_of(this->state.load, range)}
+            );
+        }
+    }
+
+    void look_at_key(
+        const range_id& range,
+        const slice_assignment& assignment,
+        const slice_assignment& slice
+    ) {
+        const bool planned = assignment.next_owner != member::member_ref{};
+        const bool settled = assignment.owner == slice.owner && !planned;
+        if (settled || this->lost(assignment.owner)) {
+            // A lost slice is given an owner first.
+            const bool slice_lost = this->lost(slice.owner);
+            this->complete = this->complete && !slice_lost;
+            if (!slice_lost && this->touch_or_defer(range)) {
+                end_exception(
+                    this->builder.change, this->state.reader.rows, range
+                );
+            }
+            return;
+        }
+        this->look_at_plan(range, assignment);
+    }
+};
+
+void place_lost(ownership_scan& scan) {
+    if (scan.without_owner.empty()) {
+        return;
+    }
+    placement places = current_placement(scan.state, scan.now);
+    const auto placed = place_ranges(places, std::move(scan.without_owner));
+    for (const placed_range& one : placed) {
+        set_owner(
+            scan.builder.change, scan.state.reader.rows, one.range, one.to
+        );
+        end_move(scan.state.moves, one.range, false, scan.now);
+    }
+}
+
+std::vector<move_target> targets_for(
+    const planner& planner, const placement& places, const service_id& service
+) {
+    std::vector<move_target> targets;
+    const double limit =
+        places.mean_load * (1.0 + imbalance_tolerance(planner.weights));
+    for (const placement_member& one : places.members) {
+        const auto capacity = one.capacity.find(service);
+        if (one.takes_ranges && capacity != one.capacity.end()) {
+            targets.push_back(
+                {one.self, one.load, limit, 1.0 / capacity->second}
+            );
+        }
+    }
+    return targets;
+}
+
+/// Whether `from` may still be asked to give the range away.
+bool is_movable(const planner& planner, const active_move& move) {
+    const auto* found = find_range(planner.reader.rows, move.range);
+    if (found == nullptr) {
+        const auto* slice = find_range(
+            planner.reader.rows, {move.range.service, move.range.slice, {}}
+        );
+        return slice != nullptr && slice->owner == move.from &&
+               slice->next_owner == member::member_ref{};
+    }
+    return found->owner == move.from &&
+           found->next_owner == member::member_ref{};
+}
+
+} // namespace
+
+bool touch(change_builder& builder, const range_id& range) {
+    const range_id slice{range.service, range.slice, {}};
+    const chunk_id chunk = chunk_of(range);
+    const bool chunk_known = builder.chunks.contains(chunk);
+    const bool full = builder.entries >= max_entries_per_change ||
+                      (!chunk_known &&
+                       builder.chunks.size() >= max_chunks_per_change);
+    if (full || !builder.touched_slices.insert(slice).second) {
+        return false;
+    }
+    builder.chunks.insert(chunk);
+    ++builder.entries;
+    return true;
+}
+
+void add_new_services(
+    planner& planner, change_builder& builder, instant now
+) {
+    for (const auto& [service, count] : announced_services(planner)) {
+        if (planner.map.services.contains(service)) {
+            continue;
+        }
+        std::vector<range_with_load> ranges;
+        for (std::uint32_t i = 0; i < count; ++i) {
+            ranges.push_back(
+                {{service, slice_id{i}, {}}, idle_slice_load}
+            );
+        }
+        placement places = current_placement(planner, now);
+        static_cast<void>(change_of(builder.change, service, count));
+        for (const auto& one : place_ranges(places, std::move(ranges))) {
+            set_assignment(
+                builder.change,
+                one.range,
+                count,
+                {one.to, fencing_token{1}, {}}
+            );
+        }
+        // One service a change: the next one is placed on top of this one.
+        return;
+    }
+}
+
+bool repair_ownership(
+    planner& planner, change_builder& builder, instant now
+) {
+    ownership_scan scan{planner, builder, now, {planner, {}}, {}};
+    for (const auto& [service, assigned] : planner.map.services) {
+        range_id range{service, {}, {}};
+        const auto count = static_cast<std::uint32_t>(assigned.slices.size());
+        for (std::uint32_t i = 0; i < count; ++i) {
+            range.slice.value = i;
+            scan.look_at_slice(range, assigned.slices[i]);
+        }
+        for (const key_exception& one : assigned.exceptions) {
+            const slice_id slice = slice_of(one.key, count);
+            scan.look_at_key(
+                {service, slice, one.key},
+                one.assignment,
+                assigned.slices[slice.value]
+            );
+        }
+    }
+    place_lost(scan);
+    return scan.complete;
+}
+
+void settle_moves(planner& planner, change_builder& builder, instant now) {
+    std::vector<active_move> ended;
+    for (const auto& [range, move] : planner.moves.active) {
+        const auto* found = find_range(planner.map, range);
+        const bool waits = found != nullptr && found->owner == move.from &&
+                           found->next_owner == move.to;
+        if (!waits || now - move.bound_at >= move_limit) {
+            ended.push_back(move);
+        }
+    }
+    for (const active_move& move : ended) {
+        const auto* found = find_range(planner.map, move.range);
+        const bool finished = found != nullptr && found->owner == move.to;
+        const bool overdue = found != nullptr && found->owner == move.from &&
+                             found->next_owner == move.to;
+        if (!overdue) {
+            end_move(planner.moves, move.range, finished, now);
+        } else if (touch(builder, move.range)) {
+            set_next_owner(
+                builder.change, planner.reader.rows, move.range, {}
+            );
+            end_move(planner.moves, move.range, false, now);
+            planner.ownership_changed = true;
+        }
+    }
+}
+
+void bind_pending_moves(
+    planner& planner, change_builder& builder, instant now
+) {
+    if (planner.moves.pending.empty()) {
+        return;
+    }
+    const placement places = current_placement(planner, now);
+    for (const auto& [service, assigned] : planner.map.services) {
+        const auto bound = bind_moves(
+            planner.moves,
+            service,
+            targets_for(planner, places, service),
+            planner.limits,
+            now
+        );
+        for (const active_move& move : bound) {
+            if (is_movable(planner, move) && touch(builder, move.range)) {
+                set_next_owner(
+                    builder.change,
+                    planner.reader.rows,
+                    move.range,
+                    move.to
+                );
+            } else {
+                end_move(planner.moves, move.range, false, now);
+                planner.ownership_changed = true;
+            }
+        }
+    }
+}
+
+void return_cooled_keys(
+    planner& planner, change_builder& builder, instant now
+) {
+    for (const range_id& range : planner.cooled) {
+        const auto* key = find_range(planner.map, range);
+        const auto* slice =
+            find_range(planner.map, {range.service, range.slice, {}});
+        const bool movable = key != nullptr && slice != nullptr &&
+                             key->next_owner == member::member_ref{} &&
+                             slice->next_owner == member::member_ref{} &&
+                             key->owner != slice->owner &&
+                             takes_ranges(planner, slice->owner);
+        if (movable && touch(builder, range)) {
+            const active_move move{range, key->owner, slice->owner, now};
+            planner.moves.active.insert_or_assign(range, move);
+            set_next_owner(
+                builder.change, planner.reader.rows, range, slice->owner
+            );
+        }
+    }
+    planner.cooled.clear();
+}
+
+placement current_placement(const planner& planner, instant now) {
+    return make_placement(
+        planner.members, planner.seen, planner.map, planner.load, now
+    );
+}
+
+} // namespace apricotstile::assignment::internal
--- a/src/apricotstile/assignment/map_reader.cpp
+++ b/src/apricotstile/assignment/map_reader.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t max_single_reads = 8;
+constexpr std::size_t max_single_reads = 32;
 constexpr std::uint32_t max_rounds = 16;
 
 platform::read_rows read(map_reader& reader, std::string prefix) {
--- /dev/null
+++ b/src/apricotstile/assignment/move_queue.cpp
@@ -0,0 +1,218 @@
+// Binding by earliest expected finish. Every pending move is counted at its
+// best target, also while that target's queue is full: it waits for the fast
+// member rather than going to a slow idle one.
+
+#include <apricotstile/assignment/move_queue.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace apricotstile::assignment {
+
+namespace {
+
+constexpr std::size_t max_pending_considered = 512;
+/// The weight of the latest move in a member's move time.
+constexpr double move_time_weight = 0.3;
+/// Finishes closer than this count as equal; load decides then.
+constexpr duration finish_step = std::chrono::milliseconds{50};
+/// How many seconds' worth of moves the rate limit lets through at once.
+constexpr double burst_seconds = 1.0;
+
+/// A target with the moves bound or meant for it.
+struct target_state {
+    move_target target;
+    std::uint32_t queued{0};
+    duration move_time;
+    duration finish;
+};
+
+void refill_allowance(
+    move_queue& queue, const move_limits& limits, instant now
+) {
+    const double most = limits.moves_per_second * burst_seconds;
+    const double seconds =
+        std::chrono::duration<double>(now - queue.allowance_at).count();
+    queue.allowance = std::min(
+        most, queue.allowance + seconds * limits.moves_per_second
+    );
+    queue.allowance_at = now;
+}
+
+std::vector<target_state>
+start_states(const move_queue& queue, std::vector<move_target> targets) {
+    std::map<host_id, std::uint32_t> queued;
+    for (const auto& [range, move] : queue.active) {
+        ++queued[move.to.host];
+    }
+    std::vector<target_state> states;
+    states.reserve(targets.size());
+    for (move_target& one : targets) {
+        target_state state;
+        state.target = one;
+        state.queued = queued[one.self.host];
+        state.move_time = expected_move_time(queue, one.self.host);
+        state.finish = state.move_time * (state.queued + 1);
+        states.push_back(state);
+    }
+    return states;
+}
+
+bool fits(const target_state& state, const pending_move& move) {
+    const double after =
+        state.target.load + move.load * state.target.load_factor;
+    return after <= state.target.load_limit;
+}
+
+bool goes_before(
+    const target_state& a, const target_state& b, const move_limits& limits
+) {
+    if (!limits.earliest_finish) {
+        return a.queued < b.queued;
+    }
+    const auto a_finish = a.finish / finish_step;
+    const auto b_finish = b.finish / finish_step;
+    return a_finish != b_finish ? a_finish < b_finish
+                                : a.target.load < b.target.load;
+}
+
+target_state* best_target(
+    std::vector<target_state>& states,
+    const pending_move& move,
+    const move_limits& limits
+) {
+    target_state* best = nullptr;
+    target_state* least_loaded = nullptr;
+    for (target_state& one : states) {
+        if (one.target.self.host == move.from.host) {
+            continue;
+        }
+        if (least_loaded == nullptr ||
+            one.target.load < least_loaded->target.load) {
+            least_loaded = &one;
+        }
+        const bool better =
+            best == nullptr || goes_before(one, *best, limits);
+        if (better && fits(one, move)) {
+            best = &one;
+        }
+    }
+    // A leaving member's ranges have to go even when nobody has room.
+    return best == nullptr && move.from_leaving ? least_loaded : best;
+}
+
+std::uint32_t
+depth_for(const pending_move& move, const move_limits& limits) {
+    return move.from_leaving ? limits.leaving_target_depth
+                             : limits.target_depth;
+}
+
+std::map<host_id, std::uint32_t> moves_by_source(const move_queue& queue) {
+    std::map<host_id, std::uint32_t> counts;
+    for (const auto& [range, move] : queue.active) {
+        ++counts[move.from.host];
+    }
+    return counts;
+}
+
+bool is_allowed(const move_queue& queue, const pending_move& move) {
+    return move.from_leaving || queue.allowance >= 1.0;
+}
+
+void spend_allowance(move_queue& queue, const pending_move& move) {
+    if (!move.from_leaving) {
+        queue.allowance -= 1.0;
+    }
+}
+
+} // namespace
+
+void add_pending(move_queue& queue, const pending_move& move) {
+    if (queue.active.contains(move.range)) {
+        return;
+    }
+    if (queue.pending_ranges.insert(move.range).second) {
+        queue.pending.push_back(move);
+    }
+}
+
+void drop_pending_rebalance(move_queue& queue) {
+    std::erase_if(queue.pending, [&](const pending_move& one) {
+        if (!one.from_leaving) {
+            queue.pending_ranges.erase(one.range);
+        }
+        return !one.from_leaving;
+    });
+}
+
+std::vector<active_move> bind_moves(
+    move_queue& queue,
+    const service_id& service,
+    std::vector<move_target> targets,
+    const move_limits& limits,
+    instant now
+) {
+    refill_allowance(queue, limits, now);
+    auto states = start_states(queue, std::move(targets));
+    auto sources = moves_by_source(queue);
+    std::vector<active_move> bound;
+    std::deque<pending_move> left;
+    std::size_t considered = 0;
+    for (pending_move& move : queue.pending) {
+        const bool full = queue.active.size() >= limits.active;
+        const bool skip = move.range.service != service || full ||
+                          considered >= max_pending_considered ||
+                          !is_allowed(queue, move) ||
+                          sources[move.from.host] >= limits.source_depth;
+        target_state* best =
+            skip ? nullptr : best_target(states, move, limits);
+        if (best == nullptr) {
+            left.push_back(std::move(move));
+            continue;
+        }
+        ++considered;
+        best->finish += best->move_time;
+        if (best->queued >= depth_for(move, limits)) {
+            left.push_back(std::move(move));
+            continue;
+        }
+        ++best->queued;
+        ++sources[move.from.host];
+        best->target.load += move.load * best->target.load_factor;
+        spend_allowance(queue, move);
+        queue.pending_ranges.erase(move.range);
+        const active_move active{
+            move.range, move.from, best->target.self, now};
+        queue.active.emplace(move.range, active);
+        bound.push_back(active);
+    }
+    queue.pending = std::move(left);
+    return bound;
+}
+
+void end_move(
+    move_queue& queue, const range_id& range, bool finished, instant now
+) {
+    const auto found = queue.active.find(range);
+    if (found == queue.active.end()) {
+        return;
+    }
+    if (finished) {
+        const host_id host = found->second.to.host;
+        const auto before = expected_move_time(queue, host);
+        const auto latest = now - found->second.bound_at;
+        const auto change = std::chrono::duration<double, std::nano>(
+            move_time_weight * static_cast<double>((latest - before).count())
+        );
+        queue.move_times[host] =
+            before + std::chrono::duration_cast<duration>(change);
+    }
+    queue.active.erase(found);
+}
+
+duration expected_move_time(const move_queue& queue, host_id host) {
+    const auto found = queue.move_times.find(host);
+    return found == queue.move_times.end() ? default_move_time : found->second;
+}
+
+} // namespace apricotstile::assignment
--- /dev/null
+++ b/src/apricotstile/assignment/owner.cpp
@@ -0,0 +1,489 @@
+// The steps of the owner's side. The order of a release: stop dispatching,
+// wait for work in flight, read the rows, write the release, settle it.
+
+#include <apricotstile/assignment/owner.hpp>
+
+#include <apricotstile/assignment/internal/owned_ranges.hpp>
+#include <apricotstile/assignment/internal/release_settling.hpp>
+#include <apricotstile/assignment/internal/release_target.hpp>
+#include <apricotstile/assignment/owner_lookup.hpp>
+#include <apricotstile/assignment/set_owner.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::assignment {
+
+namespace {
+
+constexpr duration conflict_retry = 100ms;
+constexpr duration outage_retry = 500ms;
+
+using internal::forget_release;
+using internal::resume;
+
+void start_release(
+    owner_state& owner,
+    const range_id& range,
+    const member::member_ref& to,
+    fencing_token token,
+    instant now,
+    owner_actions& actions
+) {
+    ++owner.last_attempt;
+    range_release release;
+    release.to = to;
+    release.token = token;
+    release.attempt = owner.last_attempt;
+    release.since = now;
+    owner.releases.emplace(range, release);
+    actions.emplace_back(stop_dispatching{range, release.attempt, to});
+}
+
+/// Whether `range` is this member's to serve by `map` and its own memory.
+bool is_served(
+    const owner_state& owner,
+    const assignment_map& map,
+    const range_id& range
+) {
+    const slice_assignment* found = find_range(map, range);
+    if (found == nullptr || found->owner != owner.self) {
+        return false;
+    }
+    const auto ended = owner.ended.find(range);
+    return ended == owner.ended.end() || found->token > ended->second;
+}
+
+bool has_room(const owner_state& owner) {
+    return owner.releases.size() < max_ranges_draining;
+}
+
+bool was_refused(
+    const owner_state& owner,
+    const range_id& range,
+    const member::member_ref& to
+) {
+    const auto found = owner.refused.find(range);
+    return found != owner.refused.end() && found->second == to;
+}
+
+void start_planned_moves(
+    owner_state& owner,
+    const assignment_map& map,
+    instant now,
+    owner_actions& actions
+) {
+    for (const auto& [range, to] : owner.planned) {
+        if (!has_room(owner)) {
+            return;
+        }
+        const bool start = !owner.releases.contains(range) &&
+                           !was_refused(owner, range, to) &&
+                           is_served(owner, map, range);
+        if (start) {
+            const fencing_token token = find_range(map, range)->token;
+            start_release(owner, range, to, token, now, actions);
+        }
+    }
+}
+
+/// A leaving daemon's own choice of targets while the planner is slow.
+void start_unplanned_moves(
+    owner_state& owner,
+    const assignment_map& map,
+    instant now,
+    owner_actions& actions
+) {
+    const bool due =
+        owner.leaving_since && now - *owner.leaving_since >= planner_wait;
+    if (!due || !has_room(owner)) {
+        return;
+    }
+    for (const auto& one : internal::owned_ranges(map, owner.self)) {
+        if (!has_room(owner)) {
+            return;
+        }
+        const bool start = !owner.releases.contains(one.range) &&
+                           !owner.planned.contains(one.range) &&
+                           is_served(owner, map, one.range);
+        const auto to = internal::fallback_target(owner, one.range);
+        if (start && to) {
+            const fencing_token token = one.assignment.token;
+            start_release(owner, one.range, *to, token, now, actions);
+            owner.releases.at(one.range).chosen_here = true;
+        }
+    }
+}
+
+/// Gives up moves that don't get done; a leaving daemon goes on with them.
+void give_up_old_moves(
+    owner_state& owner, instant now, owner_actions& actions
+) {
+    if (owner.leaving_since) {
+        return;
+    }
+    std::vector<range_id> old;
+    for (const auto& [range, release] : owner.releases) {
+        const bool stoppable = release.phase != release_phase::releasing;
+        if (stoppable && now - release.since >= drain_limit) {
+            old.push_back(range);
+        }
+    }
+    for (const range_id& range : old) {
+        owner.refused[range] = owner.releases.at(range).to;
+        resume(owner, range, actions);
+    }
+}
+
+bool is_still_planned(
+    const owner_state& owner,
+    const range_id& range,
+    const range_release& release
+) {
+    const auto planned = owner.planned.find(range);
+    return planned == owner.planned.end() ? release.chosen_here
+                                          : planned->second == release.to;
+}
+
+/// Ends moves that the planner has cancelled or that ended otherwise.
+void drop_cancelled_moves(
+    owner_state& owner, const assignment_map& map, owner_actions& actions
+) {
+    std::vector<range_id> cancelled;
+    for (const auto& [range, release] : owner.releases) {
+        const bool undecided = release.phase != release_phase::releasing;
+        const bool valid = is_still_planned(owner, range, release) &&
+                           is_served(owner, map, range);
+        if (undecided && !valid) {
+            cancelled.push_back(range);
+        }
+    }
+    for (const range_id& range : cancelled) {
+        if (is_served(owner, map, range)) {
+            resume(owner, range, actions);
+        } else {
+            owner.releases.erase(range);
+        }
+    }
+}
+
+void tell_all_released(
+    owner_state& owner, const assignment_map& map, owner_actions& actions
+) {
+    if (!owner.leaving_since || owner.told_all_released || owner.sent) {
+        return;
+    }
+    const auto owned = internal::owned_ranges(map, owner.self);
+    const bool owns_some =
+        std::any_of(owned.begin(), owned.end(), [&](const auto& one) {
+            return is_served(owner, map, one.range);
+        });
+    if (!owns_some) {
+        owner.told_all_released = true;
+        actions.emplace_back(all_released{});
+    }
+}
+
+std::vector<range_id> drained_ranges(const owner_state& owner) {
+    std::vector<range_id> ranges;
+    std::set<chunk_id> chunks;
+    for (const auto& [range, release] : owner.releases) {
+        if (release.phase == release_phase::drained) {
+            chunks.insert(chunk_of(range));
+            if (chunks.size() > max_chunks_per_release) {
+                break;
+            }
+            ranges.push_back(range);
+        }
+    }
+    return ranges;
+}
+
+void read_chunks_of(
+    owner_state& owner,
+    const std::vector<range_id>& ranges,
+    instant now,
+    owner_actions& actions
+) {
+    std::set<chunk_id> wanted;
+    for (const range_id& range : ranges) {
+        wanted.insert(chunk_of(range));
+    }
+    owner.read_at = now;
+    for (auto& one : start_reading(owner.reader, std::move(wanted))) {
+        actions.emplace_back(std::move(one));
+    }
+}
+
+bool may_read(const owner_state& owner, instant now) {
+    return owner.reader.status != reader_status::reading &&
+           now >= owner.retry_at;
+}
+
+/// Starts the reads that the next release or the settling of one needs.
+void read_if_needed(
+    owner_state& owner, instant now, owner_actions& actions
+) {
+    if (!may_read(owner, now)) {
+        return;
+    }
+    if (owner.sent) {
+        if (owner.sent->unsettled) {
+            read_chunks_of(owner, owner.sent->ranges, now, actions);
+        }
+        return;
+    }
+    const auto ranges = drained_ranges(owner);
+    if (!ranges.empty()) {
+        read_chunks_of(owner, ranges, now, actions);
+    }
+}
+
+/// Whether the table says that the release may be written.
+bool is_releasable(const owner_state& owner, const range_id& range) {
+    const auto& release = owner.releases.at(range);
+    const auto* stored = find_range(owner.reader.rows, range);
+    if (stored == nullptr || stored->owner != owner.self ||
+        stored->token != release.token) {
+        return false;
+    }
+    const bool unplanned = stored->next_owner == member::member_ref{};
+    return stored->next_owner == release.to ||
+           (unplanned && release.chosen_here);
+}
+
+void submit_release(
+    owner_state& owner, instant now, owner_actions& actions
+) {
+    release_transaction sent;
+    sent.change.version = next(owner.reader.rows.head.version);
+    for (const range_id& range : drained_ranges(owner)) {
+        const bool was_read =
+            owner.reader.wanted.contains(chunk_of(range));
+        if (was_read && is_releasable(owner, range)) {
+            range_release& release = owner.releases.at(range);
+            release.phase = release_phase::releasing;
+            set_owner(sent.change, owner.reader.rows, range, release.to);
+            sent.ranges.push_back(range);
+        }
+    }
+    if (sent.ranges.empty()) {
+        // The map will tell what became of the moves.
+        owner.retry_at = now + outage_retry;
+        return;
+    }
+    owner.last_id = next(owner.last_id);
+    sent.id = owner.last_id;
+    sent.head_row = owner.reader.rows.head_row;
+    sent.submitted_at = now;
+    actions.emplace_back(platform::submit_transaction{
+        sent.id, prepare_change(owner.reader.rows, sent.change)});
+    owner.sent = std::move(sent);
+}
+
+void finish_release(owner_state& owner, owner_actions& actions) {
+    for (const range_id& range : owner.sent->ranges) {
+        const auto found = owner.releases.find(range);
+        if (found != owner.releases.end()) {
+            const member::member_ref to = found->second.to;
+            forget_release(owner, range);
+            actions.emplace_back(range_released{range, to});
+        }
+    }
+    owner.sent.reset();
+}
+
+/// The release certainly had and will have no effect: it may be tried again.
+void undo_release(owner_state& owner) {
+    for (const range_id& range : owner.sent->ranges) {
+        const auto found = owner.releases.find(range);
+        if (found != owner.releases.end()) {
+            found->second.phase = release_phase::drained;
+        }
+    }
+    owner.sent.reset();
+}
+
+void retry_later(
+    owner_state& owner, instant now, duration within, random_source& random
+) {
+    const auto delay = random_below(
+        random, static_cast<std::uint64_t>(within.count())
+    );
+    owner.retry_at = now + duration{static_cast<std::int64_t>(delay)};
+}
+
+void settle(owner_state& owner, instant now, owner_actions& actions) {
+    switch (internal::outcome_of(owner)) {
+    case internal::release_outcome::took_effect:
+        finish_release(owner, actions);
+        break;
+    case internal::release_outcome::without_effect:
+        undo_release(owner);
+        break;
+    case internal::release_outcome::open:
+        owner.retry_at = now + outage_retry;
+        break;
+    }
+}
+
+void note_plan(
+    owner_state& owner,
+    const range_id& range,
+    const slice_assignment* assignment
+) {
+    const bool planned = assignment != nullptr &&
+                         assignment->owner == owner.self &&
+                         assignment->next_owner != member::member_ref{};
+    if (planned) {
+        owner.planned[range] = assignment->next_owner;
+    } else {
+        owner.planned.erase(range);
+        owner.refused.erase(range);
+    }
+}
+
+void note_all_plans(owner_state& owner, const assignment_map& map) {
+    owner.planned.clear();
+    for (const auto& one : internal::owned_ranges(map, owner.self)) {
+        note_plan(owner, one.range, &one.assignment);
+    }
+    std::erase_if(owner.refused, [&](const auto& one) {
+        return !owner.planned.contains(one.first);
+    });
+}
+
+void note_changed_plans(
+    owner_state& owner, const assignment_map& map, const map_change& change
+) {
+    for (const range_id& range : internal::ranges_of(change)) {
+        note_plan(owner, range, find_range(map, range));
+    }
+}
+
+void advance(
+    owner_state& owner,
+    const assignment_map& map,
+    instant now,
+    owner_actions& actions
+) {
+    drop_cancelled_moves(owner, map, actions);
+    give_up_old_moves(owner, now, actions);
+    start_planned_moves(owner, map, now, actions);
+    start_unplanned_moves(owner, map, now, actions);
+    read_if_needed(owner, now, actions);
+    tell_all_released(owner, map, actions);
+}
+
+struct owner_step {
+    owner_state& owner;
+    const assignment_map& map;
+    instant now;
+    random_source& random;
+    owner_actions actions;
+
+    void operator()(const owner_tick& /*tick*/) {
+        advance(this->owner, this->map, this->now, this->actions);
+    }
+
+    void operator()(const owner_map_changed& event) {
+        if (event.changes.empty()) {
+            note_all_plans(this->owner, this->map);
+        }
+        for (const map_change& change : event.changes) {
+            note_changed_plans(this->owner, this->map, change);
+        }
+        advance(this->owner, this->map, this->now, this->actions);
+    }
+
+    void operator()(const range_drained& event) {
+        const auto found = this->owner.releases.find(event.range);
+        const bool expected = found != this->owner.releases.end() &&
+                              found->second.attempt == event.attempt &&
+                              found->second.phase == release_phase::draining;
+        if (!expected) {
+            return;
+        }
+        found->second.phase = release_phase::drained;
+        this->actions.emplace_back(
+            hand_over_range{event.range, found->second.to}
+        );
+        read_if_needed(this->owner, this->now, this->actions);
+    }
+
+    void operator()(const leave_requested& /*event*/) {
+        if (!this->owner.leaving_since) {
+            this->owner.leaving_since = this->now;
+        }
+        this->owner.refused.clear();
+        advance(this->owner, this->map, this->now, this->actions);
+    }
+
+    void operator()(const owner_members_changed& event) {
+        this->owner.members = event.members;
+    }
+
+    void operator()(const platform::transaction_done& event) {
+        auto& sent = this->owner.sent;
+        if (!sent || sent->id != event.id || sent->unsettled) {
+            return;
+        }
+        switch (event.result.status) {
+        case platform::commit_status::committed:
+            // Only now is the change certainly the one with its version.
+            this->actions.emplace_back(share_change{sent->change});
+            finish_release(this->owner, this->actions);
+            break;
+        case platform::commit_status::conflict:
+            undo_release(this->owner);
+            retry_later(
+                this->owner, this->now, conflict_retry, this->random
+            );
+            break;
+        case platform::commit_status::unavailable:
+            undo_release(this->owner);
+            retry_later(this->owner, this->now, outage_retry, this->random);
+            break;
+        case platform::commit_status::unknown:
+            sent->unsettled = true;
+            break;
+        }
+        read_if_needed(this->owner, this->now, this->actions);
+    }
+
+    void operator()(const platform::rows_read& event) {
+        if (this->owner.reader.status != reader_status::reading) {
+            return;
+        }
+        for (auto& one : take_rows(this->owner.reader, event)) {
+            this->actions.emplace_back(std::move(one));
+        }
+        if (this->owner.reader.status == reader_status::failed) {
+            this->owner.retry_at = this->now + outage_retry;
+            return;
+        }
+        if (this->owner.reader.status == reader_status::reading) {
+            return;
+        }
+        if (!this->owner.sent) {
+            submit_release(this->owner, this->now, this->actions);
+        } else if (this->owner.sent->unsettled) {
+            settle(this->owner, this->now, this->actions);
+        }
+    }
+};
+
+} // namespace
+
+owner_actions step(
+    owner_state& owner,
+    const assignment_map& map,
+    const owner_event& event,
+    instant now,
+    random_source& random
+) {
+    owner_step decide{owner, map, now, random, {}};
+    std::visit(decide, event);
+    return std::move(decide.actions);
+}
+
+} // namespace apricotstile::assignment
--- /dev/null
+++ b/src/apricotstile/assignment/placement.hpp
@@ -0,0 +1,103 @@
+// How load spreads over members, and where ranges without an owner go.
+
+#ifndef APRICOTSTILE_ASSIGNMENT_PLACEMENT_HPP
+#define APRICOTSTILE_ASSIGNMENT_PLACEMENT_HPP
+
+#include <apricotstile/assignment/assignment_map.hpp>
+#include <apricotstile/assignment/range_id.hpp>
+#include <apricotstile/core/time.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace apricotstile::assignment {
+
+/// What an idle slice counts for, so that slices spread without any traffic.
+constexpr double idle_slice_load = 1.0;
+/// A new member's capacity rises to its whole over this time.
+constexpr duration ramp_time = std::chrono::seconds{60};
+constexpr double ramp_start = 0.25;
+
+/// Requests a second by slice and by hot key, as last reported.
+struct observed_load {
+    std::map<service_id, std::vector<float>> slices;
+    std::map<range_id, float> keys;
+};
+
+/// A member as a place for ranges.
+struct placement_member {
+    member::member_ref self;
+    /// Slots by service that it serves, less while it is cold.
+    std::map<service_id, double> capacity;
+    /// The sum over its ranges of load by capacity.
+    double load{0};
+    /// Whether it may be given ranges.
+    bool takes_ranges{false};
+};
+
+struct placement {
+    /// Sorted by host; one entry a host.
+    std::vector<placement_member> members;
+    /// The mean of `load` over the members that take ranges.
+    double mean_load{0};
+};
+
+/// When the planner first saw each member; those it found when it took the
+/// role count as warm.
+using warm_since = std::map<member::member_ref, instant>;
+
+/// What share of its capacity a member first seen at `seen` offers at `now`.
+[[nodiscard]] double ramp_factor(instant seen, instant now);
+
+/// The load of `range` as placement counts it.
+[[nodiscard]] double
+load_of(const observed_load& load, const range_id& range);
+
+/// The members with the load that `map` gives them.
+[[nodiscard]] placement make_placement(
+    const std::map<host_id, member::member_record>& records,
+    const warm_since& seen,
+    const assignment_map& map,
+    const observed_load& load,
+    instant now
+);
+
+/// The member's entry, or nothing.
+[[nodiscard]] placement_member*
+find_member(placement& places, const member::member_ref& member);
+
+/// What `load` of `service` adds to the member's load.
+[[nodiscard]] double share_of(
+    const placement_member& member, const service_id& service, double load
+);
+
+struct range_with_load {
+    range_id range;
+    double load{0};
+};
+
+struct placed_range {
+    range_id range;
+    member::member_ref to;
+};
+
+/// Gives each range to the member that has the least load with it, heaviest
+/// range first, and counts the load. Ranges that nobody can take are left
+/// out.
+[[nodiscard]] std::vector<placed_range>
+place_ranges(placement& places, std::vector<range_with_load> ranges);
+
+/// The largest load over the mean load of members that take ranges.
+[[nodiscard]] double imbalance_of(const placement& places);
+
+/// Whether the owner's record shows that it owns nothing any more.
+[[nodiscard]] bool is_lost(
+    const std::map<host_id, member::member_record>& records,
+    const member::member_ref& owner
+);
+
+} // namespace apricotstile::assignment
+
+#endif
--- /dev/null
+++ b/src/apricotstile/assignment/set_owner.cpp
@@ -0,0 +1,133 @@
+// Tokens rise over the slice and its exceptions together, since an upstream
+// knows one token a slice.
+
+#include <apricotstile/assignment/set_owner.hpp>
+
+#include <apricotstile/core/hashing.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::assignment {
+
+namespace {
+
+std::uint32_t
+slice_count_of(const map_rows& stored, const service_id& service) {
+    const auto found = stored.head.services.find(service);
+    return found == stored.head.services.end() ? 0 : found->second.slice_count;
+}
+
+range_id slice_range(const range_id& range) {
+    return {range.service, range.slice, {}};
+}
+
+slice_assignment slice_of_range(const map_rows& stored, const range_id& range) {
+    const auto* found = find_range(stored, slice_range(range));
+    return found == nullptr ? slice_assignment{} : *found;
+}
+
+fencing_token highest_token(const map_rows& stored, const range_id& range) {
+    fencing_token highest = slice_of_range(stored, range).token;
+    for (const auto& one : exceptions_of(stored, range.service, range.slice)) {
+        highest = std::max(highest, one.assignment.token);
+    }
+    return highest;
+}
+
+void erase_key(
+    map_change& change, const map_rows& stored, const range_id& range
+) {
+    const std::uint32_t count = slice_count_of(stored, range.service);
+    change_of(change, range.service, count)
+        .keys.push_back({range.key, std::nullopt});
+}
+
+/// Ends the slice's exceptions that `owner` holds, now that it has the slice.
+void merge_exceptions(
+    map_change& change,
+    const map_rows& stored,
+    const range_id& range,
+    const member::member_ref& owner
+) {
+    for (const auto& one : exceptions_of(stored, range.service, range.slice)) {
+        const bool settled = one.assignment.owner == owner &&
+                             one.assignment.next_owner == member::member_ref{};
+        if (settled) {
+            erase_key(
+                change, stored, {range.service, range.slice, one.key}
+            );
+        }
+    }
+}
+
+} // namespace
+
+std::vector<key_exception> exceptions_of(
+    const map_rows& stored, const service_id& service, slice_id slice
+) {
+    const auto found = stored.chunks.find(chunk_of({service, slice, {}}));
+    if (found == stored.chunks.end()) {
+        return {};
+    }
+    const std::uint32_t count = slice_count_of(stored, service);
+    std::vector<key_exception> result;
+    for (const key_exception& one : found->second.chunk.exceptions) {
+        if (slice_of(one.key, count) == slice) {
+            result.push_back(one);
+        }
+    }
+    return result;
+}
+
+void set_owner(
+    map_change& change,
+    const map_rows& stored,
+    const range_id& range,
+    const member::member_ref& to
+) {
+    const std::uint32_t count = slice_count_of(stored, range.service);
+    const slice_assignment slice = slice_of_range(stored, range);
+    const fencing_token token = next(highest_token(stored, range));
+    if (range.key.empty()) {
+        set_assignment(change, range, count, {to, token, {}});
+        merge_exceptions(change, stored, range, to);
+        return;
+    }
+    if (slice.owner == to) {
+        end_exception(change, stored, range);
+        return;
+    }
+    set_assignment(change, range, count, {to, token, {}});
+}
+
+void end_exception(
+    map_change& change, const map_rows& stored, const range_id& range
+) {
+    const std::uint32_t count = slice_count_of(stored, range.service);
+    slice_assignment slice = slice_of_range(stored, range);
+    erase_key(change, stored, range);
+    const slice_assignment* key = find_range(stored, range);
+    const bool never_moved = key != nullptr && key->owner == slice.owner &&
+                             key->token == slice.token;
+    if (never_moved) {
+        return;
+    }
+    slice.token = next(highest_token(stored, range));
+    set_assignment(change, slice_range(range), count, slice);
+}
+
+void set_next_owner(
+    map_change& change,
+    const map_rows& stored,
+    const range_id& range,
+    const member::member_ref& to
+) {
+    const std::uint32_t count = slice_count_of(stored, range.service);
+    const auto* found = find_range(stored, range);
+    slice_assignment planned =
+        found == nullptr ? slice_of_range(stored, range) : *found;
+    planned.next_owner = to;
+    set_assignment(change, range, count, planned);
+}
+
+} // namespace apricotstile::assignment
