Prove ownership over random schedules of faults

Cause: the planner, owners and followers have to keep one owner a key whatever the store and the network do. Change: a small world of daemons on a virtual clock over a fake table, and a property over generated schedules. It found two faults, mended here: a member that had said that it released everything served a range of a newer map, and reads of the planner's two parts shared ids.

--- a/src/apricotstile/assignment/dispatch.cpp
+++ b/src/apricotstile/assignment/dispatch.cpp
@@ -15,9 +15,12 @@
            found.assignment.token <= ended->second;
 }
 
-bool leaving_too_long(const owner_state& owner, instant now) {
-    return owner.leaving_since &&
-           now - *owner.leaving_since >= leaving_work_limit;
+/// Whether a leaving member dispatches nothing more. Once it has said that it
+/// released everything, a newer map may still give it ranges.
+bool has_stopped(const owner_state& owner, instant now) {
+    const bool too_late =
+        owner.leaving_since && now - *owner.leaving_since >= leaving_work_limit;
+    return owner.told_all_released || too_late;
 }
 
 /// The verdict for a range that the map says is this member's.
@@ -34,7 +37,7 @@
         return;
     }
     const bool ended = has_ended(view.owner, found);
-    if (ended || leaving_too_long(view.owner, now)) {
+    if (ended || has_stopped(view.owner, now)) {
         decision.verdict = dispatch_verdict::drained;
         decision.member = found.assignment.next_owner;
         return;
--- a/src/apricotstile/assignment/internal/owned_ranges.cpp
+++ b/src/apricotstile/assignment/internal/owned_ranges.cpp
@@ -13,8 +13,7 @@
         const auto count = static_cast<std::uint32_t>(assigned.slices.size());
         for (std::uint32_t i = 0; i < count; ++i) {
             if (assigned.slices[i].owner == self) {
-                owned.push_back(
-                    {{service, slice_id{i}, {}}, assigned.slices[i]}
+                owned.push_back({{service, slice_id{i}, {}}, assigned.slices[i]}
                 );
             }
         }
--- a/src/apricotstile/assignment/internal/planner_role.cpp
+++ b/src/apricotstile/assignment/internal/planner_role.cpp
@@ -23,9 +23,8 @@
 
 void read_row(planner& planner, planner_actions& actions) {
     planner.role_operation = new_id(planner);
-    actions.emplace_back(
-        platform::read_rows{*planner.role_operation, planner_row}
-    );
+    actions.emplace_back(platform::read_rows{
+        *planner.role_operation, planner_row});
 }
 
 void write_row(planner& planner, instant now, planner_actions& actions) {
@@ -59,8 +58,11 @@
     planner.role_operation.reset();
     planner.sent.reset();
     planner.map_current = false;
-    planner.reader = {};
     planner.map = {};
+    // Ids of reads still in flight must not come up again.
+    const platform::operation_id last_id = planner.reader.last_id;
+    planner.reader = {};
+    planner.reader.last_id = last_id;
 }
 
 bool may_plan(const planner& planner) {
@@ -192,7 +194,8 @@
         }
         return true;
     }
-    const bool renewed = beat > planner.beat && !is_lost(planner.members, holder);
+    const bool renewed =
+        beat > planner.beat && !is_lost(planner.members, holder);
     planner.beat = beat;
     planner.holder = holder;
     if (renewed && !mine) {
--- a/src/apricotstile/assignment/internal/planning.cpp
+++ b/src/apricotstile/assignment/internal/planning.cpp
@@ -79,9 +79,8 @@
     }
 
     /// Plans and moves of a range that has a living owner.
-    void look_at_plan(
-        const range_id& range, const slice_assignment& assignment
-    ) {
+    void
+    look_at_plan(const range_id& range, const slice_assignment& assignment) {
         const bool planned = assignment.next_owner != member::member_ref{};
         if (planned && !takes_ranges(this->state, assignment.next_owner)) {
             if (this->touch_or_defer(range)) {
@@ -96,10 +95,7 @@
             this->state.moves.active.try_emplace(
                 range,
                 active_move{
-                    range,
-                    assignment.owner,
-                    assignment.next_owner,
-                    this->now}
+                    range, assignment.owner, assignment.next_owner, this->now}
             );
             return;
         }
@@ -111,9 +107,8 @@
         }
     }
 
-    void look_at_slice(
-        const range_id& range, const slice_assignment& assignment
-    ) {
+    void
+    look_at_slice(const range_id& range, const slice_assignment& assignment) {
         if (!this->lost(assignment.owner)) {
             this->look_at_plan(range, assignment);
             return;
@@ -198,9 +193,9 @@
     const range_id slice{range.service, range.slice, {}};
     const chunk_id chunk = chunk_of(range);
     const bool chunk_known = builder.chunks.contains(chunk);
-    const bool full = builder.entries >= max_entries_per_change ||
-                      (!chunk_known &&
-                       builder.chunks.size() >= max_chunks_per_change);
+    const bool full =
+        builder.entries >= max_entries_per_change ||
+        (!chunk_known && builder.chunks.size() >= max_chunks_per_change);
     if (full || !builder.touched_slices.insert(slice).second) {
         return false;
     }
@@ -209,27 +204,20 @@
     return true;
 }
 
-void add_new_services(
-    planner& planner, change_builder& builder, instant now
-) {
+void add_new_services(planner& planner, change_builder& builder, instant now) {
     for (const auto& [service, count] : announced_services(planner)) {
         if (planner.map.services.contains(service)) {
             continue;
         }
         std::vector<range_with_load> ranges;
         for (std::uint32_t i = 0; i < count; ++i) {
-            ranges.push_back(
-                {{service, slice_id{i}, {}}, idle_slice_load}
-            );
+            ranges.push_back({{service, slice_id{i}, {}}, idle_slice_load});
         }
         placement places = current_placement(planner, now);
         static_cast<void>(change_of(builder.change, service, count));
         for (const auto& one : place_ranges(places, std::move(ranges))) {
             set_assignment(
-                builder.change,
-                one.range,
-                count,
-                {one.to, fencing_token{1}, {}}
+                builder.change, one.range, count, {one.to, fencing_token{1}, {}}
             );
         }
         // One service a change: the next one is placed on top of this one.
@@ -237,9 +225,7 @@
     }
 }
 
-bool repair_ownership(
-    planner& planner, change_builder& builder, instant now
-) {
+bool repair_ownership(planner& planner, change_builder& builder, instant now) {
     ownership_scan scan{planner, builder, now, {planner, {}}, {}};
     for (const auto& [service, assigned] : planner.map.services) {
         range_id range{service, {}, {}};
@@ -279,9 +265,7 @@
         if (!overdue) {
             end_move(planner.moves, move.range, finished, now);
         } else if (touch(builder, move.range)) {
-            set_next_owner(
-                builder.change, planner.reader.rows, move.range, {}
-            );
+            set_next_owner(builder.change, planner.reader.rows, move.range, {});
             end_move(planner.moves, move.range, false, now);
             planner.ownership_changed = true;
         }
@@ -306,10 +290,7 @@
         for (const active_move& move : bound) {
             if (is_movable(planner, move) && touch(builder, move.range)) {
                 set_next_owner(
-                    builder.change,
-                    planner.reader.rows,
-                    move.range,
-                    move.to
+                    builder.change, planner.reader.rows, move.range, move.to
                 );
             } else {
                 end_move(planner.moves, move.range, false, now);
--- a/src/apricotstile/assignment/internal/planning.hpp
+++ b/src/apricotstile/assignment/internal/planning.hpp
@@ -33,14 +33,10 @@
 void settle_moves(planner& planner, change_builder& builder, instant now);
 
 /// Binds pending moves to targets.
-void bind_pending_moves(
-    planner& planner, change_builder& builder, instant now
-);
+void bind_pending_moves(planner& planner, change_builder& builder, instant now);
 
 /// Plans the return of cooled keys to the owners of their slices.
-void return_cooled_keys(
-    planner& planner, change_builder& builder, instant now
-);
+void return_cooled_keys(planner& planner, change_builder& builder, instant now);
 
 /// The present placement by the planner's map.
 [[nodiscard]] placement current_placement(const planner& planner, instant now);
--- a/src/apricotstile/assignment/internal/rebalance.cpp
+++ b/src/apricotstile/assignment/internal/rebalance.cpp
@@ -38,9 +38,7 @@
     return found == nullptr || found->next_owner == member::member_ref{};
 }
 
-placement_member* least_loaded(
-    placement& places, const service_id& service
-) {
+placement_member* least_loaded(placement& places, const service_id& service) {
     placement_member* best = nullptr;
     for (placement_member& one : places.members) {
         const bool usable = one.takes_ranges && one.capacity.contains(service);
@@ -64,9 +62,7 @@
 
 /// Counts the move in the round's loads when it makes the pair more even.
 bool try_move(
-    rebalance_round& round,
-    placement_member& from,
-    const range_with_load& range
+    rebalance_round& round, placement_member& from, const range_with_load& range
 ) {
     placement_member* to = least_loaded(round.places, range.range.service);
     if (to == nullptr || to == &from) {
@@ -77,9 +73,7 @@
     if (to->load + taken >= from.load) {
         return false;
     }
-    add_pending(
-        round.state.moves, {range.range, from.self, range.load, false}
-    );
+    add_pending(round.state.moves, {range.range, from.self, range.load, false});
     from.load -= given;
     to->load += taken;
     ++round.moves;
@@ -109,20 +103,18 @@
 void propose_key_moves(rebalance_round& round) {
     planner& state = round.state;
     for (const range_with_load& one : hottest_keys(state)) {
-        const auto owner = find_owner(
-            state.map, one.range.service, one.range.key
-        );
+        const auto owner =
+            find_owner(state.map, one.range.service, one.range.key);
         if (!owner || !is_still(state, owner->range)) {
             continue;
         }
         auto* from = find_member(round.places, owner->assignment.owner);
         const bool overloaded = from != nullptr && from->load > round.limit;
         const bool hot =
-            overloaded &&
-            share_of(*from, one.range.service, one.load) >=
-                hot_key_share * round.places.mean_load;
-        const bool room = exception_count(state, one.range.service) <
-                          max_exceptions;
+            overloaded && share_of(*from, one.range.service, one.load) >=
+                              hot_key_share * round.places.mean_load;
+        const bool room =
+            exception_count(state, one.range.service) < max_exceptions;
         if (hot && room) {
             try_move(round, *from, one);
         }
@@ -134,8 +126,7 @@
     for (const auto& [service, assigned] : round.state.map.services) {
         const auto count = static_cast<std::uint32_t>(assigned.slices.size());
         for (const key_exception& one : assigned.exceptions) {
-            const range_id range{
-                service, slice_of(one.key, count), one.key};
+            const range_id range{service, slice_of(one.key, count), one.key};
             auto* from = find_member(round.places, one.assignment.owner);
             const double load = load_of(round.state.load, range);
             const bool cool =
@@ -159,9 +150,7 @@
         const auto found = round.ranges.find(assignment.owner);
         const bool still = assignment.next_owner == member::member_ref{};
         if (found != round.ranges.end() && still) {
-            found->second.push_back(
-                {range, load_of(round.state.load, range)}
-            );
+            found->second.push_back({range, load_of(round.state.load, range)});
         }
     };
     for (const auto& [service, assigned] : round.state.map.services) {
@@ -236,8 +225,8 @@
 void propose_moves(planner& planner, instant now) {
     drop_pending_rebalance(planner.moves);
     rebalance_round round{planner, current_placement(planner, now), 0, 0, {}};
-    round.limit = round.places.mean_load *
-                  (1.0 + imbalance_tolerance(planner.weights));
+    round.limit =
+        round.places.mean_load * (1.0 + imbalance_tolerance(planner.weights));
     propose_returns(round);
     propose_key_moves(round);
     relieve_overloaded(round);
--- a/src/apricotstile/assignment/internal/release_settling.cpp
+++ b/src/apricotstile/assignment/internal/release_settling.cpp
@@ -36,8 +36,7 @@
     // Its condition on the head row can't hold again.
     const bool overtaken = owner.reader.rows.head_row != sent.head_row;
     // A read that was asked for after the bound shows the final state.
-    const bool too_late =
-        owner.read_at - sent.submitted_at > store_write_bound;
+    const bool too_late = owner.read_at - sent.submitted_at > store_write_bound;
     return overtaken || too_late ? release_outcome::without_effect
                                  : release_outcome::open;
 }
@@ -49,9 +48,7 @@
     owner.planned.erase(range);
 }
 
-void resume(
-    owner_state& owner, const range_id& range, owner_actions& actions
-) {
+void resume(owner_state& owner, const range_id& range, owner_actions& actions) {
     owner.releases.erase(range);
     actions.emplace_back(resume_dispatching{range});
 }
--- a/src/apricotstile/assignment/internal/release_settling.hpp
+++ b/src/apricotstile/assignment/internal/release_settling.hpp
@@ -24,9 +24,7 @@
 
 /// Returns the range to service. Only for releases that weren't sent or
 /// certainly had and will have no effect.
-void resume(
-    owner_state& owner, const range_id& range, owner_actions& actions
-);
+void resume(owner_state& owner, const range_id& range, owner_actions& actions);
 
 } // namespace apricotstile::assignment::internal
 
--- a/src/apricotstile/assignment/map_follower.cpp
+++ b/src/apricotstile/assignment/map_follower.cpp
@@ -65,8 +65,8 @@
 
 void apply_early(map_follower& follower, std::vector<map_change>& applied) {
     auto& early = follower.early;
-    while (!early.empty() &&
-           early.begin()->first <= next(follower.map.version)) {
+    while (!early.empty() && early.begin()->first <= next(follower.map.version)
+    ) {
         const auto first = early.extract(early.begin());
         if (first.key() == next(follower.map.version)) {
             apply_next(follower, first.mapped());
@@ -104,9 +104,7 @@
 ) {
     forget_reached_peers(follower);
     follower.read_at.reset();
-    actions.emplace_back(
-        publish_map{follower.map.version, std::move(changes)}
-    );
+    actions.emplace_back(publish_map{follower.map.version, std::move(changes)});
     tell_news(follower, random, actions);
 }
 
@@ -161,8 +159,7 @@
     start_fetch(follower, now, actions);
 }
 
-map_changes
-changes_after(const map_follower& follower, map_version have) {
+map_changes changes_after(const map_follower& follower, map_version have) {
     map_changes answer;
     std::size_t size = 0;
     for (const map_change& one : follower.history) {
@@ -262,8 +259,7 @@
         return true;
     }
     const map_snapshot_part& first = fetch.parts.begin()->second;
-    return first.since == part.since &&
-           first.head.version == part.head.version;
+    return first.since == part.since && first.head.version == part.head.version;
 }
 
 void apply_snapshot(map_follower& follower, const map_fetch& fetch) {
@@ -271,9 +267,7 @@
     for (const auto& [number, part] : fetch.parts) {
         for (const chunk_part& one : part.chunks) {
             const auto& layout = follower.head.services.at(one.id.service);
-            insert_chunk(
-                follower.map, one.id, layout.slice_count, one.chunk
-            );
+            insert_chunk(follower.map, one.id, layout.slice_count, one.chunk);
         }
     }
     follower.map.version = follower.head.version;
@@ -372,9 +366,8 @@
         const auto spread = std::chrono::nanoseconds{
             read_spread_per_peer *
             static_cast<std::int64_t>(follower.peers.size() + 1)};
-        const auto delay = random_below(
-            random, static_cast<std::uint64_t>(spread.count())
-        );
+        const auto delay =
+            random_below(random, static_cast<std::uint64_t>(spread.count()));
         follower.read_at =
             now + read_wait + duration{static_cast<std::int64_t>(delay)};
         return;
--- a/src/apricotstile/assignment/map_reader.hpp
+++ b/src/apricotstile/assignment/map_reader.hpp
@@ -7,6 +7,7 @@
 #include <apricotstile/assignment/map_rows.hpp>
 #include <apricotstile/platform/operations.hpp>
 
+#include <cstdint>
 #include <set>
 #include <vector>
 
@@ -29,7 +30,9 @@
     std::set<platform::operation_id> in_flight;
     /// How often the rows read didn't belong together in this round.
     std::uint32_t rounds{0};
-    platform::operation_id last_id;
+    /// Starts high so that ids differ from those of the reader's user, which
+    /// count from one.
+    platform::operation_id last_id{std::uint64_t{1} << 32};
 };
 
 using map_reads = std::vector<platform::read_rows>;
--- a/src/apricotstile/assignment/map_rows.cpp
+++ b/src/apricotstile/assignment/map_rows.cpp
@@ -89,7 +89,9 @@
 } // namespace
 
 std::string chunk_row_key(const chunk_id& id) {
-    return fmt::format("{}{}/{:05}", map_rows_prefix, id.service.value, id.index);
+    return fmt::format(
+        "{}{}/{:05}", map_rows_prefix, id.service.value, id.index
+    );
 }
 
 chunk_id chunk_of(const range_id& range) {
--- a/src/apricotstile/assignment/move_queue.cpp
+++ b/src/apricotstile/assignment/move_queue.cpp
@@ -33,9 +33,8 @@
     const double most = limits.moves_per_second * burst_seconds;
     const double seconds =
         std::chrono::duration<double>(now - queue.allowance_at).count();
-    queue.allowance = std::min(
-        most, queue.allowance + seconds * limits.moves_per_second
-    );
+    queue.allowance =
+        std::min(most, queue.allowance + seconds * limits.moves_per_second);
     queue.allowance_at = now;
 }
 
@@ -91,8 +90,7 @@
             one.target.load < least_loaded->target.load) {
             least_loaded = &one;
         }
-        const bool better =
-            best == nullptr || goes_before(one, *best, limits);
+        const bool better = best == nullptr || goes_before(one, *best, limits);
         if (better && fits(one, move)) {
             best = &one;
         }
@@ -101,8 +99,7 @@
     return best == nullptr && move.from_leaving ? least_loaded : best;
 }
 
-std::uint32_t
-depth_for(const pending_move& move, const move_limits& limits) {
+std::uint32_t depth_for(const pending_move& move, const move_limits& limits) {
     return move.from_leaving ? limits.leaving_target_depth
                              : limits.target_depth;
 }
@@ -164,8 +161,7 @@
                           considered >= max_pending_considered ||
                           !is_allowed(queue, move) ||
                           sources[move.from.host] >= limits.source_depth;
-        target_state* best =
-            skip ? nullptr : best_target(states, move, limits);
+        target_state* best = skip ? nullptr : best_target(states, move, limits);
         if (best == nullptr) {
             left.push_back(std::move(move));
             continue;
@@ -181,8 +177,7 @@
         best->target.load += move.load * best->target.load_factor;
         spend_allowance(queue, move);
         queue.pending_ranges.erase(move.range);
-        const active_move active{
-            move.range, move.from, best->target.self, now};
+        const active_move active{move.range, move.from, best->target.self, now};
         queue.active.emplace(move.range, active);
         bound.push_back(active);
     }
--- a/src/apricotstile/assignment/owner.cpp
+++ b/src/apricotstile/assignment/owner.cpp
@@ -41,9 +41,7 @@
 
 /// Whether `range` is this member's to serve by `map` and its own memory.
 bool is_served(
-    const owner_state& owner,
-    const assignment_map& map,
-    const range_id& range
+    const owner_state& owner, const assignment_map& map, const range_id& range
 ) {
     const slice_assignment* found = find_range(map, range);
     if (found == nullptr || found->owner != owner.self) {
@@ -220,9 +218,7 @@
 }
 
 /// Starts the reads that the next release or the settling of one needs.
-void read_if_needed(
-    owner_state& owner, instant now, owner_actions& actions
-) {
+void read_if_needed(owner_state& owner, instant now, owner_actions& actions) {
     if (!may_read(owner, now)) {
         return;
     }
@@ -251,14 +247,11 @@
            (unplanned && release.chosen_here);
 }
 
-void submit_release(
-    owner_state& owner, instant now, owner_actions& actions
-) {
+void submit_release(owner_state& owner, instant now, owner_actions& actions) {
     release_transaction sent;
     sent.change.version = next(owner.reader.rows.head.version);
     for (const range_id& range : drained_ranges(owner)) {
-        const bool was_read =
-            owner.reader.wanted.contains(chunk_of(range));
+        const bool was_read = owner.reader.wanted.contains(chunk_of(range));
         if (was_read && is_releasable(owner, range)) {
             range_release& release = owner.releases.at(range);
             release.phase = release_phase::releasing;
@@ -306,9 +299,8 @@
 void retry_later(
     owner_state& owner, instant now, duration within, random_source& random
 ) {
-    const auto delay = random_below(
-        random, static_cast<std::uint64_t>(within.count())
-    );
+    const auto delay =
+        random_below(random, static_cast<std::uint64_t>(within.count()));
     owner.retry_at = now + duration{static_cast<std::int64_t>(delay)};
 }
 
@@ -404,9 +396,8 @@
             return;
         }
         found->second.phase = release_phase::drained;
-        this->actions.emplace_back(
-            hand_over_range{event.range, found->second.to}
-        );
+        this->actions.emplace_back(hand_over_range{
+            event.range, found->second.to});
         read_if_needed(this->owner, this->now, this->actions);
     }
 
@@ -435,9 +426,7 @@
             break;
         case platform::commit_status::conflict:
             undo_release(this->owner);
-            retry_later(
-                this->owner, this->now, conflict_retry, this->random
-            );
+            retry_later(this->owner, this->now, conflict_retry, this->random);
             break;
         case platform::commit_status::unavailable:
             undo_release(this->owner);
--- a/src/apricotstile/assignment/owner.hpp
+++ b/src/apricotstile/assignment/owner.hpp
@@ -85,6 +85,8 @@
     std::optional<release_transaction> sent;
     instant retry_at;
     std::optional<instant> leaving_since;
+    /// Once true this incarnation dispatches nothing more, whatever the map
+    /// says: others may take its ranges for free.
     bool told_all_released{false};
     /// Where a leaving daemon may send its ranges.
     std::vector<member::member_record> members;
--- a/src/apricotstile/assignment/placement.cpp
+++ b/src/apricotstile/assignment/placement.cpp
@@ -14,17 +14,15 @@
 
 double slice_load_of(const observed_load& load, const range_id& range) {
     const auto found = load.slices.find(range.service);
-    const bool reported = found != load.slices.end() &&
-                          range.slice.value < found->second.size();
+    const bool reported =
+        found != load.slices.end() && range.slice.value < found->second.size();
     const double rate =
         reported ? static_cast<double>(found->second[range.slice.value]) : 0.0;
     return rate + idle_slice_load;
 }
 
 placement_member make_member(
-    const member::member_record& record,
-    const warm_since& seen,
-    instant now
+    const member::member_record& record, const warm_since& seen, instant now
 ) {
     placement_member result;
     result.self = record.self;
@@ -47,8 +45,7 @@
 ) {
     auto* member = find_member(places, assignment.owner);
     if (member != nullptr) {
-        member->load +=
-            share_of(*member, range.service, load_of(load, range));
+        member->load += share_of(*member, range.service, load_of(load, range));
     }
 }
 
@@ -95,8 +92,7 @@
     std::vector<place_candidate>,
     std::greater<>>;
 
-place_queue
-queue_for(const placement& places, const service_id& service) {
+place_queue queue_for(const placement& places, const service_id& service) {
     place_queue queue;
     for (std::size_t i = 0; i < places.members.size(); ++i) {
         const placement_member& one = places.members[i];
@@ -140,8 +136,7 @@
         return slice_load_of(load, range);
     }
     const auto found = load.keys.find(range);
-    return found == load.keys.end() ? 0.0
-                                    : static_cast<double>(found->second);
+    return found == load.keys.end() ? 0.0 : static_cast<double>(found->second);
 }
 
 placement make_placement(
--- a/src/apricotstile/assignment/placement.hpp
+++ b/src/apricotstile/assignment/placement.hpp
@@ -52,8 +52,7 @@
 [[nodiscard]] double ramp_factor(instant seen, instant now);
 
 /// The load of `range` as placement counts it.
-[[nodiscard]] double
-load_of(const observed_load& load, const range_id& range);
+[[nodiscard]] double load_of(const observed_load& load, const range_id& range);
 
 /// The members with the load that `map` gives them.
 [[nodiscard]] placement make_placement(
--- a/src/apricotstile/assignment/planner.cpp
+++ b/src/apricotstile/assignment/planner.cpp
@@ -98,8 +98,8 @@
     std::map<host_id, member::member_record> members;
     for (const member::member_record& one : records) {
         const auto before = planner.members.find(one.self.host);
-        const bool is_new = before == planner.members.end() ||
-                            before->second.self != one.self;
+        const bool is_new =
+            before == planner.members.end() || before->second.self != one.self;
         if (is_new && planner.role == planner_role::leading) {
             planner.seen.emplace(one.self, now);
         }
@@ -202,9 +202,8 @@
                 this->state.reader.rows, sent->change, event.result
             );
             apply_change(this->state.map, sent->change);
-            this->state.shown_version = std::max(
-                this->state.shown_version, this->state.map.version
-            );
+            this->state.shown_version =
+                std::max(this->state.shown_version, this->state.map.version);
             this->actions.emplace_back(share_change{std::move(sent->change)});
             sent.reset();
             return;
--- a/src/apricotstile/assignment/set_owner.cpp
+++ b/src/apricotstile/assignment/set_owner.cpp
@@ -53,9 +53,7 @@
         const bool settled = one.assignment.owner == owner &&
                              one.assignment.next_owner == member::member_ref{};
         if (settled) {
-            erase_key(
-                change, stored, {range.service, range.slice, one.key}
-            );
+            erase_key(change, stored, {range.service, range.slice, one.key});
         }
     }
 }
--- /dev/null
+++ b/tests/assignment/assignment_world.hpp
@@ -0,0 +1,167 @@
+// A few daemons' planners, owners and followers on a virtual clock, over a
+// fake table and fake messages that a schedule of faults disturbs. Leases are
+// an oracle: a deposed member's lease has always run out.
+
+#ifndef APRICOTSTILE_TESTS_ASSIGNMENT_ASSIGNMENT_WORLD_HPP
+#define APRICOTSTILE_TESTS_ASSIGNMENT_ASSIGNMENT_WORLD_HPP
+
+#include <apricotstile/assignment/dispatch.hpp>
+#include <apricotstile/assignment/map_follower.hpp>
+#include <apricotstile/assignment/owner.hpp>
+#include <apricotstile/assignment/planner.hpp>
+#include <tests/support/fake_table.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace apricotstile::tests {
+
+/// Faults seeded into the code under test by changing what it asks for or is
+/// told. All off in the tests that must pass.
+struct seeded_faults {
+    bool release_not_conditional{false};
+    bool planner_not_conditional{false};
+    /// A lost answer is taken for "certainly not executed".
+    bool serves_after_lost_answer{false};
+    /// The dispatch decision is taken when a request arrives and not asked
+    /// for again when it leaves the queue.
+    bool checks_before_queueing{false};
+    /// The owner is told at once that nothing is in flight.
+    bool releases_before_drained{false};
+};
+
+struct queued_request {
+    std::string key;
+    assignment::dispatch_decision at_arrival;
+};
+
+struct world_daemon {
+    member::member_ref self;
+    assignment::planner planner;
+    assignment::owner_state owner;
+    assignment::map_follower follower;
+    bool running{true};
+    bool paused{false};
+    /// Cut off from other daemons.
+    bool cut_off{false};
+    bool leaving{false};
+    instant lease_until;
+    /// While true the oracle doesn't renew the lease.
+    bool lease_stopped{false};
+    /// Events that arrive while paused.
+    std::deque<std::function<void()>> held;
+    /// Requests at the upstream, by key.
+    std::map<std::string, int> in_flight;
+    std::deque<queued_request> queue;
+    /// Drains asked for and not finished.
+    std::map<assignment::range_id, std::uint64_t> drains;
+    map_version published;
+};
+
+struct world_options {
+    std::size_t daemons{4};
+    std::uint32_t slices{8};
+    seeded_faults faults;
+    /// In a thousand.
+    std::uint32_t message_loss{20};
+    std::uint32_t message_copies{20};
+};
+
+struct assignment_world {
+    assignment_world(const world_options& options, std::uint64_t seed);
+
+    void run_for(duration time);
+
+    // Faults.
+    void set_store(bool down);
+    /// Until set back, answers of writes are lost; the write takes effect
+    /// now, later or never.
+    void lose_answers(bool lost);
+    void pause(std::size_t daemon);
+    void resume(std::size_t daemon);
+    void cut_off(std::size_t daemon, bool cut);
+    void crash(std::size_t daemon);
+    /// Ends the member's lease and then its membership.
+    void depose(std::size_t daemon);
+    /// A new incarnation on the host of a daemon that isn't running.
+    void restart(std::size_t daemon);
+    void leave(std::size_t daemon);
+    /// Ends every disturbance and brings all daemons back.
+    void heal();
+
+    /// What isn't as it should be in a healed world, or empty.
+    std::string unfinished() const;
+
+    assignment::assignment_map stored_map() const;
+
+    using call = std::function<void()>;
+    void at(duration delay, call what);
+    void
+    at_daemon(std::size_t index, incarnation run, duration delay, call what);
+    duration short_delay();
+
+    void start_daemon(std::size_t index, std::uint64_t run);
+    void tick(std::size_t index, incarnation run);
+    void tell_members();
+    std::vector<member::member_record> records() const;
+
+    void feed(std::size_t index, const assignment::planner_event& event);
+    void feed(std::size_t index, const assignment::owner_event& event);
+    void feed(std::size_t index, const assignment::follower_event& event);
+    void perform(std::size_t index, assignment::planner_actions actions);
+    void perform(std::size_t index, assignment::owner_actions actions);
+    void perform(std::size_t index, assignment::follower_actions actions);
+    template <class Event>
+    void submit(
+        std::size_t index,
+        const platform::submit_transaction& wanted,
+        bool conditional,
+        bool trusts_lost_answer
+    );
+    template <class Event>
+    void read(std::size_t index, const platform::read_rows& wanted);
+    void deliver(
+        std::size_t from, host_id to, const assignment::map_message& message
+    );
+    void report_load(std::size_t index);
+
+    void arrive(std::size_t index);
+    void dispatch_next(std::size_t index);
+    assignment::dispatch_decision
+    decide(const world_daemon& daemon, const std::string& key) const;
+    void finish_drains(std::size_t index);
+
+    // Checks.
+    void check_dispatchers();
+    void check_table();
+    void check_published(std::size_t index);
+    void check_acknowledged(const assignment::map_change& change);
+    void broken(const std::string& what);
+
+    world_options options;
+    random_source random;
+    instant now;
+    std::multimap<instant, call> events;
+    fake_table table;
+    bool loses_answers{false};
+    /// Whether owners report load, so that ranges move.
+    bool reports_load{true};
+    std::vector<world_daemon> daemons;
+    std::map<host_id, member::member_record> members;
+    std::vector<std::string> keys;
+    /// The table's map after each change of it.
+    std::map<map_version, assignment::assignment_map> versions;
+    assignment::assignment_map latest;
+    std::uint64_t dispatched{0};
+    std::uint64_t moves{0};
+    /// The first broken promise, empty while there is none.
+    std::string violation;
+};
+
+} // namespace apricotstile::tests
+
+#endif
--- /dev/null
+++ b/tests/assignment/assignment_world_checks.cpp
@@ -0,0 +1,174 @@
+// What must hold in the world after every event.
+
+#include <tests/assignment/assignment_world.hpp>
+
+#include <apricotstile/assignment/owner_lookup.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace apricotstile::tests {
+
+namespace {
+
+using namespace assignment;
+
+const service_id registry{"registry"};
+
+} // namespace
+
+void assignment_world::broken(const std::string& what) {
+    if (this->violation.empty()) {
+        this->violation = fmt::format(
+            "at {} ms: {}",
+            this->now.time_since_epoch() / std::chrono::milliseconds{1},
+            what
+        );
+    }
+}
+
+/// Never two daemons that would dispatch work for a key. A deposed member
+/// dispatches nothing.
+void assignment_world::check_dispatchers() {
+    for (const std::string& key : this->keys) {
+        int serving = 0;
+        for (const world_daemon& one : this->daemons) {
+            if (!one.running) {
+                continue;
+            }
+            const auto decision = this->decide(one, key);
+            if (decision.verdict != dispatch_verdict::serve) {
+                continue;
+            }
+            ++serving;
+            const auto& record = this->members.at(one.self.host);
+            const bool deposed = record.self != one.self ||
+                                 record.state == member::member_state::deposed;
+            if (deposed) {
+                this->broken("a deposed member would dispatch " + key);
+            }
+        }
+        if (serving > 1) {
+            this->broken("two members would dispatch " + key);
+        }
+    }
+}
+
+assignment_map assignment_world::stored_map() const {
+    map_rows rows;
+    std::vector<platform::row> found;
+    for (const auto& [key, stored] : this->table.rows) {
+        if (stored.value && key.starts_with(map_rows_prefix)) {
+            found.push_back(
+                {platform::row_key{key}, stored.version, *stored.value}
+            );
+        }
+    }
+    absorb(rows, found);
+    const auto map = to_map(rows);
+    return map ? *map : assignment_map{};
+}
+
+/// Versions rise by one; a key's token never falls and rises with a change
+/// of owner; only an owner or a loss ends an ownership.
+void assignment_world::check_table() {
+    const auto head = this->table.rows.find(map_head_row);
+    if (head == this->table.rows.end()) {
+        return;
+    }
+    const auto version = decode<map_head>(*head->second.value).version;
+    if (version == this->latest.version) {
+        return;
+    }
+    const assignment_map after = this->stored_map();
+    if (after.version != next(this->latest.version)) {
+        this->broken("the table's map version did not rise by one");
+        return;
+    }
+    for (const std::string& key : this->keys) {
+        const auto was = find_owner(this->latest, registry, key);
+        const auto is = find_owner(after, registry, key);
+        if (!was || !is) {
+            continue;
+        }
+        const bool moved = was->assignment.owner != is->assignment.owner;
+        const bool fell = is->assignment.token < was->assignment.token;
+        const bool kept = is->assignment.token == was->assignment.token;
+        if (fell || (moved && kept)) {
+            this->broken("the token did not rise for " + key);
+        }
+    }
+    this->latest = after;
+    this->versions[after.version] = after;
+}
+
+/// A follower's version only rises and its map is the table's of then.
+void assignment_world::check_published(std::size_t index) {
+    world_daemon& one = this->daemons[index];
+    if (one.follower.map.version <= one.published) {
+        this->broken("a follower's map version went back");
+    }
+    one.published = one.follower.map.version;
+    const auto found = this->versions.find(one.published);
+    if (found == this->versions.end() || found->second != one.follower.map) {
+        this->broken("a follower's map is none that the table had");
+    }
+}
+
+/// An acknowledged change is in the table's history under its version.
+void assignment_world::check_acknowledged(const map_change& change) {
+    const auto found = this->versions.find(change.version);
+    if (found == this->versions.end()) {
+        this->broken("an acknowledged change is not in the table");
+        return;
+    }
+    for (const service_change& service : change.services) {
+        const auto& slices = found->second.services.at(service.service).slices;
+        for (const slice_change& one : service.slices) {
+            if (slices[one.slice.value] != one.assignment) {
+                this->broken("an acknowledged assignment was lost");
+            }
+        }
+    }
+}
+
+std::string assignment_world::unfinished() const {
+    const assignment_map map = this->stored_map();
+    for (const world_daemon& one : this->daemons) {
+        const auto state = this->members.at(one.self.host).state;
+        const bool takes_part =
+            one.running && state == member::member_state::active;
+        if (takes_part && one.follower.map != map) {
+            return fmt::format(
+                "daemon {} has map {} and the table {}",
+                one.self.host.value,
+                one.follower.map.version.value,
+                map.version.value
+            );
+        }
+    }
+    for (const std::string& key : this->keys) {
+        const auto serving = std::count_if(
+            this->daemons.begin(),
+            this->daemons.end(),
+            [&](const world_daemon& one) {
+                return one.running && this->decide(one, key).verdict ==
+                                          dispatch_verdict::serve;
+            }
+        );
+        if (serving != 1) {
+            const auto owner = find_owner(map, registry, key);
+            return fmt::format(
+                "{} is served by {} daemons; owner {}, next {}",
+                key,
+                serving,
+                owner ? owner->assignment.owner.host.value : 0,
+                owner ? owner->assignment.next_owner.host.value : 0
+            );
+        }
+    }
+    return {};
+}
+
+} // namespace apricotstile::tests
