--- /dev/null
+++ b/src/apricotstile/control/message.hpp
@@ -0,0 +1,36 @@
+// Everything that control duties tell each other. Small messages go as
+// datagrams, large ones over TCP links.
+
+#ifndef APRICOTSTILE_CONTROL_MESSAGE_HPP
+#define APRICOTSTILE_CONTROL_MESSAGE_HPP
+
+#include <apricotstile/assignment/map_messages.hpp>
+#include <apricotstile/lease/message.hpp>
+#include <apricotstile/member/gossip.hpp>
+
+#include <variant>
+
+namespace apricotstile::control {
+
+using message = std::variant<
+    lease::message,
+    assignment::map_message,
+    member::gossip_message>;
+
+/// What is sent: a message together with the sender's newest map version.
+struct envelope {
+    host_id from;
+    /// The receiver; a copy that reaches another host is dropped.
+    host_id to;
+    assignment::map_digest digest;
+    message body;
+};
+
+template <class Archive>
+void serialize(Archive& archive, envelope& value) {
+    archive(value.from, value.to, value.digest, value.body);
+}
+
+} // namespace apricotstile::control
+
+#endif
--- /dev/null
+++ b/src/apricotstile/member/gossip.cpp
@@ -0,0 +1,149 @@
+// Choice of peers and answers to comparisons.
+
+#include <apricotstile/member/gossip.hpp>
+
+#include <apricotstile/core/hashing.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace apricotstile::member {
+
+namespace {
+
+std::uint64_t hash_of_row(host_id host, platform::row_version version) {
+    const std::array<std::uint64_t, 2> pair{host.value, version.value};
+    return stable_hash(
+        {reinterpret_cast<const char*>(pair.data()), sizeof(pair)}
+    );
+}
+
+/// The hosts that may be sent gossip: members that still run, else seeds.
+std::vector<host_id> peers_of(const gossip& state, const member_set& members) {
+    std::vector<host_id> peers;
+    for (const auto& [host, row] : members.rows) {
+        const bool runs = row.record.state == member_state::active ||
+                          row.record.state == member_state::draining;
+        if (runs && host != state.self) {
+            peers.push_back(host);
+        }
+    }
+    if (peers.empty()) {
+        for (const host_id seed : state.seeds) {
+            if (seed != state.self) {
+                peers.push_back(seed);
+            }
+        }
+    }
+    return peers;
+}
+
+bool known_by(const members_summary& summary, const member_row& row) {
+    return std::any_of(
+        summary.rows.begin(),
+        summary.rows.end(),
+        [&](const row_sighting& one) {
+            return one.host == row.record.self.host &&
+                   one.version >= row.version;
+        }
+    );
+}
+
+/// Whether the sender of `summary` has a row that is newer than ours.
+bool has_newer(const members_summary& summary, const member_set& members) {
+    return std::any_of(
+        summary.rows.begin(),
+        summary.rows.end(),
+        [&](const row_sighting& one) {
+            const member_row* const ours = find(members, one.host);
+            return ours == nullptr || ours->version < one.version;
+        }
+    );
+}
+
+members_summary summary_of(const member_set& members) {
+    members_summary summary;
+    for (const auto& [host, row] : members.rows) {
+        summary.rows.push_back({host, row.version});
+    }
+    return summary;
+}
+
+gossip_actions answer_summary(
+    const member_set& members, host_id from, const members_summary& summary
+) {
+    gossip_actions out;
+    members_rows newer;
+    for (const auto& [host, row] : members.rows) {
+        if (!known_by(summary, row)) {
+            newer.rows.push_back(row);
+        }
+    }
+    if (!newer.rows.empty()) {
+        out.push_back({from, std::move(newer)});
+    }
+    if (has_newer(summary, members)) {
+        out.push_back({from, summary_of(members)});
+    }
+    return out;
+}
+
+} // namespace
+
+members_hash hash_of(const member_set& members) {
+    members_hash result;
+    for (const auto& [host, row] : members.rows) {
+        result.value ^= hash_of_row(host, row.version);
+    }
+    return result;
+}
+
+gossip_actions tick(
+    gossip& state, const member_set& members, instant now, random_source& random
+) {
+    if (now < state.compare_at) {
+        return {};
+    }
+    state.compare_at = now + comparison_interval;
+    const std::vector<host_id> peers = peers_of(state, members);
+    if (peers.empty()) {
+        return {};
+    }
+    const host_id peer = peers[random_below(random, peers.size())];
+    return {{peer, hash_of(members)}};
+}
+
+gossip_actions spread(
+    const gossip& state,
+    const member_set& members,
+    const std::vector<member_row>& news,
+    random_source& random
+) {
+    gossip_actions out;
+    if (news.empty()) {
+        return out;
+    }
+    std::vector<host_id> peers = peers_of(state, members);
+    std::shuffle(peers.begin(), peers.end(), random);
+    peers.resize(std::min(peers.size(), gossip_fanout));
+    for (const host_id peer : peers) {
+        out.push_back({peer, members_rows{news}});
+    }
+    return out;
+}
+
+gossip_actions
+answer(const member_set& members, host_id from, const gossip_message& body) {
+    if (const auto* hash = std::get_if<members_hash>(&body)) {
+        if (hash->value == hash_of(members).value) {
+            return {};
+        }
+        return {{from, summary_of(members)}};
+    }
+    if (const auto* summary = std::get_if<members_summary>(&body)) {
+        return answer_summary(members, from, *summary);
+    }
+    return {};
+}
+
+} // namespace apricotstile::member
