Decide retries and answers of requests at their ingress

A caller must get one whole and true answer whatever links and hosts do. Once a try may have run, later refusals can't turn the outcome into `not_run`.

--- /dev/null
+++ b/src/apricotstile/request/attempt.hpp
@@ -0,0 +1,53 @@
+// One caller's request at its ingress daemon, until it is answered.
+
+#ifndef APRICOTSTILE_REQUEST_ATTEMPT_HPP
+#define APRICOTSTILE_REQUEST_ATTEMPT_HPP
+
+#include <apricotstile/core/ids.hpp>
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/request/journal.hpp>
+
+#include <cstdint>
+#include <string_view>
+
+namespace apricotstile::request {
+
+enum class attempt_state : std::uint8_t {
+    /// A host is being chosen.
+    routing,
+    /// Sent on `stream` to `host`; nothing heard yet.
+    in_flight,
+    /// Waits for a map of at least `awaited_map`.
+    waiting_for_map,
+    /// Waits until `resume_at` before it is routed again.
+    backing_off
+};
+
+struct attempt {
+    attempt_state state{attempt_state::routing};
+    bool idempotent{true};
+    /// Whether one owner alone may serve it, so that no other instance can.
+    bool keyed{true};
+    instant deadline;
+    /// How often it was sent, the present one included.
+    std::uint32_t sends{0};
+    /// Whether it has followed a `not_owner` already.
+    bool redirected{false};
+    /// Whether some earlier send may have run; then the outcome can no longer
+    /// be `not_run`.
+    bool may_have_run{false};
+    /// Meaningful in state `in_flight`; never reused.
+    request_id stream;
+    /// The host it was last sent to.
+    host_id host;
+    map_version routed_by;
+    map_version awaited_map;
+    instant resume_at;
+    request::journal journal;
+};
+
+[[nodiscard]] std::string_view to_string(attempt_state value);
+
+} // namespace apricotstile::request
+
+#endif
--- a/tests/request/owner_memory.tests.cpp
+++ b/tests/request/owner_memory.tests.cpp
@@ -231,6 +231,10 @@
         RC_ASSERT(run(moves, small_policy()) == violation{});
         RC_ASSERT(run(moves, memory_policy{}) == violation{});
     });
+    const auto run_small = [](const schedule& moves) {
+        return run(moves, small_policy());
+    };
+    REQUIRE(cases_until_violation(run_small, 2000) == 2001);
 }
 
 TEST_CASE("each mistake in the memory is caught", "[owner_memory][faults]") {
