Admit an upstream's work by class, slots and deadline

An upstream must never get more than it can take, and nothing that is late. Admission now bounds what runs by announced slots, connections, an adaptive limit and a cold-start ramp; queues are bounded by class, the important one first with one start in 64 for each lower class that waits. What can't be served in time is refused `not_run` at once, and the deadline is read again immediately before each start. A drain takes nothing new and ends the rest.

--- /dev/null
+++ b/src/apricotstile/upstream/admission.cpp
@@ -0,0 +1,235 @@
+// Starting, queueing and shedding of an upstream's work.
+
+#include <apricotstile/upstream/admission.hpp>
+
+#include <apricotstile/upstream/internal/admission_queue.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::upstream {
+
+namespace {
+
+using internal::index_of;
+
+std::uint32_t in_use(const admission& state) {
+    return static_cast<std::uint32_t>(
+        state.running.size() + state.given_up.size()
+    );
+}
+
+bool has_room(const admission& state, instant now) {
+    if (state.policy.faults.ignores_slots) {
+        return true;
+    }
+    const std::uint32_t used = in_use(state);
+    const std::uint32_t connections = used + state.unusable_connections;
+    return used < allowed(state.limit, now) &&
+           connections < state.policy.connections;
+}
+
+bool may_start(const admission& state, const offered_work& work, instant now) {
+    if (state.exclusive || !has_room(state, now)) {
+        return false;
+    }
+    return !work.alone || in_use(state) == 0;
+}
+
+void start(
+    admission& state,
+    const offered_work& work,
+    instant now,
+    admission_actions& actions
+) {
+    state.running.emplace(
+        work.id, running_work{work.importance, now, work.deadline}
+    );
+    state.exclusive = work.alone;
+    ++state.counters.started.at(index_of(work.importance));
+    actions.emplace_back(start_work{work.id});
+}
+
+void forget_given_up(admission& state, instant now) {
+    std::erase_if(state.given_up, [&](instant until) {
+        return until <= now;
+    });
+}
+
+request::refusal reason_to_refuse(
+    const admission& state, const offered_work& work, instant now
+) {
+    if (state.draining && !state.policy.faults.starts_while_draining) {
+        return request::refusal::draining;
+    }
+    if (state.policy.faults.skips_deadline_check) {
+        return request::refusal::none;
+    }
+    if (now >= work.deadline) {
+        return request::refusal::deadline_passed;
+    }
+    if (state.queues.at(index_of(work.importance)).size() >=
+        state.policy.max_queued) {
+        return request::refusal::overloaded;
+    }
+    if (may_start(state, work, now)) {
+        return request::refusal::none;
+    }
+    const duration wait = internal::expected_wait(state, work.importance, now);
+    const bool in_time = wait <= internal::longest_wait(state) &&
+                         now + wait + state.limit.mean_service <= work.deadline;
+    return in_time ? request::refusal::none : request::refusal::overloaded;
+}
+
+void note_end(
+    admission& state, const running_work& work, work_end end, instant now
+) {
+    switch (end) {
+    case work_end::answered:
+        note_served(state.limit, now - work.started, in_use(state), now);
+        break;
+    case work_end::shed_by_upstream:
+        note_overload(state.limit, now);
+        break;
+    case work_end::lost:
+        break;
+    case work_end::given_up:
+        note_overload(state.limit, now);
+        // The upstream is told to stop; one service time more is allowed.
+        state.given_up.push_back(
+            std::max(now, work.deadline) + state.limit.mean_service
+        );
+        break;
+    }
+}
+
+} // namespace
+
+admission make_admission(const admission_policy& policy, instant now) {
+    admission state;
+    state.policy = policy;
+    state.limit = make_limit(policy.slots, policy.warm_up, now);
+    return state;
+}
+
+admission_actions
+offer(admission& state, const offered_work& work, instant now) {
+    ++state.counters.offered.at(index_of(work.importance));
+    forget_given_up(state, now);
+    const request::refusal why = reason_to_refuse(state, work, now);
+    if (why != request::refusal::none) {
+        ++state.counters.shed.at(index_of(work.importance));
+        return {shed_work{work.id, why, internal::longest_wait(state)}};
+    }
+    state.queues.at(index_of(work.importance)).push_back({work, now});
+    return next(state, now);
+}
+
+admission_actions
+finished(admission& state, work_id id, work_end end, instant now) {
+    const auto found = state.running.find(id);
+    if (found == state.running.end()) {
+        return {};
+    }
+    const running_work work = found->second;
+    state.running.erase(found);
+    // While one runs alone nothing else does.
+    state.exclusive = false;
+    note_end(state, work, end, now);
+    return next(state, now);
+}
+
+admission_actions next(admission& state, instant now) {
+    admission_actions actions;
+    forget_given_up(state, now);
+    for (;;) {
+        internal::shed_hopeless(state, now, actions);
+        const auto chosen = internal::next_class(state);
+        if (!chosen) {
+            break;
+        }
+        auto& queue = state.queues.at(*chosen);
+        if (!may_start(state, queue.front().work, now)) {
+            break;
+        }
+        const offered_work work = queue.front().work;
+        queue.pop_front();
+        internal::count_start(state, *chosen);
+        start(state, work, now, actions);
+    }
+    return actions;
+}
+
+admission_actions cancel(admission& state, work_id id, instant now) {
+    if (state.running.contains(id)) {
+        return {cancel_work{id}};
+    }
+    for (auto& queue : state.queues) {
+        const auto found = std::find_if(
+            queue.begin(),
+            queue.end(),
+            [&](const waiting_work& waiting) {
+                return waiting.work.id == id;
+            }
+        );
+        if (found != queue.end()) {
+            queue.erase(found);
+            admission_actions actions = next(state, now);
+            actions.emplace_back(shed_work{
+                id, request::refusal::cancelled, duration{0}});
+            return actions;
+        }
+    }
+    return {};
+}
+
+void upstream_restarted(admission& state, instant now) {
+    state.given_up.clear();
+    restart_cold(state.limit, now);
+}
+
+void start_drain(admission& state) {
+    state.draining = true;
+}
+
+bool is_idle(const admission& state) {
+    const bool none_wait = std::all_of(
+        state.queues.begin(),
+        state.queues.end(),
+        [](const auto& queue) {
+            return queue.empty();
+        }
+    );
+    return none_wait && state.running.empty();
+}
+
+instant next_wake_up(const admission& state) {
+    instant soonest = instant::max();
+    for (const auto& queue : state.queues) {
+        if (!queue.empty()) {
+            const waiting_work& front = queue.front();
+            soonest = std::min(soonest, front.work.deadline);
+            soonest =
+                std::min(soonest, front.since + internal::longest_wait(state));
+        }
+    }
+    for (const instant until : state.given_up) {
+        soonest = std::min(soonest, until);
+    }
+    return soonest;
+}
+
+admission_snapshot describe(const admission& state, instant now) {
+    admission_snapshot result;
+    result.allowed = allowed(state.limit, now);
+    result.running = static_cast<std::uint32_t>(state.running.size());
+    result.given_up = static_cast<std::uint32_t>(state.given_up.size());
+    for (std::size_t i = 0; i < request::work_class_count; ++i) {
+        result.queued.at(i) = state.queues.at(i).size();
+    }
+    result.mean_service = state.limit.mean_service;
+    result.draining = state.draining;
+    result.counters = state.counters;
+    return result;
+}
+
+} // namespace apricotstile::upstream
