Apply lists from exactly the version they were based on

Cause: operators race one another, and answers of the table get lost. Change: a decision that stores the body, moves the head row conditionally, settles a lost answer by reading the version's own row, and tells the loser of a race what changed.

--- /dev/null
+++ b/src/apricotstile/plan/apply.cpp
@@ -0,0 +1,361 @@
+// The phases of an apply.
+
+#include <apricotstile/plan/apply.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::plan {
+
+namespace {
+
+using apply_actions = std::vector<apply_action>;
+
+platform::operation_id begin_call(apply_state& state, instant now) {
+    state.last_operation = next(state.last_operation);
+    state.in_flight = state.last_operation;
+    state.in_flight_since = now;
+    state.retry_at.reset();
+    return state.last_operation;
+}
+
+apply_actions
+read(apply_state& state, apply_phase phase, std::string prefix, instant now) {
+    state.phase = phase;
+    return {platform::read_rows{begin_call(state, now), std::move(prefix)}};
+}
+
+apply_actions
+get(apply_state& state,
+    apply_phase phase,
+    const platform::object_name& name,
+    instant now) {
+    state.phase = phase;
+    return {platform::get_object{begin_call(state, now), name}};
+}
+
+apply_actions finish(
+    apply_state& state,
+    apply_status status,
+    plan_version version,
+    std::optional<plan_difference> changed = std::nullopt
+) {
+    state.phase = apply_phase::finished;
+    state.in_flight.reset();
+    state.retry_at.reset();
+    return {
+        apply_report{state.request.id, status, version, std::move(changed)}};
+}
+
+plan_version made_version(const apply_state& state) {
+    return next(state.request.based_on);
+}
+
+std::optional<version_record>
+find_record(const std::vector<platform::row>& rows, const std::string& key) {
+    for (const platform::row& row : rows) {
+        if (row.key.value == key) {
+            return decode<version_record>(row.value);
+        }
+    }
+    return std::nullopt;
+}
+
+apply_actions put_body(apply_state& state, instant now) {
+    state.phase = apply_phase::putting_body;
+    state.body = encode(version_body{
+        made_version(state), state.request.id, state.request.lists});
+    return {platform::put_object{
+        begin_call(state, now), content_name(state.body), state.body}};
+}
+
+apply_actions commit(apply_state& state, instant now) {
+    state.phase = apply_phase::committing;
+    const plan_version version = made_version(state);
+    const std::string record = encode(version_record{
+        version, state.request.id, content_name(state.body)});
+    platform::transaction work;
+    if (!state.policy.fault_unconditional) {
+        work.conditions.push_back({{head_row_key}, state.head_row});
+    }
+    work.mutations.push_back({{head_row_key}, record});
+    work.mutations.push_back({{version_row_key(version)}, record});
+    if (version.value > state.policy.kept_versions) {
+        const plan_version old{version.value - state.policy.kept_versions};
+        work.mutations.push_back({{version_row_key(old)}, std::nullopt});
+    }
+    state.commit_sent = now;
+    return {
+        platform::submit_transaction{begin_call(state, now), std::move(work)}};
+}
+
+/// Starts the phase's call, again or for the first time.
+apply_actions run_phase(apply_state& state, instant now) {
+    switch (state.phase) {
+    case apply_phase::reading_head:
+        return read(state, state.phase, head_row_key, now);
+    case apply_phase::putting_body:
+        return put_body(state, now);
+    case apply_phase::committing:
+        return commit(state, now);
+    case apply_phase::settling:
+    case apply_phase::reading_successor:
+        return read(
+            state, state.phase, version_row_key(made_version(state)), now
+        );
+    default:
+        return {};
+    }
+}
+
+apply_actions start_phase(apply_state& state, apply_phase phase, instant now) {
+    state.phase = phase;
+    return run_phase(state, now);
+}
+
+void retry_later(apply_state& state, instant now) {
+    state.retry_at = now + state.policy.retry_interval;
+}
+
+/// Tells the loser of a race, at best with what the others changed.
+apply_actions explain(apply_state& state, instant now) {
+    if (state.request.based_on == plan_version{}) {
+        return get(state, apply_phase::getting_head, state.head.body, now);
+    }
+    return read(
+        state,
+        apply_phase::reading_base,
+        version_row_key(state.request.based_on),
+        now
+    );
+}
+
+apply_actions lose(apply_state& state) {
+    return finish(state, apply_status::lost_race, state.head.version);
+}
+
+apply_actions on_head(
+    apply_state& state, const std::vector<platform::row>& rows, instant now
+) {
+    state.head_row = {};
+    state.head = {};
+    for (const platform::row& row : rows) {
+        if (row.key.value == head_row_key) {
+            state.head_row = row.version;
+            state.head = decode<version_record>(row.value);
+        }
+    }
+    if (state.head.version == state.request.based_on) {
+        return put_body(state, now);
+    }
+    if (state.head.version < state.request.based_on) {
+        return lose(state);
+    }
+    return start_phase(state, apply_phase::reading_successor, now);
+}
+
+/// The base's successor is known: ours, or that of who came first.
+apply_actions on_successor(
+    apply_state& state, const std::vector<platform::row>& rows, instant now
+) {
+    const auto made = find_record(rows, version_row_key(made_version(state)));
+    if (made && made->applied_by == state.request.id) {
+        return finish(state, apply_status::applied, made->version);
+    }
+    return explain(state, now);
+}
+
+apply_actions on_settling(
+    apply_state& state,
+    const std::vector<platform::row>& rows,
+    instant read_began,
+    instant now
+) {
+    if (find_record(rows, version_row_key(made_version(state)))) {
+        state.commit_unsettled = false;
+        return start_phase(state, apply_phase::reading_head, now);
+    }
+    const instant dead = state.commit_sent + state.policy.operation_deadline;
+    if (read_began > dead) {
+        state.commit_unsettled = false;
+        return start_phase(state, apply_phase::reading_head, now);
+    }
+    retry_later(state, now);
+    return {};
+}
+
+apply_actions on_base_row(
+    apply_state& state, const std::vector<platform::row>& rows, instant now
+) {
+    const auto base =
+        find_record(rows, version_row_key(state.request.based_on));
+    if (!base) {
+        return lose(state);
+    }
+    return get(state, apply_phase::getting_base, base->body, now);
+}
+
+apply_actions
+on_event(apply_state& state, const platform::rows_read& event, instant now) {
+    if (!event.result.answered) {
+        if (state.phase == apply_phase::reading_base) {
+            return lose(state);
+        }
+        retry_later(state, now);
+        return {};
+    }
+    const std::vector<platform::row>& rows = event.result.rows;
+    switch (state.phase) {
+    case apply_phase::reading_head:
+        return on_head(state, rows, now);
+    case apply_phase::reading_successor:
+        return on_successor(state, rows, now);
+    case apply_phase::settling:
+        return on_settling(state, rows, state.in_flight_since, now);
+    case apply_phase::reading_base:
+        return on_base_row(state, rows, now);
+    default:
+        return {};
+    }
+}
+
+apply_actions
+on_event(apply_state& state, const platform::object_put& event, instant now) {
+    if (!event.stored) {
+        // Named by its content, so putting it again does no harm.
+        retry_later(state, now);
+        return {};
+    }
+    return commit(state, now);
+}
+
+apply_actions
+on_event(apply_state& state, const platform::object_got& event, instant now) {
+    if (!event.found) {
+        return lose(state);
+    }
+    const version_body body = decode<version_body>(event.body);
+    if (state.phase == apply_phase::getting_base) {
+        state.base_lists = body.lists;
+        return get(state, apply_phase::getting_head, state.head.body, now);
+    }
+    return finish(
+        state,
+        apply_status::lost_race,
+        state.head.version,
+        difference_between(state.base_lists, body.lists)
+    );
+}
+
+apply_actions on_unknown_commit(apply_state& state, instant now) {
+    if (state.policy.fault_repeats_blindly) {
+        state.request.based_on = made_version(state);
+        return start_phase(state, apply_phase::reading_head, now);
+    }
+    state.commit_unsettled = true;
+    return start_phase(state, apply_phase::settling, now);
+}
+
+apply_actions on_event(
+    apply_state& state, const platform::transaction_done& event, instant now
+) {
+    switch (event.result.status) {
+    case platform::commit_status::committed:
+        return finish(state, apply_status::applied, made_version(state));
+    case platform::commit_status::conflict:
+        return start_phase(state, apply_phase::reading_head, now);
+    case platform::commit_status::unavailable:
+        retry_later(state, now);
+        return {};
+    case platform::commit_status::unknown:
+        return on_unknown_commit(state, now);
+    }
+    return {};
+}
+
+apply_actions on_overdue_call(apply_state& state, instant now) {
+    state.in_flight.reset();
+    if (state.phase == apply_phase::committing) {
+        return on_unknown_commit(state, now);
+    }
+    const bool explaining = state.phase == apply_phase::reading_base ||
+                            state.phase == apply_phase::getting_base ||
+                            state.phase == apply_phase::getting_head;
+    if (explaining) {
+        return lose(state);
+    }
+    retry_later(state, now);
+    return {};
+}
+
+apply_actions on_tick(apply_state& state, instant now) {
+    const bool overdue = state.in_flight && now - state.in_flight_since >
+                                                state.policy.operation_deadline;
+    if (overdue) {
+        return on_overdue_call(state, now);
+    }
+    const bool committing =
+        state.phase == apply_phase::committing && state.in_flight.has_value();
+    if (now - state.started > state.policy.give_up_after && !committing) {
+        const apply_status status = state.commit_unsettled
+                                        ? apply_status::unsettled
+                                        : apply_status::not_applied;
+        return finish(state, status, state.head.version);
+    }
+    if (state.retry_at && *state.retry_at <= now) {
+        return run_phase(state, now);
+    }
+    return {};
+}
+
+} // namespace
+
+std::string_view to_string(apply_status value) {
+    switch (value) {
+    case apply_status::applied:
+        return "applied";
+    case apply_status::lost_race:
+        return "lost_race";
+    case apply_status::not_applied:
+        return "not_applied";
+    case apply_status::unsettled:
+        return "unsettled";
+    }
+    return "invalid";
+}
+
+std::vector<apply_action>
+step(apply_state& state, const apply_event& event, instant now) {
+    if (const auto* request = std::get_if<apply_request>(&event)) {
+        if (state.phase != apply_phase::idle) {
+            return {};
+        }
+        state.request = *request;
+        state.started = now;
+        return start_phase(state, apply_phase::reading_head, now);
+    }
+    if (state.phase == apply_phase::finished) {
+        return {};
+    }
+    if (std::holds_alternative<apply_tick>(event)) {
+        return on_tick(state, now);
+    }
+    return std::visit(
+        [&](const auto& one) -> apply_actions {
+            if constexpr (requires {
+                              one.id.value;
+                              on_event(state, one, now);
+                          }) {
+                if (state.in_flight != one.id) {
+                    return {};
+                }
+                state.in_flight.reset();
+                return on_event(state, one, now);
+            } else {
+                return {};
+            }
+        },
+        event
+    );
+}
+
+} // namespace apricotstile::plan
--- /dev/null
+++ b/src/apricotstile/plan/apply.hpp
@@ -0,0 +1,102 @@
+// Applying edited lists: stores the body under its content name, then moves
+// the head row from exactly the version that the lists were based on.
+//
+// A lost answer is settled by reading the version's own row. While that row
+// is absent the transaction may still take effect, so it is only sent again
+// after a read that began later than the table service's deadline.
+
+#ifndef APRICOTSTILE_PLAN_APPLY_HPP
+#define APRICOTSTILE_PLAN_APPLY_HPP
+
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/plan/apply_report.hpp>
+#include <apricotstile/plan/version_body.hpp>
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace apricotstile::plan {
+
+struct apply_policy {
+    duration retry_interval{std::chrono::milliseconds{500}};
+    /// The platform neither starts nor ends a call later than this.
+    duration operation_deadline{std::chrono::seconds{5}};
+    /// Longest time until the operator is told something.
+    duration give_up_after{std::chrono::seconds{30}};
+    /// Rows of older versions are erased.
+    std::uint64_t kept_versions{1024};
+    /// Seeded faults for tests of the tests; false in every daemon.
+    bool fault_unconditional{false};
+    bool fault_repeats_blindly{false};
+};
+
+struct apply_request {
+    /// Drawn at random by the operator's tool; a request sent again with the
+    /// same id is applied at most once.
+    apply_id id;
+    /// Zero for the first version of all.
+    plan_version based_on;
+    plan_lists lists;
+};
+
+enum class apply_phase : std::uint8_t {
+    idle,
+    reading_head,
+    putting_body,
+    committing,
+    settling,
+    reading_successor,
+    reading_base,
+    getting_base,
+    getting_head,
+    finished
+};
+
+/// One apply from request to report. Has at most one call in flight.
+struct apply_state {
+    apply_policy policy;
+    apply_request request;
+    apply_phase phase{apply_phase::idle};
+    instant started;
+    platform::operation_id last_operation;
+    std::optional<platform::operation_id> in_flight;
+    instant in_flight_since;
+    /// When to start the phase's call again; set while none is in flight.
+    std::optional<instant> retry_at;
+    instant commit_sent;
+    /// True while a commit may have had effect unknown to us.
+    bool commit_unsettled{false};
+    platform::row_version head_row;
+    version_record head;
+    platform::object_name base_body;
+    plan_lists base_lists;
+    std::string body;
+};
+
+struct apply_tick {};
+
+using apply_event = std::variant<
+    apply_request,
+    apply_tick,
+    platform::rows_read,
+    platform::object_put,
+    platform::object_got,
+    platform::transaction_done>;
+
+using apply_action = std::variant<
+    platform::read_rows,
+    platform::put_object,
+    platform::get_object,
+    platform::submit_transaction,
+    apply_report>;
+
+/// Feed an `apply_request` first, platform results as they come and an
+/// `apply_tick` every 100 ms. Ends with exactly one `apply_report`.
+[[nodiscard]] std::vector<apply_action>
+step(apply_state& state, const apply_event& event, instant now);
+
+} // namespace apricotstile::plan
+
+#endif
