--- a/tests/plan/apply.tests.cpp
+++ b/tests/plan/apply.tests.cpp
@@ -61,7 +61,7 @@
 
 platform::commit_result
 execute(fake_platform& platform, const platform::transaction& work) {
-    const auto result = tests::commit(platform.table, work);
+    auto result = tests::commit(platform.table, work);
     note_head(platform);
     return result;
 }
