--- a/src/apricotstile/core/strong_id.hpp
+++ b/src/apricotstile/core/strong_id.hpp
@@ -20,6 +20,8 @@
 
     Rep value{};
 
+    // The linter takes the zero of the synthesized comparison for a pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const strong_id&, const strong_id&) = default;
     friend bool operator==(const strong_id&, const strong_id&) = default;
 };
--- a/tests/standins/platform_service.tests.cpp
+++ b/tests/standins/platform_service.tests.cpp
@@ -3,6 +3,7 @@
 #include <standins/platform/platform_service.hpp>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace apricotstile;
 using namespace apricotstile::standins;
@@ -14,10 +15,11 @@
 
 http_request write_row(const std::string& key, int wanted_version) {
     http_request request{"POST", "/table/commit", {}, {}, {}};
-    request.body = R"({"conditions":[{"key":")" + key + R"(","version":)" +
-                   std::to_string(wanted_version) +
-                   R"(}],"mutations":[{"key":")" + key +
-                   R"(","value":"AGE="}]})";
+    request.body =
+        nlohmann::json{
+            {"conditions", {{{"key", key}, {"version", wanted_version}}}},
+            {"mutations", {{{"key", key}, {"value", "AGE="}}}}}
+            .dump();
     return request;
 }
 
