--- a/src/apricotstile/lease/internal/deposer_table.cpp
+++ b/src/apricotstile/lease/internal/deposer_table.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Consents that a deposition needs.
-constexpr std::size_t consent_majority = 2;
-
 /// The narrowest prefix that covers every unread suspect.
 std::string prefix_to_read(const deposer& state, bool watch_is_due) {
     if (watch_is_due || count_unread(state) != 1) {
@@ -78,15 +75,15 @@
     return known.last_seen - known.first_seen >= promised_for(limits);
 }
 
-bool is_consented(const suspect& one) {
-    return !one.unread && one.consented.size() >= consent_majority;
+bool is_consented(const suspect& one, const policy& limits) {
+    return !one.unread && one.consented.size() >= limits.consents;
 }
 
 std::vector<member::member_row>
 rows_to_depose(const deposer& state, const policy& limits) {
     std::vector<member::member_row> ready;
     for (const auto& [holder, one] : state.suspects) {
-        if (is_consented(one)) {
+        if (is_consented(one, limits)) {
             ready.push_back(*one.row);
         }
     }
@@ -101,12 +98,12 @@
     return ready;
 }
 
-bool all_suspects_are_ready(const deposer& state) {
+bool all_suspects_are_ready(const deposer& state, const policy& limits) {
     return std::all_of(
         state.suspects.begin(),
         state.suspects.end(),
-        [](const auto& one) {
-            return is_consented(one.second);
+        [&](const auto& one) {
+            return is_consented(one.second, limits);
         }
     );
 }
@@ -116,7 +113,7 @@
     if (!state.ready_since) {
         state.ready_since = now;
     }
-    return !all_suspects_are_ready(state) &&
+    return !all_suspects_are_ready(state, limits) &&
            now < *state.ready_since + limits.deposition_gathering;
 }
 
--- a/src/apricotstile/lease/policy.hpp
+++ b/src/apricotstile/lease/policy.hpp
@@ -64,6 +64,9 @@
     /// deposes the member itself.
     duration planner_patience = 100ms;
 
+    /// Guardians whose consent a deposition needs; a lease needs two promises,
+    /// so fewer than two of the three would not be safe.
+    std::size_t consents = 2;
     /// Depositions are gathered for this long before each call to the table.
     duration deposition_gathering = 10ms;
     /// Between requests for the same consent.
--- /dev/null
+++ b/tests/lease/guardian.tests.cpp
@@ -0,0 +1,164 @@
+// Single decisions of guardians, holders and the choice of guardians.
+
+#include <apricotstile/lease/participant.hpp>
+#include <apricotstile/member/guardian_choice.hpp>
+#include <tests/lease/world.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace apricotstile::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr instant start_of_test{1h};
+constexpr lease::policy limits;
+
+member::member_ref ref(std::uint64_t host) {
+    return {host_id{host}, incarnation{1}};
+}
+
+lease::guardian_identity identity() {
+    return {host_id{2}, ref(2), start_of_test};
+}
+
+bool consents(lease::guardian& state, guardian_generation under, instant now) {
+    const lease::consent_request asked{ref(1), ref(2), under};
+    const auto reply = lease::answer(state, identity(), asked, limits, now);
+    return std::holds_alternative<lease::consent>(reply);
+}
+
+bool promises(lease::guardian& state, guardian_generation under, instant now) {
+    const lease::heartbeat asked{ref(1), ref(2), under, 0, true};
+    const auto reply = lease::answer(state, identity(), asked, limits, now);
+    return std::holds_alternative<lease::promise>(reply);
+}
+
+} // namespace
+
+TEST_CASE(
+    "A guardian consents only a lease after it learned of its place", "[lease]"
+) {
+    lease::guardian state;
+    const guardian_generation first{1};
+    CHECK(!consents(state, first, start_of_test));
+    const duration bound = lease::promised_for(limits);
+    CHECK(!consents(state, first, start_of_test + bound - 1ns));
+    CHECK(consents(state, first, start_of_test + bound));
+}
+
+TEST_CASE(
+    "A guardian that consented promises only under a newer generation",
+    "[lease]"
+) {
+    lease::guardian state;
+    const guardian_generation first{1};
+    CHECK(promises(state, first, start_of_test));
+    CHECK(consents(state, first, start_of_test + 2s));
+    CHECK(!promises(state, first, start_of_test + 3s));
+    CHECK(promises(state, next(first), start_of_test + 3s));
+    // The promise holds under every later generation too.
+    CHECK(!consents(state, next(first), start_of_test + 4s));
+}
+
+TEST_CASE(
+    "A restarted guardian promises nothing for its predecessor and "
+    "consents for it only after a lease",
+    "[lease]"
+) {
+    lease::guardian state;
+    const lease::guardian_identity fresh{
+        host_id{2}, std::nullopt, start_of_test};
+    const lease::heartbeat beat{
+        ref(1), ref(2), guardian_generation{1}, 0, true};
+    const auto refused =
+        lease::answer(state, fresh, beat, limits, start_of_test);
+    CHECK(std::holds_alternative<lease::refusal>(refused));
+    const lease::consent_request asked{ref(1), ref(2), guardian_generation{1}};
+    const duration bound = lease::promised_for(limits);
+    const auto early =
+        lease::answer(state, fresh, asked, limits, start_of_test + bound - 1ns);
+    CHECK(std::holds_alternative<lease::consent_refusal>(early));
+    const auto late =
+        lease::answer(state, fresh, asked, limits, start_of_test + bound);
+    CHECK(std::holds_alternative<lease::consent>(late));
+}
+
+TEST_CASE("A promise counts from when its heartbeat was sent", "[lease]") {
+    rc::prop("late, repeated and reordered answers add nothing", [] {
+        const auto sent =
+            *rc::gen::nonEmpty(rc::gen::container<std::vector<std::int64_t>>(
+                rc::gen::inRange<std::int64_t>(0, 1'000'000'000)
+            ));
+        lease::holder state;
+        for (const std::int64_t one : sent) {
+            const lease::promise given{ref(1), ref(2), one};
+            lease::take_promise(state, given, limits);
+        }
+        const auto newest = *std::max_element(sent.begin(), sent.end());
+        const instant until =
+            instant{duration{newest}} + lease::held_for(limits);
+        RC_ASSERT(state.promised_until.at(ref(2)) == until);
+        RC_ASSERT(
+            lease::promised_by_two(state, {ref(2), ref(3), ref(4)}) ==
+            instant::min()
+        );
+    });
+}
+
+TEST_CASE(
+    "Guardians stand in three places as far as there are members", "[member]"
+) {
+    rc::prop("three distinct active hosts, each place filled that can be", [] {
+        const auto count = *rc::gen::inRange<std::size_t>(1, 40);
+        const auto regions = *rc::gen::inRange<std::size_t>(1, 4);
+        member::member_set members;
+        for (std::size_t index = 1; index <= count; ++index) {
+            member::member_record record;
+            record.self = ref(index);
+            record.where = location_of(index, regions);
+            member::merge(members, {platform::row_version{1}, record});
+        }
+        const location where = location_of(1, regions);
+        const member::guardian_wish wish{host_id{1}, where, {}, {}};
+        const auto chosen = member::choose_guardians(wish, members);
+        RC_ASSERT(chosen.empty() == (count < 4));
+        const std::set<member::member_ref> distinct{
+            chosen.begin(), chosen.end()};
+        RC_ASSERT(distinct.size() == chosen.size());
+        RC_ASSERT(!distinct.contains(ref(1)));
+        // Twelve hosts fill every failure domain of three regions twice.
+        if (count >= 12 && regions > 1) {
+            RC_ASSERT(
+                member::places_filled(where, chosen, members) ==
+                member::guardian_count
+            );
+        }
+    });
+}
+
+TEST_CASE(
+    "A lost answer to a write of the own row is settled by reading", "[member]"
+) {
+    member::member_record record;
+    record.self = ref(1);
+    member::own_row row{{platform::row_version{4}, record}, {}, {}, false};
+    record.generation = guardian_generation{1};
+    const platform::operation_id call{1};
+    (void)member::submit_write(row, record, call, start_of_test);
+    const platform::transaction_done lost{
+        call, {platform::commit_status::unknown, {}}};
+    CHECK(member::take_commit(row, lost) == member::row_news::none);
+    CHECK(row.must_read);
+    // Unchanged proves nothing: the write stays pending.
+    const member::member_row unchanged = row.confirmed;
+    CHECK(member::take_sighting(row, unchanged) == member::row_news::none);
+    CHECK(row.pending);
+    const member::member_row written{platform::row_version{5}, record};
+    CHECK(member::take_sighting(row, written) == member::row_news::confirmed);
+    CHECK(!row.pending);
+}
+
+} // namespace apricotstile::tests
