Drive the daemon by the control decisions

The control duty now runs leases, gossip, the map follower, the owner's moves and the planner; the dispatch duty decides each request by the owner's state and the lease immediately before it leaves, grants tokens to upstreams that check them, reports drained ranges and the load it saw.

--- a/src/apricotstile/control/controller.cpp
+++ b/src/apricotstile/control/controller.cpp
@@ -113,7 +113,8 @@
 
 void round::to_follower(const assignment::follower_event& what) {
     this->perform_all(
-        part::follower, assignment::step(this->self.follower, what, this->now, this->random)
+        part::follower,
+        assignment::step(this->self.follower, what, this->now, this->random)
     );
 }
 
@@ -123,7 +124,13 @@
     }
     this->perform_all(
         part::owner,
-        assignment::step(this->self.owner, this->self.follower.map, what, this->now, this->random)
+        assignment::step(
+            this->self.owner,
+            this->self.follower.map,
+            what,
+            this->now,
+            this->random
+        )
     );
 }
 
@@ -132,7 +139,8 @@
         return;
     }
     this->perform_all(
-        part::planner, assignment::step(this->self.planner, what, this->now, this->random)
+        part::planner,
+        assignment::step(this->self.planner, what, this->now, this->random)
     );
 }
 
@@ -166,7 +174,10 @@
 void round::perform(const lease::members_seen& what) {
     this->to_participant(lease::members_changed{what.rows});
     this->gossip(member::spread(
-        this->self.gossip, this->self.participant.members, what.rows, this->random
+        this->self.gossip,
+        this->self.participant.members,
+        what.rows,
+        this->random
     ));
 }
 
@@ -241,7 +252,8 @@
         return;
     }
     this->self.members_told = present;
-    const std::vector<member::member_record> records = member_records(this->self);
+    const std::vector<member::member_record> records =
+        member_records(this->self);
     std::vector<host_id> peers;
     for (const member::member_record& one : records) {
         const bool runs = one.state == member::member_state::active ||
@@ -272,9 +284,12 @@
         return;
     }
     this->self.assignment_tick_at = this->now + assignment_tick_interval;
-    this->gossip(
-        member::tick(this->self.gossip, this->self.participant.members, this->now, this->random)
-    );
+    this->gossip(member::tick(
+        this->self.gossip,
+        this->self.participant.members,
+        this->now,
+        this->random
+    ));
     this->tell_members();
     this->to_follower(assignment::follower_tick{});
     this->to_owner(assignment::owner_tick{});
@@ -283,14 +298,15 @@
 }
 
 void round::take(const envelope& what) {
-    if (what.to != this->self.gossip.self || what.from == this->self.gossip.self) {
+    if (what.to != this->self.gossip.self ||
+        what.from == this->self.gossip.self) {
         return;
     }
-    this->to_follower(
-        assignment::follower_message{what.from, what.digest}
-    );
+    this->to_follower(assignment::follower_message{what.from, what.digest});
     std::visit(
-        [&](const auto& body) { this->take_message(what.from, body); },
+        [&](const auto& body) {
+            this->take_message(what.from, body);
+        },
         what.body
     );
     this->tell_members();
@@ -312,7 +328,8 @@
 void round::take_message(host_id from, const member::gossip_message& body) {
     const auto* rows = std::get_if<member::members_rows>(&body);
     if (rows == nullptr) {
-        this->gossip(member::answer(this->self.participant.members, from, body));
+        this->gossip(member::answer(this->self.participant.members, from, body)
+        );
         return;
     }
     std::vector<member::member_row> news;
@@ -406,8 +423,7 @@
 
 controller make_controller(const controller_settings& settings) {
     controller self;
-    self.participant =
-        lease::make_participant(settings.wish, settings.limits);
+    self.participant = lease::make_participant(settings.wish, settings.limits);
     self.gossip.self = settings.wish.self.host;
     self.gossip.seeds = settings.seeds;
     self.follower.peers = settings.seeds;
@@ -415,12 +431,16 @@
     return self;
 }
 
-actions step(
-    controller& self, const event& what, instant now, random_source& random
-) {
+actions
+step(controller& self, const event& what, instant now, random_source& random) {
     actions out;
     round present{self, now, random, out};
-    std::visit([&](const auto& one) { present.take(one); }, what);
+    std::visit(
+        [&](const auto& one) {
+            present.take(one);
+        },
+        what
+    );
     return out;
 }
 
--- a/src/apricotstile/control/controller.hpp
+++ b/src/apricotstile/control/controller.hpp
@@ -57,9 +57,8 @@
 [[nodiscard]] controller make_controller(const controller_settings& settings);
 
 /// Decides on one event. Every action is to be performed in order.
-[[nodiscard]] actions step(
-    controller& self, const event& what, instant now, random_source& random
-);
+[[nodiscard]] actions
+step(controller& self, const event& what, instant now, random_source& random);
 
 /// The member that this daemon is; incarnation zero while it is none.
 [[nodiscard]] member::member_ref self_ref(const controller& self);
--- a/src/apricotstile/control/message.hpp
+++ b/src/apricotstile/control/message.hpp
@@ -12,10 +12,8 @@
 
 namespace apricotstile::control {
 
-using message = std::variant<
-    lease::message,
-    assignment::map_message,
-    member::gossip_message>;
+using message = std::
+    variant<lease::message, assignment::map_message, member::gossip_message>;
 
 /// What is sent: a message together with the sender's newest map version.
 struct envelope {
--- a/src/apricotstile/daemon/control_duty.cpp
+++ b/src/apricotstile/daemon/control_duty.cpp
@@ -1,248 +1,284 @@
-// A first control duty: members and assignments are read from the table at an
-// interval and a lease lasts as long as those reads succeed.
+// The control duty's thread: sockets and timers around the controller.
 
 #include <apricotstile/daemon/control_duty.hpp>
 
+#include <apricotstile/lease/description.hpp>
+#include <apricotstile/link/authentication.hpp>
 #include <apricotstile/log/logger.hpp>
 
-#include <algorithm>
+#include <QHostAddress>
+#include <QNetworkDatagram>
+
+#include <fmt/format.h>
+
+#include <stdexcept>
 
 namespace apricotstile::daemon {
 
 namespace {
 
-using namespace std::chrono_literals;
-using member::member_record;
-using member::member_state;
-
 constexpr std::size_t inbox_capacity = 16384;
-constexpr auto tick_interval = 300ms;
-constexpr duration lease_length = 1500ms;
-/// Lets the first members join before slices are divided among them.
-constexpr duration planning_delay = 2s;
+/// Larger messages go over TCP, so that no datagram is fragmented.
+constexpr std::size_t max_datagram_payload = 1200;
 constexpr auto log_prefix = "control";
-constexpr std::string_view member_prefix = "member/";
-constexpr std::string_view map_prefix = "map/";
-
-bool is_candidate(const member_record& one, const service_id& service) {
-    return one.state == member_state::active &&
-           std::any_of(
-               one.services.begin(),
-               one.services.end(),
-               [&](const auto& served) {
-                   return served.service == service;
-               }
-           );
+
+control::controller_settings
+settings_of(const settings::daemon_settings& settings) {
+    const settings::listen_addresses& listen = settings.listen;
+    control::controller_settings result;
+    result.wish.self.host = host_at(listen.peers);
+    result.wish.where = settings.host;
+    result.wish.callers_address = to_string(listen.callers);
+    result.wish.peers_address = to_string(listen.peers);
+    result.wish.operators_address = to_string(listen.operators);
+    for (const address& seed : settings.seed_peers) {
+        result.seeds.push_back(host_at(seed));
+    }
+    result.weights.imbalance = settings.weights.imbalance;
+    result.weights.churn = settings.weights.churn;
+    result.weights.unavailable_time = settings.weights.unavailable_time;
+    return result;
+}
+
+std::string name_of(const member::member_ref& ref) {
+    return fmt::format(
+        "{}#{}", to_string(peer_address(ref.host)), ref.incarnation.value
+    );
 }
 
 } // namespace
 
 control_duty::control_duty(const control_wiring& parts)
-    : duty("control"), messages(inbox_capacity), wiring(parts) {
-    const settings::listen_addresses& listen = parts.settings.listen;
-    this->own.self.host = host_at(listen.peers);
-    this->own.where = parts.settings.host;
-    this->own.callers_address = to_string(listen.callers);
-    this->own.peers_address = to_string(listen.peers);
-    this->own.operators_address = to_string(listen.operators);
+    : duty("control"), messages(inbox_capacity), wiring(parts),
+      controller(control::make_controller(settings_of(parts.settings))) {
+    std::random_device device;
+    this->random.seed((static_cast<std::uint64_t>(device()) << 32U) | device());
 }
 
 control_duty::~control_duty() = default;
 
 void control_duty::set_up() {
-    this->started = boot_clock::now();
-    this->publish();
+    const address& where = this->wiring.settings.listen.peers;
+    this->socket = std::make_unique<QUdpSocket>();
+    if (!this->socket->bind(
+            QHostAddress{where.ip}, where.port, QUdpSocket::DontShareAddress
+        )) {
+        throw std::runtime_error{fmt::format(
+            "can't bind {}: {}",
+            to_string(where),
+            this->socket->errorString().toStdString()
+        )};
+    }
+    QObject::connect(
+        this->socket.get(),
+        &QUdpSocket::readyRead,
+        this->context(),
+        [this] {
+            this->read_datagrams();
+        }
+    );
+    this->publish_view();
     this->messages.open(this->context(), [this](control_message&& message) {
         this->take(std::move(message));
     });
     this->timer = std::make_unique<QTimer>();
-    this->timer->setInterval(tick_interval);
+    this->timer->setTimerType(Qt::PreciseTimer);
+    this->timer->setInterval(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            lease::tick_interval
+        )
+    );
     QObject::connect(
         this->timer.get(),
         &QTimer::timeout,
         this->context(),
         [this] {
-            this->tick();
+            this->feed(control::tick{});
         }
     );
     this->timer->start();
-    this->tick();
 }
 
 void control_duty::tear_down() {
     this->timer.reset();
+    this->socket.reset();
 }
 
-void control_duty::read(const std::string& prefix, read_handler handler) {
-    this->last_operation = next(this->last_operation);
-    this->reads.emplace(this->last_operation, std::move(handler));
-    this->wiring.store.push(platform::read_rows{this->last_operation, prefix});
-}
-
-void control_duty::commit(platform::transaction work, commit_handler handler) {
-    this->last_operation = next(this->last_operation);
-    this->commits.emplace(this->last_operation, std::move(handler));
-    this->wiring.store.push(platform::submit_transaction{
-        this->last_operation, std::move(work)});
+bool control_duty::has_left() const {
+    return this->left;
 }
 
 void control_duty::take(control_message&& message) {
-    if (auto* served = std::get_if<served_services>(&message)) {
-        this->services = std::move(served->services);
-        if (this->joined) {
-            this->write_own_record();
-        }
-        return;
-    }
-    auto* const result = std::get_if<store_result>(&message);
-    if (result == nullptr) {
-        return;
-    }
-    if (auto* rows = std::get_if<platform::rows_read>(result)) {
-        const auto node = this->reads.extract(rows->id);
-        if (!node.empty()) {
-            node.mapped()(rows->result);
-        }
-    } else if (auto* done = std::get_if<platform::transaction_done>(result)) {
-        const auto node = this->commits.extract(done->id);
-        if (!node.empty()) {
-            node.mapped()(done->result);
+    if (auto* result = std::get_if<store_result>(&message)) {
+        if (auto* done = std::get_if<platform::transaction_done>(result)) {
+            this->feed(*done);
+        } else if (auto* rows = std::get_if<platform::rows_read>(result)) {
+            this->feed(*rows);
         }
+    } else if (auto* bulk = std::get_if<incoming_control>(&message)) {
+        this->take_envelope(bulk->payload);
+    } else if (auto* served = std::get_if<served_services>(&message)) {
+        this->feed(control::services_announced{std::move(served->services)});
+    } else if (auto* load = std::get_if<measured_load>(&message)) {
+        this->feed(control::load_measured{std::move(load->services)});
+    } else if (auto* drained = std::get_if<assignment::range_drained>(&message)) {
+        this->feed(*drained);
+    } else {
+        this->feed(control::drain_requested{});
     }
 }
 
-void control_duty::tick() {
-    const instant sent = boot_clock::now();
-    this->read(
-        std::string{member_prefix},
-        [this, sent](const platform::read_result& result) {
-            if (!result.answered) {
-                return;
-            }
-            this->take_members(result.rows);
-            if (this->joined) {
-                this->wiring.state.lease_valid_until = sent + lease_length;
-            } else {
-                this->write_own_record();
-            }
+void control_duty::read_datagrams() {
+    while (this->socket->hasPendingDatagrams()) {
+        const std::string bytes =
+            this->socket->receiveDatagram().data().toStdString();
+        ++this->datagrams_received;
+        this->datagram_bytes_received += bytes.size();
+        const auto payload =
+            link::open_datagram(this->wiring.settings.peers_key, bytes);
+        if (payload) {
+            this->take_envelope(*payload);
+        } else {
+            ++this->refused_datagrams;
         }
-    );
-    this->read(
-        std::string{map_prefix},
-        [this](const platform::read_result& result) {
-            if (result.answered) {
-                this->take_map(result.rows);
-                this->plan();
-            }
-        }
-    );
+    }
 }
 
-void control_duty::take_members(const std::vector<platform::row>& rows) {
-    this->members.clear();
-    for (const platform::row& one : rows) {
-        const auto record = decode<member_record>(one.value);
-        if (record.self.host == this->own.self.host) {
-            this->own_version = one.version;
-            if (!this->joined) {
-                this->own.self.incarnation = next(record.self.incarnation);
-            }
-        }
-        this->members.emplace(record.self.host, record);
+void control_duty::take_envelope(const std::string& payload) {
+    try {
+        this->feed(decode<control::envelope>(payload));
+    } catch (const decode_error&) {
+        ++this->refused_datagrams;
     }
-    this->publish();
 }
 
-void control_duty::write_own_record() {
-    if (this->own.self.incarnation == incarnation{}) {
-        this->own.self.incarnation = incarnation{1};
-    }
-    this->own.services.clear();
-    for (const announced_service& one : this->services) {
-        this->own.services.push_back(one.service);
+void control_duty::feed(const control::event& what) {
+    const control::actions actions =
+        control::step(this->controller, what, boot_clock::now(), this->random);
+    // Before any action: nothing may be dispatched past the lease.
+    this->wiring.state.lease_valid_until =
+        control::lease_valid_until(this->controller);
+    for (const control::action& one : actions) {
+        this->perform(one);
     }
-    const platform::row_key key{member::member_row_key(this->own.self.host)};
-    platform::transaction work;
-    work.conditions.push_back({key, this->own_version});
-    work.mutations.push_back({key, encode(this->own)});
-    this->commit(
-        std::move(work),
-        [this](const platform::commit_result& result) {
-            if (result.status != platform::commit_status::committed) {
-                return;
-            }
-            this->own_version = result.versions.front();
-            if (!this->joined) {
-                log::write(log::level::info, log_prefix, "Joined.");
-            }
-            this->joined = true;
-        }
-    );
 }
 
-void control_duty::take_map(const std::vector<platform::row>& rows) {
-    assignment::assignment_map fresh;
-    for (const platform::row& one : rows) {
-        const service_id service{one.key.value.substr(map_prefix.size())};
-        fresh.services[service] =
-            decode<assignment::service_assignment>(one.value);
-        fresh.version.value += one.version.value;
-        this->map_rows[one.key.value] = one.version;
-    }
-    if (fresh.version > this->map.version) {
-        this->map = std::move(fresh);
-        this->publish();
+void control_duty::perform(const control::action& what) {
+    if (const auto* message = std::get_if<control::envelope>(&what)) {
+        this->send(*message);
+    } else if (const auto* work = std::get_if<platform::submit_transaction>(&what)) {
+        if (!this->wiring.store.push(*work)) {
+            this->messages.push(store_result{
+                platform::transaction_done{work->id, {}}});
+        }
+    } else if (const auto* read = std::get_if<platform::read_rows>(&what)) {
+        if (!this->wiring.store.push(*read)) {
+            this->messages.push(store_result{platform::rows_read{read->id, {}}}
+            );
+        }
+    } else if (std::holds_alternative<control::publish_view>(what)) {
+        this->publish_view();
+    } else if (std::holds_alternative<control::publish_owner>(what)) {
+        this->publish_owner();
+    } else if (const auto* stop = std::get_if<assignment::stop_dispatching>(&what)) {
+        this->wiring.dispatch.push(*stop);
+    } else if (std::holds_alternative<control::left>(what)) {
+        this->left = true;
+        log::write(log::level::info, log_prefix, "Left.");
     }
 }
 
-void control_duty::plan() {
-    if (boot_clock::now() - this->started < planning_delay) {
+void control_duty::send(const control::envelope& what) {
+    std::string payload = encode(what);
+    if (payload.size() > max_datagram_payload) {
+        ++this->bulk_sent;
+        this->wiring.links.push(outgoing_control{what.to, std::move(payload)});
         return;
     }
-    for (const announced_service& one : this->services) {
-        const service_id service = one.service.service;
-        if (!one.keyed || this->map.services.contains(service)) {
-            continue;
-        }
-        std::vector<member::member_ref> candidates;
-        for (const auto& [host, record] : this->members) {
-            if (is_candidate(record, service)) {
-                candidates.push_back(record.self);
-            }
-        }
-        if (candidates.empty()) {
-            continue;
-        }
-        assignment::service_assignment first;
-        first.slices.resize(one.slice_count);
-        for (std::size_t index = 0; index < first.slices.size(); ++index) {
-            first.slices[index].owner = candidates[index % candidates.size()];
-            first.slices[index].token = fencing_token{1};
-        }
-        const platform::row_key key{std::string{map_prefix} + service.value};
-        platform::transaction work;
-        work.conditions.push_back({key, this->map_rows[key.value]});
-        work.mutations.push_back({key, encode(first)});
-        this->commit(std::move(work), [](const platform::commit_result&) {});
-    }
+    const std::string bytes =
+        link::seal_datagram(this->wiring.settings.peers_key, payload);
+    const address where = peer_address(what.to);
+    ++this->datagrams_sent;
+    this->datagram_bytes_sent += bytes.size();
+    this->socket->writeDatagram(
+        bytes.data(),
+        static_cast<qint64>(bytes.size()),
+        QHostAddress{where.ip},
+        where.port
+    );
 }
 
-void control_duty::publish() {
+void control_duty::publish_view() {
+    const auto before = this->wiring.state.view.load();
     auto view = std::make_shared<routing_view>();
-    view->self = this->own.self;
-    view->map = std::make_shared<const assignment::assignment_map>(this->map);
-    view->members = this->members;
+    view->self = control::self_ref(this->controller);
+    const assignment::assignment_map& map = this->controller.follower.map;
+    const bool same_map =
+        before->map != nullptr && before->map->version == map.version;
+    view->map = same_map
+                    ? before->map
+                    : std::make_shared<const assignment::assignment_map>(map);
+    for (const auto& [host, row] : this->controller.participant.members.rows) {
+        view->members.emplace(host, row.record);
+    }
+    if (view->self != before->self) {
+        log::write(
+            log::level::info,
+            log_prefix,
+            view->self.incarnation == incarnation{} ? "No longer a member."
+                                                    : "Joined.",
+            {{"self", name_of(view->self)}}
+        );
+    }
     this->wiring.state.view.store(std::move(view));
 }
 
+void control_duty::publish_owner() {
+    auto owner = std::make_shared<assignment::owner_state>();
+    const assignment::owner_state& present = this->controller.owner;
+    owner->self = present.self;
+    owner->releases = present.releases;
+    owner->ended = present.ended;
+    owner->leaving_since = present.leaving_since;
+    owner->told_all_released = present.told_all_released;
+    this->wiring.dispatch.push(owner_changed{std::move(owner)});
+}
+
 nlohmann::json control_duty::description() const {
+    const lease::description lease =
+        lease::describe(this->controller.participant, boot_clock::now());
+    nlohmann::json guardians = nlohmann::json::object();
+    for (const lease::guardian_description& one : lease.guardians) {
+        guardians[name_of(one.guardian)] = {
+            {"promised_ms", one.promised_for.count() / 1'000'000},
+            {"silent_ms", one.silent_for.count() / 1'000'000}};
+    }
+    static constexpr std::array roles{
+        "waiting", "reading", "claiming", "leading"};
+    const assignment::planner& planner = this->controller.planner;
     return {
-        {"joined", this->joined},
-        {"incarnation", this->own.self.incarnation.value},
-        {"members", this->members.size()},
-        {"map_version", this->map.version.value},
-        {"reads_in_flight", this->reads.size()},
-        {"commits_in_flight", this->commits.size()},
+        {"stage", lease.stage},
+        {"generation", lease.generation.value},
+        {"renews_in_table", lease.renews_in_table},
+        {"lease_valid_ms", lease.lease_valid_for.count() / 1'000'000},
+        {"guardians", std::move(guardians)},
+        {"wards", lease.wards.size()},
+        {"suspects", lease.suspects.size()},
+        {"known_members", lease.known_members},
+        {"planner",
+         {{"host", to_string(peer_address(lease.planner))},
+          {"role", roles.at(static_cast<std::size_t>(planner.role))},
+          {"moves_pending", planner.moves.pending.size()},
+          {"moves_active", planner.moves.active.size()}}},
+        {"map_version", this->controller.follower.map.version.value},
+        {"releases", this->controller.owner.releases.size()},
+        {"operations_in_flight", this->controller.operations.size()},
+        {"datagrams_sent", this->datagrams_sent},
+        {"datagrams_received", this->datagrams_received},
+        {"datagram_bytes_sent", this->datagram_bytes_sent},
+        {"datagram_bytes_received", this->datagram_bytes_received},
+        {"bulk_sent", this->bulk_sent},
+        {"refused_datagrams", this->refused_datagrams},
         {"inbox", this->messages.size()},
         {"inbox_refused", this->messages.refused_count()}};
 }
--- a/src/apricotstile/daemon/control_duty.hpp
+++ b/src/apricotstile/daemon/control_duty.hpp
@@ -1,8 +1,10 @@
-// Membership and assignment: keeps the routing view up to date.
+// Runs the control decisions: datagrams, timers and calls to the platform in,
+// messages and the published state out.
 
 #ifndef APRICOTSTILE_DAEMON_CONTROL_DUTY_HPP
 #define APRICOTSTILE_DAEMON_CONTROL_DUTY_HPP
 
+#include <apricotstile/control/controller.hpp>
 #include <apricotstile/daemon/duty.hpp>
 #include <apricotstile/daemon/inbox.hpp>
 #include <apricotstile/daemon/messages.hpp>
@@ -10,9 +12,9 @@
 #include <apricotstile/settings/daemon_settings.hpp>
 
 #include <QTimer>
+#include <QUdpSocket>
 
-#include <functional>
-#include <map>
+#include <atomic>
 #include <memory>
 
 namespace apricotstile::daemon {
@@ -22,6 +24,7 @@
     published_state& state;
     inbox<store_request>& store;
     inbox<link_message>& links;
+    inbox<dispatch_message>& dispatch;
 };
 
 class control_duty : public duty {
@@ -31,38 +34,36 @@
 
     inbox<control_message> messages;
 
+    /// Whether this daemon has released everything and left.
+    [[nodiscard]] bool has_left() const;
+
 protected:
     void set_up() override;
     void tear_down() override;
     [[nodiscard]] nlohmann::json description() const override;
 
 private:
-    using read_handler = std::function<void(const platform::read_result&)>;
-    using commit_handler = std::function<void(const platform::commit_result&)>;
-
     void take(control_message&& message);
-    void tick();
-    void read(const std::string& prefix, read_handler handler);
-    void commit(platform::transaction work, commit_handler handler);
-    void take_members(const std::vector<platform::row>& rows);
-    void take_map(const std::vector<platform::row>& rows);
-    void write_own_record();
-    void plan();
-    void publish();
+    void read_datagrams();
+    void take_envelope(const std::string& payload);
+    void feed(const control::event& what);
+    void perform(const control::action& what);
+    void send(const control::envelope& what);
+    void publish_view();
+    void publish_owner();
 
     control_wiring wiring;
+    control::controller controller;
+    random_source random;
     std::unique_ptr<QTimer> timer;
-    platform::operation_id last_operation;
-    std::map<platform::operation_id, read_handler> reads;
-    std::map<platform::operation_id, commit_handler> commits;
-    member::member_record own;
-    platform::row_version own_version;
-    bool joined{false};
-    std::vector<announced_service> services;
-    std::map<host_id, member::member_record> members;
-    std::map<std::string, platform::row_version> map_rows;
-    assignment::assignment_map map;
-    instant started;
+    std::unique_ptr<QUdpSocket> socket;
+    std::atomic<bool> left{false};
+    std::uint64_t datagrams_sent{0};
+    std::uint64_t datagrams_received{0};
+    std::uint64_t datagram_bytes_sent{0};
+    std::uint64_t datagram_bytes_received{0};
+    std::uint64_t bulk_sent{0};
+    std::uint64_t refused_datagrams{0};
 };
 
 } // namespace apricotstile::daemon
--- a/src/apricotstile/daemon/daemon.cpp
+++ b/src/apricotstile/daemon/daemon.cpp
@@ -20,6 +20,7 @@
 using namespace std::chrono_literals;
 
 constexpr duration longest_drain = 60s;
+constexpr duration longest_release = 20s;
 constexpr auto drain_poll_interval = 20ms;
 constexpr auto log_prefix = "daemon";
 
@@ -52,7 +53,13 @@
                ingress.messages,
                control.messages}
           ),
-          control({settings, state, store.messages, links.messages}),
+          control(
+              {settings,
+               state,
+               store.messages,
+               links.messages,
+               dispatch.messages}
+          ),
           store(settings.platform, control.messages),
           operators(
               {settings.listen.operators,
@@ -99,8 +106,21 @@
 void daemon::drain_and_stop() {
     log::write(log::level::info, log_prefix, "Draining.");
     this->self->state.draining = true;
-    this->self->ingress.drain();
     const instant end = boot_clock::now() + longest_drain;
+    const instant release_end = boot_clock::now() + longest_release;
+    this->self->control.messages.push(drain_order{});
+    // Requests are still routed while slices pass to others.
+    while (boot_clock::now() < release_end && !this->self->control.has_left()) {
+        std::this_thread::sleep_for(drain_poll_interval);
+    }
+    if (!this->self->control.has_left()) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Slices were not released in time; leases run out instead."
+        );
+    }
+    this->self->ingress.drain();
     while (boot_clock::now() < end &&
            this->self->ingress.waiting() + this->self->dispatch.unfinished() > 0
     ) {
--- a/src/apricotstile/daemon/dispatch_duty.cpp
+++ b/src/apricotstile/daemon/dispatch_duty.cpp
@@ -1,11 +1,9 @@
-// Queueing, the last check before dispatch, and calls to upstreams.
+// Queueing, the last check before dispatch and the calls themselves.
 
 #include <apricotstile/daemon/dispatch_duty.hpp>
 
 #include <apricotstile/daemon/internal/local_upstream.hpp>
-#include <apricotstile/daemon/internal/owner_lookup.hpp>
 #include <apricotstile/daemon/internal/upstream_protocol.hpp>
-#include <apricotstile/log/logger.hpp>
 
 #include <algorithm>
 
@@ -20,13 +18,9 @@
 
 constexpr std::size_t inbox_capacity = 65536;
 constexpr std::size_t max_waiting_work = 1024;
-constexpr std::size_t side_connections = 2;
 constexpr auto check_interval = 20ms;
-constexpr duration announcement_timeout = 2s;
+constexpr duration cancel_timeout = 2s;
 constexpr duration refusal_pause = 100ms;
-constexpr auto log_prefix = "upstream";
-constexpr std::uint16_t status_malformed = 400;
-constexpr std::uint16_t status_not_found = 404;
 
 instant deadline_of(const incoming_work& work) {
     return work.received_at + work.request.time_left;
@@ -45,6 +39,12 @@
             this->take_work(std::move(*work));
         } else if (auto* gone = std::get_if<cancelled_work>(&message)) {
             this->cancel(*gone);
+        } else if (auto* owned = std::get_if<owner_changed>(&message)) {
+            this->owner = std::move(owned->owner);
+            this->start_waiting();
+        } else if (auto* stop = std::get_if<assignment::stop_dispatching>(&message)) {
+            this->draining[stop->range] = stop->attempt;
+            this->report_drained();
         }
     });
     this->announcements = std::make_unique<http::server>(
@@ -54,6 +54,7 @@
         },
         [](http::exchange_id) {}
     );
+    this->load_since = boot_clock::now();
     this->announcements->listen_on(this->wiring.upstreams);
     this->timer = std::make_unique<QTimer>();
     this->timer->setInterval(check_interval);
@@ -82,105 +83,47 @@
     return count;
 }
 
-void dispatch_duty::take_announcement(
-    http::exchange_id exchange, const http::http_request& message
-) {
-    http::http_response response;
-    response.body = "{}";
-    const auto said = message.method == "POST" && message.path == "/announce"
-                          ? internal::parse_announcement(message.body)
-                          : std::nullopt;
-    if (!said) {
-        response.status =
-            message.path == "/announce" ? status_malformed : status_not_found;
-        this->announcements->reply(exchange, response);
-        return;
-    }
-    const auto [found, added] = this->upstreams.try_emplace(said->address);
-    local_upstream& upstream = found->second;
-    if (added || upstream.said.max_at_once != said->max_at_once) {
-        upstream.pool = std::make_unique<http::client_pool>(
-            said->address, said->max_at_once
-        );
-        upstream.side_pool = std::make_unique<http::client_pool>(
-            said->address, side_connections
-        );
-        log::write(
-            log::level::info,
-            log_prefix,
-            "Upstream announced itself.",
-            {{"address", to_string(said->address)},
-             {"max_at_once", std::to_string(said->max_at_once)}}
-        );
-    }
-    upstream.said = *said;
-    upstream.last_heard = boot_clock::now();
-    this->announcements->reply(exchange, response);
-    this->publish_services();
-    this->start_waiting();
-}
-
-void dispatch_duty::publish_services() {
-    std::vector<announced_service> services;
-    for (const auto& [where, upstream] : this->upstreams) {
-        if (upstream.said.leaving) {
-            continue;
-        }
-        for (announced_service service : upstream.said.services) {
-            const auto fencing =
-                this->wiring.fencing_of.find(service.service.service);
-            service.service.checks_tokens =
-                fencing != this->wiring.fencing_of.end() &&
-                fencing->second == settings::fencing::checked;
-            services.push_back(std::move(service));
-        }
-    }
-    if (services != this->published) {
-        this->published = services;
-        this->wiring.control.push(served_services{std::move(services)});
-    }
+bool dispatch_duty::checks_tokens(const service_id& service) const {
+    const auto found = this->wiring.fencing_of.find(service);
+    return found != this->wiring.fencing_of.end() &&
+           found->second == settings::fencing::checked;
 }
 
-local_upstream* dispatch_duty::upstream_for(const service_id& service) {
-    for (auto& [where, upstream] : this->upstreams) {
-        const bool serves = std::any_of(
-            upstream.said.services.begin(),
-            upstream.said.services.end(),
-            [&](const announced_service& one) {
-                return one.service.service == service;
-            }
-        );
-        if (serves) {
-            return &upstream;
-        }
+assignment::dispatch_decision
+dispatch_duty::decide(const incoming_work& work, instant now) const {
+    const auto view = this->wiring.state.view.load();
+    if (this->owner == nullptr || view->map == nullptr) {
+        return {};
     }
-    return nullptr;
+    return assignment::decide_dispatch(
+        {*view->map, *this->owner, this->wiring.state.lease_valid_until.load()},
+        work.request.service,
+        work.request.key,
+        now
+    );
 }
 
-refusal
-dispatch_duty::may_dispatch(const incoming_work& work, instant now) const {
+bool dispatch_duty::refuse_if_useless(
+    const incoming_work& work,
+    const assignment::dispatch_decision& decision,
+    instant now
+) {
+    using assignment::dispatch_verdict;
     if (now >= deadline_of(work)) {
-        return refusal::deadline_passed;
-    }
-    const auto view = this->wiring.state.view.load();
-    const internal::owner_result owner =
-        internal::find_owner(*view, work.request.service, work.request.key);
-    if (owner.refusal != refusal::none) {
-        return owner.refusal;
+        this->refuse(work, refusal::deadline_passed);
+        return true;
     }
-    if (owner.assignment.owner != view->self) {
-        return refusal::not_owner;
+    if (decision.verdict == dispatch_verdict::not_owner ||
+        decision.verdict == dispatch_verdict::drained) {
+        this->refuse(work, refusal::not_owner);
+        return true;
     }
-    if (now >= this->wiring.state.lease_valid_until.load()) {
-        return refusal::lease_expired;
-    }
-    return refusal::none;
+    return false;
 }
 
 void dispatch_duty::take_work(incoming_work&& work) {
-    const refusal reason = this->may_dispatch(work, boot_clock::now());
-    if (reason != refusal::none) {
-        this->refuse(work, reason);
+    const instant now = boot_clock::now();
+    if (this->refuse_if_useless(work, this->decide(work, now), now)) {
         return;
     }
     if (this->queue.size() >= max_waiting_work) {
@@ -192,39 +135,50 @@
 }
 
 void dispatch_duty::start_waiting() {
+    std::deque<incoming_work> held;
     while (!this->queue.empty()) {
-        incoming_work& first = this->queue.front();
-        local_upstream* const upstream =
-            this->upstream_for(first.request.service);
-        if (upstream != nullptr && !upstream->pool->has_room()) {
-            return;
-        }
-        incoming_work work = std::move(first);
+        incoming_work work = std::move(this->queue.front());
         this->queue.pop_front();
-        // Checked again here: the lease may have run out while it waited.
-        const refusal reason = this->may_dispatch(work, boot_clock::now());
-        if (reason != refusal::none) {
-            this->refuse(work, reason);
-        } else if (upstream == nullptr) {
+        // Decided again here: the lease may have run out, or the range may
+        // have gone, while the request waited.
+        const instant now = boot_clock::now();
+        const assignment::dispatch_decision decision = this->decide(work, now);
+        if (this->refuse_if_useless(work, decision, now)) {
+            continue;
+        }
+        local_upstream* const upstream =
+            this->upstream_for(work.request.service);
+        if (upstream == nullptr) {
             this->refuse(work, refusal::upstream_lost);
+            continue;
+        }
+        const bool ready =
+            decision.verdict == assignment::dispatch_verdict::serve &&
+            this->is_granted(*upstream, decision) && upstream->pool->has_room();
+        if (ready) {
+            this->dispatch(std::move(work), *upstream, decision);
         } else {
-            this->dispatch(std::move(work), *upstream);
+            held.push_back(std::move(work));
         }
     }
+    this->queue = std::move(held);
 }
 
-void dispatch_duty::dispatch(incoming_work&& work, local_upstream& upstream) {
-    const auto view = this->wiring.state.view.load();
-    const internal::owner_result owner =
-        internal::find_owner(*view, work.request.service, work.request.key);
+void dispatch_duty::dispatch(
+    incoming_work&& work,
+    local_upstream& upstream,
+    const assignment::dispatch_decision& decision
+) {
     const duration time_left = deadline_of(work) - boot_clock::now();
     const http::http_request request = internal::upstream_request(
-        work, owner.slice, owner.assignment.token, time_left
+        work, decision.range.slice, decision.token, time_left
     );
     const work_key key{work.origin.connection, work.request.id};
     ++this->dispatched;
+    ++this->load[decision.range];
     running_work& entry = this->running[key];
     entry.work = std::move(work);
+    entry.range = decision.range;
     entry.upstream = upstream.said.address;
     entry.exchange = upstream.pool->start(
         request,
@@ -235,6 +189,32 @@
     );
 }
 
+bool dispatch_duty::is_running(const assignment::range_id& range) const {
+    return std::any_of(
+        this->running.begin(),
+        this->running.end(),
+        [&](const auto& entry) {
+            const running_work& one = entry.second;
+            const bool same_key = !range.key.empty() &&
+                                  one.work.request.service == range.service &&
+                                  one.work.request.key == range.key;
+            return one.range == range || same_key;
+        }
+    );
+}
+
+void dispatch_duty::report_drained() {
+    for (auto place = this->draining.begin(); place != this->draining.end();) {
+        if (this->is_running(place->first)) {
+            ++place;
+            continue;
+        }
+        this->wiring.control.push(assignment::range_drained{
+            place->first, place->second});
+        place = this->draining.erase(place);
+    }
+}
+
 void dispatch_duty::finished(
     const work_key& key, http::exchange_result&& result
 ) {
@@ -245,6 +225,7 @@
         ended.work.origin,
         internal::response_of(ended.work.request.id, std::move(result))
     );
+    this->report_drained();
     this->start_waiting();
 }
 
@@ -277,7 +258,7 @@
     request.path = "/cancel";
     request.query = "id=" + internal::upstream_request_id(found->second.work);
     upstream->second.side_pool->start(
-        request, announcement_timeout, [](http::exchange_result&&) {}
+        request, cancel_timeout, [](http::exchange_result&&) {}
     );
 }
 
@@ -307,34 +288,9 @@
     this->answer(work.origin, std::move(response));
 }
 
-void dispatch_duty::check_upstreams() {
-    const instant now = boot_clock::now();
-    bool changed = false;
-    for (auto place = this->upstreams.begin();
-         place != this->upstreams.end();) {
-        const bool silent =
-            now - place->second.last_heard > announcement_timeout;
-        if (silent && place->second.pool->running() == 0) {
-            log::write(
-                log::level::warning,
-                log_prefix,
-                "Upstream fell silent.",
-                {{"address", to_string(place->first)}}
-            );
-            place = this->upstreams.erase(place);
-            changed = true;
-        } else {
-            ++place;
-        }
-    }
-    if (changed) {
-        this->publish_services();
-    }
-    this->start_waiting();
-}
-
 nlohmann::json dispatch_duty::description() const {
     nlohmann::json result;
+    result["ranges_draining"] = this->draining.size();
     result["queued"] = this->queue.size();
     result["running"] = this->running.size();
     result["dispatched"] = this->dispatched;
@@ -347,6 +303,7 @@
         result["upstreams"][to_string(where)] = {
             {"leaving", upstream.said.leaving},
             {"max_at_once", upstream.said.max_at_once},
+            {"granted_ranges", upstream.granted.size()},
             {"running", upstream.pool->running()},
             {"idle_connections", upstream.pool->idle()},
             {"timed_out", upstream.pool->timed_out()}};
--- /dev/null
+++ b/src/apricotstile/daemon/dispatch_upstreams.cpp
@@ -0,0 +1,265 @@
+// The upstreams beside this daemon: announcements, grants and measured load.
+
+#include <apricotstile/daemon/dispatch_duty.hpp>
+
+#include <apricotstile/daemon/internal/local_upstream.hpp>
+#include <apricotstile/log/logger.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+using internal::local_upstream;
+
+constexpr std::size_t side_connections = 2;
+constexpr duration announcement_timeout = 2s;
+constexpr duration load_report_interval = 2s;
+constexpr duration grant_interval = 200ms;
+constexpr duration grant_timeout = 500ms;
+constexpr auto log_prefix = "upstream";
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_malformed = 400;
+constexpr std::uint16_t status_not_found = 404;
+
+using grants = std::map<assignment::range_id, fencing_token>;
+
+/// The body of POST /grants.
+std::string grant_body(const grants& granting, duration valid_for) {
+    nlohmann::json slices = nlohmann::json::array();
+    for (const auto& [range, token] : granting) {
+        slices.push_back(
+            {{"service", range.service.value},
+             {"slice", range.slice.value},
+             {"token", token.value}}
+        );
+    }
+    const auto valid = std::chrono::floor<std::chrono::milliseconds>(valid_for);
+    return nlohmann::json{
+        {"valid_ms", valid.count()}, {"slices", std::move(slices)}}
+        .dump();
+}
+
+} // namespace
+
+void dispatch_duty::take_announcement(
+    http::exchange_id exchange, const http::http_request& message
+) {
+    http::http_response response;
+    response.body = "{}";
+    const auto said = message.method == "POST" && message.path == "/announce"
+                          ? internal::parse_announcement(message.body)
+                          : std::nullopt;
+    if (!said) {
+        response.status =
+            message.path == "/announce" ? status_malformed : status_not_found;
+        this->announcements->reply(exchange, response);
+        return;
+    }
+    const auto [found, added] = this->upstreams.try_emplace(said->address);
+    local_upstream& upstream = found->second;
+    if (added || upstream.said.max_at_once != said->max_at_once) {
+        upstream.pool = std::make_unique<http::client_pool>(
+            said->address, said->max_at_once
+        );
+        upstream.side_pool = std::make_unique<http::client_pool>(
+            said->address, side_connections
+        );
+        log::write(
+            log::level::info,
+            log_prefix,
+            "Upstream announced itself.",
+            {{"address", to_string(said->address)},
+             {"max_at_once", std::to_string(said->max_at_once)}}
+        );
+    }
+    upstream.said = *said;
+    upstream.last_heard = boot_clock::now();
+    this->announcements->reply(exchange, response);
+    this->publish_services();
+    this->start_waiting();
+}
+
+void dispatch_duty::publish_services() {
+    std::vector<member::served_service> services;
+    for (const auto& [where, upstream] : this->upstreams) {
+        if (upstream.said.leaving) {
+            continue;
+        }
+        for (member::served_service service : upstream.said.services) {
+            service.checks_tokens = this->checks_tokens(service.service);
+            services.push_back(std::move(service));
+        }
+    }
+    if (services != this->published) {
+        this->published = services;
+        this->wiring.control.push(served_services{std::move(services)});
+    }
+}
+
+local_upstream* dispatch_duty::upstream_for(const service_id& service) {
+    for (auto& [where, upstream] : this->upstreams) {
+        const bool serves = std::any_of(
+            upstream.said.services.begin(),
+            upstream.said.services.end(),
+            [&](const member::served_service& one) {
+                return one.service == service;
+            }
+        );
+        if (serves) {
+            return &upstream;
+        }
+    }
+    return nullptr;
+}
+
+void dispatch_duty::check_upstreams() {
+    const instant now = boot_clock::now();
+    bool changed = false;
+    for (auto place = this->upstreams.begin();
+         place != this->upstreams.end();) {
+        const bool silent =
+            now - place->second.last_heard > announcement_timeout;
+        if (silent && place->second.pool->running() == 0) {
+            log::write(
+                log::level::warning,
+                log_prefix,
+                "Upstream fell silent.",
+                {{"address", to_string(place->first)}}
+            );
+            place = this->upstreams.erase(place);
+            changed = true;
+        } else {
+            ++place;
+        }
+    }
+    if (changed) {
+        this->publish_services();
+    }
+    for (auto& [where, upstream] : this->upstreams) {
+        this->grant(upstream, now);
+    }
+    this->report_load();
+    this->start_waiting();
+}
+
+bool dispatch_duty::is_granted(
+    const local_upstream& upstream,
+    const assignment::dispatch_decision& decision
+) const {
+    if (!this->checks_tokens(decision.range.service)) {
+        return true;
+    }
+    const assignment::range_id slice{
+        decision.range.service, decision.range.slice, {}};
+    const auto found = upstream.granted.find(slice);
+    return found != upstream.granted.end() && found->second == decision.token;
+}
+
+std::map<assignment::range_id, fencing_token>
+dispatch_duty::missing_grants(const local_upstream& upstream) const {
+    grants missing;
+    const auto view = this->wiring.state.view.load();
+    for (const member::served_service& served : upstream.said.services) {
+        const auto found = view->map->services.find(served.service);
+        if (!this->checks_tokens(served.service) ||
+            found == view->map->services.end()) {
+            continue;
+        }
+        const auto& assigned = found->second.slices;
+        for (std::uint32_t index = 0; index < assigned.size(); ++index) {
+            const assignment::range_id range{served.service, {index}, {}};
+            const fencing_token token = assigned[index].token;
+            const auto known = upstream.granted.find(range);
+            const bool has_it =
+                known != upstream.granted.end() && known->second == token;
+            if (assigned[index].owner == view->self && !has_it) {
+                missing[range] = token;
+            }
+        }
+    }
+    return missing;
+}
+
+void dispatch_duty::grant(local_upstream& upstream, instant now) {
+    const auto view = this->wiring.state.view.load();
+    const instant lease_end = this->wiring.state.lease_valid_until.load();
+    if (upstream.grant_in_flight || view->map == nullptr || now >= lease_end ||
+        !upstream.side_pool->has_room()) {
+        return;
+    }
+    grants granting = this->missing_grants(upstream);
+    if (granting.empty() && now - upstream.granted_at < grant_interval) {
+        return;
+    }
+    http::http_request request;
+    request.method = "POST";
+    request.path = "/grants";
+    // Counted from before the message leaves, so no grant outlives the lease.
+    request.body = grant_body(granting, lease_end - now);
+    upstream.grant_in_flight = true;
+    upstream.granted_at = now;
+    const address where = upstream.said.address;
+    upstream.side_pool->start(
+        request,
+        grant_timeout,
+        [this,
+         where,
+         granting = std::move(granting)](http::exchange_result&& result) {
+            const bool accepted =
+                result.failure == http::exchange_failure::none &&
+                result.response.status == status_ok;
+            this->take_grant_answer(where, granting, accepted);
+        }
+    );
+}
+
+void dispatch_duty::take_grant_answer(
+    const address& where,
+    const std::map<assignment::range_id, fencing_token>& granting,
+    bool accepted
+) {
+    const auto found = this->upstreams.find(where);
+    if (found == this->upstreams.end()) {
+        return;
+    }
+    found->second.grant_in_flight = false;
+    if (!accepted) {
+        return;
+    }
+    for (const auto& [range, token] : granting) {
+        found->second.granted[range] = token;
+    }
+    this->start_waiting();
+}
+
+void dispatch_duty::report_load() {
+    const instant now = boot_clock::now();
+    if (now - this->load_since < load_report_interval) {
+        return;
+    }
+    const float seconds =
+        std::chrono::duration<float>{now - this->load_since}.count();
+    this->load_since = now;
+    std::map<service_id, assignment::service_load> by_service;
+    for (const auto& [range, count] : this->load) {
+        assignment::service_load& entry = by_service[range.service];
+        const float rate = static_cast<float>(count) / seconds;
+        if (range.key.empty()) {
+            entry.slices.push_back({range.slice, rate});
+        } else {
+            entry.keys.push_back({range.key, rate});
+        }
+    }
+    this->load.clear();
+    measured_load report;
+    for (auto& [service, entry] : by_service) {
+        entry.service = service;
+        report.services.push_back(std::move(entry));
+    }
+    this->wiring.control.push(std::move(report));
+}
+
+} // namespace apricotstile::daemon
--- a/src/apricotstile/daemon/internal/local_upstream.cpp
+++ b/src/apricotstile/daemon/internal/local_upstream.cpp
@@ -13,22 +13,22 @@
 
 constexpr std::uint32_t most_slices = 1U << 20U;
 
-announced_service read_service(const nlohmann::json& one) {
-    announced_service result;
-    result.service.service.value = one.at("name").get<std::string>();
-    result.service.slots = one.at("slots").get<std::uint32_t>();
-    result.keyed = one.at("keyed").get<bool>();
-    if (result.keyed) {
+member::served_service read_service(const nlohmann::json& one) {
+    member::served_service result;
+    result.service.value = one.at("name").get<std::string>();
+    result.slots = one.at("slots").get<std::uint32_t>();
+    if (one.at("keyed").get<bool>()) {
         result.slice_count = one.at("slices").get<std::uint32_t>();
+        if (result.slice_count == 0) {
+            result.service.value.clear();
+        }
     }
     return result;
 }
 
-bool is_valid(const announced_service& one) {
-    const bool slices_ok =
-        !one.keyed || (one.slice_count > 0 && one.slice_count <= most_slices);
-    return !one.service.service.value.empty() && one.service.slots > 0 &&
-           slices_ok;
+bool is_valid(const member::served_service& one) {
+    return !one.service.value.empty() && one.slots > 0 &&
+           one.slice_count <= most_slices;
 }
 
 } // namespace
@@ -45,11 +45,11 @@
         result.leaving = json.at("state").get<std::string>() == "leaving";
         std::size_t least = std::numeric_limits<std::size_t>::max();
         for (const auto& item : json.at("services")) {
-            const announced_service service = read_service(item);
+            const member::served_service service = read_service(item);
             if (!is_valid(service)) {
                 return std::nullopt;
             }
-            least = std::min<std::size_t>(least, service.service.slots);
+            least = std::min<std::size_t>(least, service.slots);
             least = std::min(least, item.at("connections").get<std::size_t>());
             result.services.push_back(service);
         }
--- a/src/apricotstile/daemon/internal/local_upstream.hpp
+++ b/src/apricotstile/daemon/internal/local_upstream.hpp
@@ -3,11 +3,13 @@
 #ifndef APRICOTSTILE_DAEMON_INTERNAL_LOCAL_UPSTREAM_HPP
 #define APRICOTSTILE_DAEMON_INTERNAL_LOCAL_UPSTREAM_HPP
 
+#include <apricotstile/assignment/range_id.hpp>
 #include <apricotstile/core/time.hpp>
-#include <apricotstile/daemon/messages.hpp>
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/http/client_pool.hpp>
+#include <apricotstile/member/member_record.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,7 +21,7 @@
 struct announcement {
     apricotstile::address address;
     bool leaving{false};
-    std::vector<announced_service> services;
+    std::vector<member::served_service> services;
     /// The least number of slots and of connections of its services.
     std::size_t max_at_once{0};
 };
@@ -34,6 +36,10 @@
     std::unique_ptr<http::client_pool> pool;
     /// Grants, cancellations and health, apart from the slots for work.
     std::unique_ptr<http::client_pool> side_pool;
+    /// The tokens that the upstream has accepted grants for.
+    std::map<assignment::range_id, fencing_token> granted;
+    bool grant_in_flight{false};
+    instant granted_at;
 };
 
 } // namespace apricotstile::daemon::internal
--- a/src/apricotstile/daemon/messages.hpp
+++ b/src/apricotstile/daemon/messages.hpp
@@ -4,12 +4,16 @@
 #ifndef APRICOTSTILE_DAEMON_MESSAGES_HPP
 #define APRICOTSTILE_DAEMON_MESSAGES_HPP
 
+#include <apricotstile/assignment/load_report.hpp>
+#include <apricotstile/assignment/owner.hpp>
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/member/member_record.hpp>
 #include <apricotstile/platform/operations.hpp>
 #include <apricotstile/request/routed_request.hpp>
 
+#include <memory>
 #include <variant>
+#include <vector>
 
 namespace apricotstile::daemon {
 
@@ -35,7 +39,16 @@
     request_id id;
 };
 
-using dispatch_message = std::variant<incoming_work, cancelled_work>;
+/// What this daemon may dispatch as owner, from now on.
+struct owner_changed {
+    std::shared_ptr<const assignment::owner_state> owner;
+};
+
+using dispatch_message = std::variant<
+    incoming_work,
+    cancelled_work,
+    owner_changed,
+    assignment::stop_dispatching>;
 
 /// A request to send to the daemon on `host`.
 struct outgoing_request {
@@ -99,18 +112,6 @@
     platform::object_put,
     platform::object_got>;
 
-/// One service in an upstream's announcement.
-struct announced_service {
-    member::served_service service;
-    /// Whether each key has one owner.
-    bool keyed{false};
-    /// How many slices a keyed service is divided into.
-    std::uint32_t slice_count{0};
-
-    friend bool
-    operator==(const announced_service&, const announced_service&) = default;
-};
-
 /// Bulk control traffic as it came in.
 struct incoming_control {
     host_id host;
@@ -120,11 +121,24 @@
 /// What the upstreams beside this daemon serve now; empty while there are
 /// none or all are leaving.
 struct served_services {
-    std::vector<announced_service> services;
+    std::vector<member::served_service> services;
+};
+
+/// The load seen as owner since the last report.
+struct measured_load {
+    std::vector<assignment::service_load> services;
 };
 
-using control_message =
-    std::variant<store_result, incoming_control, served_services>;
+/// Release everything and leave.
+struct drain_order {};
+
+using control_message = std::variant<
+    store_result,
+    incoming_control,
+    served_services,
+    measured_load,
+    assignment::range_drained,
+    drain_order>;
 
 /// Payloads of TCP frames.
 struct cancel_frame {
