--- a/src/apricotstile/lease/internal/joining.cpp
+++ b/src/apricotstile/lease/internal/joining.cpp
@@ -60,11 +60,6 @@
     join.next_attempt = join.previous_since + promised_for(self.limits);
 }
 
-bool owns_nothing(const member::member_record& record) {
-    return record.state == member::member_state::deposed ||
-           record.state == member::member_state::left;
-}
-
 member::member_record
 first_record(const participant& self, const member::member_row* before) {
     member::member_record record = self.wish;
@@ -164,14 +159,18 @@
         back_off(self, now, random);
         return;
     }
-    members_seen seen{member::decode_member_rows(answer.result.rows)};
-    for (const member::member_row& row : seen.rows) {
-        member::merge(self.members, row);
+    members_seen seen;
+    for (const auto& row : member::decode_member_rows(answer.result.rows)) {
+        if (member::merge(self.members, row)) {
+            seen.rows.push_back(row);
+        }
+    }
+    if (!seen.rows.empty()) {
+        out.emplace_back(std::move(seen));
     }
-    out.emplace_back(std::move(seen));
     const member::member_row* before =
         member::find(self.members, self.wish.self.host);
-    if (before != nullptr && !owns_nothing(before->record)) {
+    if (before != nullptr && owns_slices(before->record.state)) {
         await_previous(self, *before, now);
         return;
     }
--- a/tests/lease/world.hpp
+++ b/tests/lease/world.hpp
@@ -10,9 +10,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <queue>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace apricotstile::tests {
@@ -33,6 +33,7 @@
     duration least_delay = std::chrono::microseconds{500};
     duration most_delay = std::chrono::milliseconds{10};
     duration store_latency = std::chrono::milliseconds{5};
+    duration tick = std::chrono::milliseconds{15};
     unsigned loss_percent{0};
     unsigned duplicate_percent{0};
     /// Messages that arrive up to three seconds late.
@@ -74,7 +75,8 @@
     random_source random;
     fake_table table;
     std::vector<process> processes;
-    std::priority_queue<planned> events;
+    /// A heap, the next event first.
+    std::vector<planned> events;
     std::uint64_t planned_events{0};
     /// Ordered pairs of hosts whose messages are dropped; host zero is the
     /// store.
