--- a/src/apricotstile/upstream/chooser_policy.hpp
+++ b/src/apricotstile/upstream/chooser_policy.hpp
@@ -17,6 +17,7 @@
     bool ignores_link_budget{false};
     bool ignores_regions{false};
     bool ignores_outcomes{false};
+    bool chooses_at_random{false};
 };
 
 struct chooser_policy {
--- a/src/apricotstile/upstream/instance_score.cpp
+++ b/src/apricotstile/upstream/instance_score.cpp
@@ -47,6 +47,9 @@
 }
 
 double score(const chooser_policy& policy, const instance& one, instant now) {
+    if (policy.faults.chooses_at_random) {
+        return 0;
+    }
     if (policy.faults.trusts_hints) {
         return one.reported_load;
     }
