--- /dev/null
+++ b/src/apricotstile/upstream/upstream_snapshot.cpp
@@ -0,0 +1,57 @@
+// Snapshots of instances, links and connections.
+
+#include <apricotstile/upstream/upstream_snapshot.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::upstream {
+
+namespace {
+
+instance_line
+line_of(const service_id& service, const instance& one, instant now) {
+    instance_line line;
+    line.service = service;
+    line.host = one.host;
+    line.distance = one.distance;
+    line.in_flight = one.in_flight;
+    line.slots = one.slots;
+    line.mean_latency = one.mean_latency;
+    line.success = one.success;
+    line.reported_load = one.reported_load;
+    line.ejected_for = std::max(duration{0}, one.ejected_until - now);
+    line.draining = one.draining;
+    return line;
+}
+
+} // namespace
+
+chooser_snapshot describe(const chooser& state, instant now) {
+    chooser_snapshot result;
+    for (const auto& [service, held] : state.services) {
+        for (const instance& one : held.instances) {
+            result.instances.push_back(line_of(service, one, now));
+        }
+    }
+    for (const auto& [region, link] : state.links) {
+        result.links.push_back(
+            {region, link.bytes, link.available, link.refusals}
+        );
+    }
+    result.ejections = state.ejections;
+    result.ejections_withheld = state.ejections_withheld;
+    return result;
+}
+
+watch_snapshot describe(const connection_watch& state) {
+    watch_snapshot result;
+    result.connections = state.connections.size();
+    for (const auto& [id, one] : state.connections) {
+        result.suspected += one.state != watch_state::trusted ? 1 : 0;
+        result.waiting_exchanges += one.waiting.size();
+    }
+    result.counters = state.counters;
+    return result;
+}
+
+} // namespace apricotstile::upstream
--- /dev/null
+++ b/src/apricotstile/upstream/upstream_snapshot.hpp
@@ -0,0 +1,55 @@
+// What dumps and metrics show of instances, links and connections.
+
+#ifndef APRICOTSTILE_UPSTREAM_UPSTREAM_SNAPSHOT_HPP
+#define APRICOTSTILE_UPSTREAM_UPSTREAM_SNAPSHOT_HPP
+
+#include <apricotstile/upstream/chooser.hpp>
+#include <apricotstile/upstream/connection_watch.hpp>
+
+#include <vector>
+
+namespace apricotstile::upstream {
+
+struct instance_line {
+    service_id service;
+    host_id host;
+    nearness distance{nearness::other_region};
+    std::uint32_t in_flight{0};
+    std::uint32_t slots{0};
+    duration mean_latency{0};
+    double success{1};
+    double reported_load{0};
+    /// Zero unless ejected.
+    duration ejected_for{0};
+    bool draining{false};
+};
+
+struct link_line {
+    region_id region;
+    std::uint64_t bytes{0};
+    std::int64_t bytes_available{0};
+    std::uint64_t refusals{0};
+};
+
+struct chooser_snapshot {
+    std::vector<instance_line> instances;
+    std::vector<link_line> links;
+    std::uint64_t ejections{0};
+    std::uint64_t ejections_withheld{0};
+};
+
+[[nodiscard]] chooser_snapshot describe(const chooser& state, instant now);
+
+struct watch_snapshot {
+    std::size_t connections{0};
+    /// Under probe or on their last chance.
+    std::size_t suspected{0};
+    std::size_t waiting_exchanges{0};
+    watch_counters counters;
+};
+
+[[nodiscard]] watch_snapshot describe(const connection_watch& state);
+
+} // namespace apricotstile::upstream
+
+#endif
--- a/tests/request/ingress.tests.cpp
+++ b/tests/request/ingress.tests.cpp
@@ -2,6 +2,7 @@
 // hosts do. The model's hosts keep the record of what ran.
 
 #include <apricotstile/request/ingress.hpp>
+#include <apricotstile/request/request_snapshot.hpp>
 #include <tests/support/schedule.hpp>
 
 #include <catch2/catch.hpp>
@@ -339,3 +340,15 @@
     REQUIRE(std::get<cancel_stream>(actions.front()).stream == stream);
     REQUIRE(state.attempts.empty());
 }
+
+TEST_CASE("a dump shows a request in flight with its journal", "[ingress]") {
+    ingress state;
+    send_one(state, {true, true, instant{} + 1s});
+    const ingress_snapshot shown = describe(state, instant{} + 300ms);
+    REQUIRE(shown.attempts.size() == 1);
+    const attempt_line& line = shown.attempts.front();
+    REQUIRE(line.state == attempt_state::in_flight);
+    REQUIRE(line.time_left == 700ms);
+    REQUIRE(line.journal.size() == 2);
+    REQUIRE(line.journal.back().step == journal_step::sent);
+}
--- a/tests/request/owner_memory.tests.cpp
+++ b/tests/request/owner_memory.tests.cpp
@@ -2,6 +2,7 @@
 // moved or forgotten. A fake upstream keeps the record of what ran.
 
 #include <apricotstile/request/owner_memory.hpp>
+#include <apricotstile/request/request_snapshot.hpp>
 #include <tests/support/schedule.hpp>
 
 #include <catch2/catch.hpp>
@@ -287,6 +288,7 @@
     REQUIRE(
         std::get<refuse_it>(in_doubt).refusal == refusal::outcome_forgotten
     );
+    REQUIRE(describe(memory, instant{}).slices_in_doubt == 1);
     request.ticket = issue_ticket(memory, the_slice, {2}, instant{});
     REQUIRE(std::holds_alternative<run_it>(begin(memory, request, instant{})));
 }
--- a/tests/upstream/chooser.tests.cpp
+++ b/tests/upstream/chooser.tests.cpp
@@ -2,6 +2,7 @@
 // observed, and never ejects more than the stated share.
 
 #include <apricotstile/upstream/chooser.hpp>
+#include <apricotstile/upstream/upstream_snapshot.hpp>
 #include <tests/support/schedule.hpp>
 
 #include <catch2/catch.hpp>
@@ -245,5 +246,5 @@
     REQUIRE(second.refusal == request::refusal::overloaded);
     now += 3s;
     REQUIRE(choose(state, the_service, {}, random, now).host == host_id{5});
-    REQUIRE(link.bytes == 200);
+    REQUIRE(describe(state, now).links.front().bytes == 200);
 }
--- a/tests/upstream/connection_watch.tests.cpp
+++ b/tests/upstream/connection_watch.tests.cpp
@@ -1,6 +1,7 @@
 // Silent connections are found and their work is settled, truly and in time.
 
 #include <apricotstile/upstream/connection_watch.hpp>
+#include <apricotstile/upstream/upstream_snapshot.hpp>
 #include <tests/support/schedule.hpp>
 
 #include <catch2/catch.hpp>
@@ -247,7 +248,8 @@
     const auto actions = step(state, watch_ticked{}, now);
     REQUIRE(actions.size() == 1);
     REQUIRE(std::get<settle_work>(actions.front()).work == work_id{1});
-    REQUIRE(state.connections.at(link).waiting.size() == 1);
+    REQUIRE(describe(state).waiting_exchanges == 1);
+    REQUIRE(describe(state).suspected == 0);
 }
 
 TEST_CASE("a long idle connection is not used again", "[watch]") {
