--- a/src/apricotstile/share/ingress.cpp
+++ b/src/apricotstile/share/ingress.cpp
@@ -205,6 +205,7 @@
     claim.held_epoch = use.epoch;
     claim.held_sequence = use.sequence;
     claim.held = is_live(state, use, now) ? use.amount : share_amount{};
+    claim.held_limit = use.limit;
     claim.returned = is_live(state, use, now) ? use.returned : 0;
     use.returned = 0;
     use.peak_running = use.running;
@@ -309,6 +310,7 @@
     refill_cross_region(use, accrual_end(state, use, now));
     const share_amount before = use.amount;
     use.amount = usable_amount(grant, before);
+    use.limit = grant.limit;
     const bool same_epoch = use.epoch == grant.epoch;
     use.epoch = grant.epoch;
     use.sequence = grant.sequence;
--- a/src/apricotstile/share/ingress.hpp
+++ b/src/apricotstile/share/ingress.hpp
@@ -36,6 +36,8 @@
 /// One customer's use of this daemon.
 struct customer_use {
     share_amount amount;
+    /// The plan's limit that the share was lent under.
+    share_amount limit;
     instant expires;
     fencing_token epoch;
     std::uint64_t sequence{0};
--- a/src/apricotstile/share/lender.cpp
+++ b/src/apricotstile/share/lender.cpp
@@ -211,6 +211,16 @@
     return &found->second;
 }
 
+/// What the holder may keep while other shares are unknown. A share lent
+/// under a higher limit may not be kept: with the unknown ones it could
+/// exceed the present limit.
+share_amount
+amount_in_place(const lent_customer& customer, const lent_share& share) {
+    const bool lowered =
+        !(rest(share.held_limit, customer.limit) == share_amount{});
+    return lowered ? share_amount{} : share.held;
+}
+
 /// The amount for the holder now, by the waiting rules.
 share_amount next_amount(
     const step_context& context,
@@ -218,16 +228,14 @@
     const member::member_ref& holder
 ) {
     const lent_share& share = customer.shares.at(holder);
-    const share_amount in_place = lesser(share.held, customer.limit);
+    const share_amount in_place = amount_in_place(customer, share);
     if (rate_in_place(customer, context.now)) {
         return in_place;
     }
     share_amount amount =
         available(customer, holder, context.state.policy, context.now);
     if (at_once_in_place(customer, context.now)) {
-        amount.at_once = std::min(
-            {share.held.at_once, customer.limit.at_once, amount.at_once}
-        );
+        amount.at_once = std::min(in_place.at_once, amount.at_once);
     }
     return amount;
 }
@@ -257,6 +265,7 @@
     made.epoch = customer.epoch;
     made.sequence = ++context.state.last_sequence;
     made.amount = amount;
+    made.limit = customer.limit;
     made.version = customer.version;
     const instant rate_until =
         share.claimed_at + policy.lifetime + policy.drift_margin;
@@ -299,6 +308,7 @@
     share.demand_at_once = claim.demand_at_once;
     share.running = claim.running;
     share.held = claim.held;
+    share.held_limit = claim.held_limit;
     if (claim.held_epoch == customer.epoch) {
         std::erase_if(share.grants, [&](const live_grant& one) {
             return one.sequence < claim.held_sequence;
--- a/src/apricotstile/share/lender.hpp
+++ b/src/apricotstile/share/lender.hpp
@@ -55,6 +55,7 @@
     std::uint32_t demand_at_once{0};
     std::uint32_t running{0};
     share_amount held;
+    share_amount held_limit;
     /// By the last division of the limit.
     share_amount target;
     share_amount last_granted;
--- a/src/apricotstile/share/share_message.hpp
+++ b/src/apricotstile/share/share_message.hpp
@@ -29,6 +29,8 @@
     std::uint64_t held_sequence{0};
     /// Zero when the share has expired.
     share_amount held;
+    /// The plan's limit that it was lent under.
+    share_amount held_limit;
     /// Tokens dropped when the share was lowered, as a level.
     std::uint64_t returned{0};
 };
@@ -48,6 +50,8 @@
     fencing_token epoch;
     std::uint64_t sequence{0};
     share_amount amount;
+    /// The plan's limit that it is lent under.
+    share_amount limit;
     /// Handed to the holder's bucket, as a level.
     std::uint64_t tokens{0};
     /// True while the lender doesn't know all shares of its predecessor: the
@@ -95,7 +99,7 @@
 void serialize(Archive& archive, share_claim& value) {
     archive(value.customer, value.mark, value.demand, value.demand_at_once);
     archive(value.running, value.held_epoch, value.held_sequence, value.held);
-    archive(value.returned);
+    archive(value.held_limit, value.returned);
 }
 
 template <class Archive>
@@ -106,7 +110,7 @@
 template <class Archive>
 void serialize(Archive& archive, share_grant& value) {
     archive(value.customer, value.mark, value.epoch, value.sequence);
-    archive(value.amount, value.tokens, value.rate_in_place);
+    archive(value.amount, value.limit, value.tokens, value.rate_in_place);
     archive(value.at_once_in_place, value.version);
 }
 
