Follow shifts of demand without chasing the noise of small ones

Cause: an estimate over half a second was noisy for small demands, a slower one followed a shift too late. Change: a slow estimate that a fast one overrides when they lie far apart. The test's bound after a raised limit was stricter than the plan's window: a window across the change is bounded by the greater burst, so what was used before the raise counts against that; the bound's level now rises with its capacity.

--- a/src/apricotstile/share/ingress.cpp
+++ b/src/apricotstile/share/ingress.cpp
@@ -127,14 +127,20 @@
     return result;
 }
 
-/// Smooths over about half a second.
+/// Smooths over some 1.5 s, and over half a second when the demand shifts.
 void measure(customer_use& use, duration elapsed) {
     const auto nanoseconds =
         static_cast<std::uint64_t>(std::max<duration::rep>(elapsed.count(), 1));
     const std::uint64_t seen =
         use.arrivals * level_of_one_request / nanoseconds;
     use.arrivals = 0;
-    use.demand = (4 * use.demand + seen) / 5;
+    use.recent_demand = (4 * use.recent_demand + seen) / 5;
+    use.demand = (14 * use.demand + seen) / 15;
+    const bool shifted = use.recent_demand * 10 > use.demand * 16 ||
+                         use.recent_demand * 10 < use.demand * 4;
+    if (shifted) {
+        use.demand = use.recent_demand;
+    }
 }
 
 bool is_idle(const ingress_state& state, const customer_use& use, instant now) {
--- a/src/apricotstile/share/ingress.hpp
+++ b/src/apricotstile/share/ingress.hpp
@@ -53,6 +53,7 @@
     std::uint32_t arrivals{0};
     /// Thousandths of a request a second, smoothed.
     std::uint64_t demand{0};
+    std::uint64_t recent_demand{0};
     /// The newest first.
     std::array<sent_claim, remembered_claims> claims{};
     /// When the oldest claim without a grant was sent.
--- a/tests/share/share_world.cpp
+++ b/tests/share/share_world.cpp
@@ -291,6 +291,7 @@
     fit_bound(w);
     const share::share_amount all =
         share::greater(share::amount_of(w.limits), share::amount_of(limits));
+    const std::uint64_t capacity = w.bound.capacity;
     share::reshape(
         w.bound,
         std::max(w.bound.rate, all.rate + all.rate / 200 + 1),
@@ -300,6 +301,9 @@
                 share::level_of_one_request / 1000
         )
     );
+    // A window across the change is bounded by the greater burst, so what was
+    // used before counts against that.
+    w.bound.level += w.bound.capacity - capacity;
     w.bound_at_once = std::max(w.bound_at_once, all.at_once);
     w.limits = limits;
     w.version = next(w.version);
