--- a/src/apricotstile/plan/follower.cpp
+++ b/src/apricotstile/plan/follower.cpp
@@ -199,6 +199,7 @@
     plan_version& floor = state.floors[from];
     floor = std::max(floor, digest.version);
     raise_floor(context, digest.receivers_floor);
+    state.in_force_at[from] = digest.in_force ? digest.version : plan_version{};
     if (digest.in_force) {
         state.peers_answered.insert(from);
     }
@@ -356,8 +357,9 @@
     if (context.now >= state.poll_until) {
         return false;
     }
-    const auto seen = state.seen.find(member);
-    return seen == state.seen.end() || seen->second < held_number(state);
+    const auto there = state.in_force_at.find(member);
+    return there == state.in_force_at.end() ||
+           there->second < held_number(state);
 }
 
 void poll_members(step_context& context) {
--- a/tests/plan/follower.tests.cpp
+++ b/tests/plan/follower.tests.cpp
@@ -5,6 +5,7 @@
 #include <tests/support/fake_table.hpp>
 
 #include <apricotstile/plan/follower.hpp>
+#include <apricotstile/plan/status.hpp>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -340,10 +341,29 @@
     advance(w, 20);
     feed(w, 0, plan::status_requested{});
     advance(w, 20);
-    REQUIRE(w.daemons[0].state.seen.size() == daemon_count - 1);
-    for (const auto& [host, version] : w.daemons[0].state.seen) {
-        REQUIRE(version == w.applied);
-    }
+    const auto status = plan::describe_status(w.daemons[0].state);
+    REQUIRE(status.version == w.applied);
+    REQUIRE(status.members == daemon_count);
+    REQUIRE(status.in_force == daemon_count);
+    REQUIRE(status.lagging.empty());
+}
+
+TEST_CASE("a member that can't be reached is named", "[plan][follower]") {
+    world w = make_world(3, {});
+    w.loss_percent = 0;
+    apply(w);
+    advance(w, 70);
+    w.daemons[4].running = false;
+    apply(w);
+    advance(w, 70);
+    feed(w, 0, plan::status_requested{});
+    advance(w, 20);
+    const auto status = plan::describe_status(w.daemons[0].state);
+    REQUIRE(status.version == w.applied);
+    REQUIRE(status.in_force == daemon_count - 1);
+    REQUIRE(status.lagging.size() == 1);
+    REQUIRE(status.lagging[0].member == host_of(4));
+    REQUIRE(status.lagging[0].version == plan_version{1});
 }
 
 TEST_CASE("seeded faults of the follower are caught", "[plan][fault]") {
