Add check, diff, apply and status to the command line

Cause: operators need one tool for the two lists. Change: apricotctl checks and compares offline, applies from a named version through a daemon's operators' address, and waits until no member lags.

--- a/apps/apricotctl/main.cpp
+++ b/apps/apricotctl/main.cpp
@@ -1,6 +1,9 @@
 // The operators' command line.
-// Exit status: 0 done, 1 refused or not reachable, 2 bad command line or input.
+// Exit status: 0 done, 1 refused or not reachable, 2 bad command line or input,
+// 3 another version came first, 4 not known whether applied, 5 members lag.
 
+#include <apricotstile/command/exchange.hpp>
+#include <apricotstile/command/plan_commands.hpp>
 #include <apricotstile/settings/daemon_settings.hpp>
 
 #include <boost/program_options.hpp>
@@ -12,8 +15,13 @@
 #include <QNetworkAccessManager>
 #include <QNetworkReply>
 
+#include <chrono>
 #include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -23,7 +31,9 @@
 
 constexpr int exit_refused = 1;
 constexpr int exit_bad_input = 2;
-constexpr int call_timeout_ms = 10000;
+// An apply is settled or given up within 30 s.
+constexpr int call_timeout_ms = 40000;
+constexpr int first_error_status = 300;
 
 constexpr auto usage = R"(apricotctl COMMAND [ARGUMENTS]
 
@@ -31,6 +41,12 @@
   dump                  print a daemon's state as JSON
   metrics               print a daemon's metrics
   drain                 stop a daemon gracefully
+  check CUSTOMERS PLANS check the two lists, offline
+  diff OLD-CUSTOMERS OLD-PLANS CUSTOMERS PLANS
+                        print what changes between two states of the lists
+  apply CUSTOMERS PLANS --based-on VERSION [--wait SECONDS] [--id ID]
+                        put the lists in force if VERSION still is
+  status                print the version in force and the members that lag
 
 )";
 
@@ -39,6 +55,11 @@
     std::vector<std::string> arguments;
     std::string daemon_address;
     std::string token;
+    command::output_format format{command::output_format::text};
+    std::uint64_t based_on{0};
+    std::uint64_t id{0};
+    int wait_seconds{0};
+    bool names_base{false};
 };
 
 struct answer {
@@ -48,7 +69,10 @@
 };
 
 answer call(
-    const invocation& what, const std::string& method, const std::string& path
+    const invocation& what,
+    const std::string& method,
+    const std::string& path,
+    const std::string& body = {}
 ) {
     QNetworkAccessManager network;
     QNetworkRequest request{QUrl{QString::fromStdString(
@@ -58,8 +82,12 @@
         "Authorization", QByteArray::fromStdString("Bearer " + what.token)
     );
     request.setTransferTimeout(call_timeout_ms);
-    QNetworkReply* const reply =
-        network.sendCustomRequest(request, QByteArray::fromStdString(method));
+    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    QNetworkReply* const reply = network.sendCustomRequest(
+        request,
+        QByteArray::fromStdString(method),
+        QByteArray::fromStdString(body)
+    );
     QEventLoop loop;
     QObject::connect(reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
     loop.exec();
@@ -72,7 +100,6 @@
 }
 
 int print_answer(const answer& got) {
-    constexpr int first_error_status = 300;
     if (got.status == 0 || got.status >= first_error_status) {
         fmt::print(stderr, "apricotctl: {}\n", got.error);
         return exit_refused;
@@ -96,6 +123,122 @@
     return 0;
 }
 
+plan::list_text read_list(const std::string& file) {
+    std::ifstream stream{file, std::ios::binary};
+    if (!stream) {
+        throw options::error{"can't read " + file};
+    }
+    return {file, {std::istreambuf_iterator<char>{stream}, {}}};
+}
+
+plan::list_texts read_lists(const invocation& what, std::size_t first) {
+    return {
+        read_list(what.arguments.at(first)),
+        read_list(what.arguments.at(first + 1))};
+}
+
+void expect_files(const invocation& what, std::size_t count) {
+    if (what.arguments.size() != count) {
+        throw options::error{
+            fmt::format("{} takes {} files", what.command, count)};
+    }
+}
+
+int show(const command::command_result& result) {
+    fmt::print("{}", result.output);
+    return static_cast<int>(result.status);
+}
+
+bool succeeded(const answer& got) {
+    return got.status != 0 && got.status < first_error_status;
+}
+
+command::command_result read_status(const invocation& what) {
+    const answer got = call(what, "GET", "/plans/status");
+    if (!succeeded(got)) {
+        return {command::exit_status::refused, got.error + "\n"};
+    }
+    return show_status(command::read_status(got.body), what.format);
+}
+
+/// Reads the status until no member lags or the time is up.
+command::command_result wait_in_force(const invocation& what) {
+    const auto until = std::chrono::steady_clock::now() +
+                       std::chrono::seconds{what.wait_seconds};
+    command::command_result result = read_status(what);
+    while (result.status != command::exit_status::done &&
+           std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{500});
+        result = read_status(what);
+    }
+    return result;
+}
+
+std::uint64_t random_id() {
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>{1}(device);
+}
+
+/// An answer that was lost leaves open whether the lists were applied.
+int unsettled(const command::apply_order& order, const std::string& error) {
+    fmt::print(
+        stderr,
+        "apricotctl: {}\napply again with --id {} to learn\n",
+        error,
+        order.id.value
+    );
+    return static_cast<int>(command::exit_status::unsettled);
+}
+
+int apply(const invocation& what) {
+    expect_files(what, 2);
+    if (!what.names_base) {
+        throw options::error{"apply needs --based-on VERSION"};
+    }
+    const command::apply_order order{
+        {what.id != 0 ? what.id : random_id()},
+        {what.based_on},
+        read_lists(what, 0)};
+    const auto checked = run_check(order.texts, what.format);
+    if (checked.status != command::exit_status::done) {
+        return show(checked);
+    }
+    const answer got =
+        call(what, "POST", "/plans/apply", command::write_order(order));
+    if (got.status == 0) {
+        return unsettled(order, got.error);
+    }
+    if (!succeeded(got)) {
+        return print_answer(got);
+    }
+    const auto report =
+        show_report(command::read_report(got.body), what.format);
+    const int exit = show(report);
+    const bool wait =
+        report.status == command::exit_status::done && what.wait_seconds > 0;
+    return wait ? show(wait_in_force(what)) : exit;
+}
+
+int run_plan_command(const invocation& what) {
+    if (what.command == "check") {
+        expect_files(what, 2);
+        return show(run_check(read_lists(what, 0), what.format));
+    }
+    if (what.command == "diff") {
+        expect_files(what, 4);
+        return show(
+            run_diff(read_lists(what, 0), read_lists(what, 2), what.format)
+        );
+    }
+    if (what.command == "apply") {
+        return apply(what);
+    }
+    if (what.command == "status") {
+        return show(read_status(what));
+    }
+    throw options::error{"no such command: " + what.command};
+}
+
 int run(const invocation& what) {
     if (what.command == "check-settings") {
         return check_settings(what);
@@ -109,7 +252,7 @@
     if (what.command == "drain") {
         return print_answer(call(what, "POST", "/drain"));
     }
-    throw options::error{"no such command: " + what.command};
+    return run_plan_command(what);
 }
 
 options::options_description visible_options() {
@@ -122,7 +265,16 @@
     )("token,t",
       options::value<std::string>()->default_value(""),
       "operators' token; APRICOTCTL_TOKEN in the environment is used "
-      "when it is absent");
+      "when it is absent")("json", "print JSON instead of text")(
+        "based-on",
+        options::value<std::uint64_t>(),
+        "the version that the lists were edited from; 0 for the first"
+    )("id",
+      options::value<std::uint64_t>()->default_value(0),
+      "of an earlier apply whose end isn't known"
+    )("wait",
+      options::value<int>()->default_value(0),
+      "seconds to wait until the version is in force on all members");
     return description;
 }
 
@@ -156,6 +308,15 @@
     }
     what.daemon_address = values["daemon"].as<std::string>();
     what.token = values["token"].as<std::string>();
+    if (values.contains("json")) {
+        what.format = command::output_format::json;
+    }
+    what.names_base = values.contains("based-on");
+    if (what.names_base) {
+        what.based_on = values["based-on"].as<std::uint64_t>();
+    }
+    what.id = values["id"].as<std::uint64_t>();
+    what.wait_seconds = values["wait"].as<int>();
     if (what.token.empty()) {
         what.token = qEnvironmentVariable("APRICOTCTL_TOKEN").toStdString();
     }
@@ -178,6 +339,9 @@
             return 0;
         }
         return run(to_invocation(values));
+    } catch (const command::exchange_error& error) {
+        fmt::print(stderr, "apricotctl: {}\n", error.what());
+        return exit_refused;
     } catch (const options::error& error) {
         fmt::print(stderr, "apricotctl: {}\n", error.what());
         return exit_bad_input;
