--- a/standins/support/http_service.cpp
+++ b/standins/support/http_service.cpp
@@ -2,7 +2,7 @@
 
 #include <standins/support/http_service.hpp>
 
-#include <standins/support/address.hpp>
+#include <apricotstile/host/address.hpp>
 
 #include <QHostAddress>
 #include <QHttpServerRequest>
@@ -56,9 +56,10 @@
     : on_request(std::move(handle_request)) {}
 
 void http_service::listen_on(const std::string& address) {
-    const socket_address parsed = parse_address(address);
-    const QHostAddress host{QString::fromStdString(parsed.host)};
-    if (this->listen(host, parsed.port) == 0) {
+    const auto parsed = parse_address(address);
+    const bool listens =
+        parsed && this->listen(QHostAddress{parsed->ip}, parsed->port) != 0;
+    if (!listens) {
         throw std::runtime_error("can't listen on " + address);
     }
 }
