Leave lost daemons out of unavailable time; describe the stand-ins

An attempt at a daemon that was itself killed or paused says nothing about the key, which other daemons may serve. It no longer counts as unavailable time.

--- a/standins/check/main.cpp
+++ b/standins/check/main.cpp
@@ -47,7 +47,8 @@
         "of the keyed services");
     add("faulted",
         options::value(&into.faulted)->multitoken(),
-        "addresses of upstreams that were stopped, killed or paused");
+        "addresses of upstreams and of daemons for callers that were "
+        "stopped, killed or paused");
     add("cuts-expected",
         options::bool_switch(&into.cuts_expected),
         "cut_in_flight breaks no promise");
@@ -71,7 +72,7 @@
     run.keyed_services.insert(
         chosen.keyed_services.begin(), chosen.keyed_services.end()
     );
-    run.faulted_upstreams.insert(chosen.faulted.begin(), chosen.faulted.end());
+    run.faulted.insert(chosen.faulted.begin(), chosen.faulted.end());
     run.slices = chosen.slices;
     return run;
 }
--- a/standins/check/observed_run.hpp
+++ b/standins/check/observed_run.hpp
@@ -21,8 +21,9 @@
     std::set<std::string> keyed_services;
     /// Number of slices of the keyed services.
     std::uint32_t slices{256};
-    /// Upstreams whose loss or stop was part of the run.
-    std::set<std::string> faulted_upstreams;
+    /// Upstreams' and daemons' addresses whose loss, pause or stop was part of
+    /// the run.
+    std::set<std::string> faulted;
 };
 
 /// Appends the attempts of a caller's log. Throws std::runtime_error when the
