--- a/src/apricotstile/share/ingress.hpp
+++ b/src/apricotstile/share/ingress.hpp
@@ -36,6 +36,8 @@
 /// One customer's use of this daemon.
 struct customer_use {
     share_amount amount;
+    /// The plan's limit that the share was lent under.
+    share_amount limit;
     instant expires;
     fencing_token epoch;
     std::uint64_t sequence{0};
@@ -51,6 +53,7 @@
     std::uint32_t arrivals{0};
     /// Thousandths of a request a second, smoothed.
     std::uint64_t demand{0};
+    std::uint64_t recent_demand{0};
     /// The newest first.
     std::array<sent_claim, remembered_claims> claims{};
     /// When the oldest claim without a grant was sent.
