Put guardians in their places within seconds

Cause: members that joined while few others were known kept a list with two guardians in another region for up to a minute. In an hour with the regions apart such members were deposed, or went without a lease.

Change: places are reviewed every 5 s; the rows of the design's table of failures get a case each.

--- a/src/apricotstile/lease/policy.hpp
+++ b/src/apricotstile/lease/policy.hpp
@@ -55,7 +55,7 @@
     /// For how long a host that didn't answer isn't asked again.
     duration avoid_silent_host = 60s;
     /// Between looks for guardians in better places.
-    duration placement_review = 60s;
+    duration placement_review = 5s;
 
     /// Between reports of one suspicion, doubled up to the longest.
     duration first_report_interval = 250ms;
--- /dev/null
+++ b/tests/lease/failures.tests.cpp
@@ -0,0 +1,146 @@
+// The rows of the design's table of failures, one case each.
+
+#include <tests/lease/world.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace apricotstile::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t host_count = 8;
+constexpr std::size_t regions = 2;
+
+/// Two regions of two failure domains with two hosts each; the store stands
+/// in region zero.
+void settle(world& all, std::uint64_t seed) {
+    make_hosts(all, seed, host_count, regions);
+    for (std::size_t index = 1; index <= host_count; ++index) {
+        start(all, index);
+    }
+    set_planner(all, host_of(2));
+    run_until(all, 15s);
+}
+
+bool in_store_region(host_id host) {
+    return location_of(host.value, regions) == location_of(0, regions) ||
+           location_of(host.value, regions) == location_of(2, regions);
+}
+
+void separate_regions(world& all) {
+    for (std::size_t one = 0; one <= host_count; ++one) {
+        for (std::size_t other = 0; other <= host_count; ++other) {
+            if (in_store_region(host_of(one)) !=
+                in_store_region(host_of(other))) {
+                all.cut.insert({host_of(one), host_of(other)});
+            }
+        }
+    }
+}
+
+/// How long any live member has been without a lease until `end`.
+duration time_without_lease(world& all, true_time end) {
+    duration without{};
+    while (all.now < end) {
+        run_until(all, all.now + 10ms);
+        for (const process& one : all.processes) {
+            if (!one.dead && one.has_address && !has_lease(one, all.now)) {
+                without += 10ms;
+            }
+        }
+    }
+    return without;
+}
+
+const std::vector<member::member_ref>& guardians_of(world& all, host_id host) {
+    return current(all, host)->self.row.confirmed.record.guardians;
+}
+
+} // namespace
+
+TEST_CASE("Regions apart for an hour keep their leases", "[lease][failures]") {
+    world all;
+    settle(all, 31);
+    separate_regions(all);
+    CHECK(time_without_lease(all, all.now + 1h) == 0ns);
+    all.cut.clear();
+    CHECK(time_without_lease(all, all.now + 1min) == 0ns);
+    CHECK(all.deposed.empty());
+    CHECK(all.violation.empty());
+}
+
+TEST_CASE("A guardian's loss costs nobody a lease and is repaired",
+          "[lease][failures]") {
+    world all;
+    settle(all, 32);
+    const host_id lost = guardians_of(all, host_of(1)).at(0).host;
+    kill(all, lost);
+    CHECK(time_without_lease(all, all.now + 10s) == 0ns);
+    for (const process& one : all.processes) {
+        if (one.dead) {
+            continue;
+        }
+        for (const member::member_ref& guardian :
+             one.self.row.confirmed.record.guardians) {
+            CHECK(guardian.host != lost);
+        }
+    }
+}
+
+TEST_CASE("A holder that pauses past its lease has none when it wakes",
+          "[lease][failures]") {
+    world all;
+    settle(all, 33);
+    const auto former = lease::self_ref(current(all, host_of(3))->self);
+    pause(all, host_of(3), 4s);
+    run_until(all, all.now + 3s);
+    CHECK(all.deposed.contains(former));
+    CHECK(!has_lease(*current(all, host_of(3)), all.now));
+    run_until(all, all.now + 6s);
+    const process* woken = current(all, host_of(3));
+    CHECK(lease::self_ref(woken->self).incarnation > former.incarnation);
+    CHECK(has_lease(*woken, all.now));
+    CHECK(all.violation.empty());
+}
+
+TEST_CASE("Two guardians and the store lost together end the lease safely",
+          "[lease][failures]") {
+    world all;
+    settle(all, 34);
+    all.table.down = true;
+    const auto guardians = guardians_of(all, host_of(1));
+    kill(all, guardians.at(0).host);
+    kill(all, guardians.at(1).host);
+    run_until(all, all.now + 30s);
+    CHECK(!has_lease(*current(all, host_of(1)), all.now));
+    CHECK(all.deposed.empty());
+    all.table.down = false;
+    run_until(all, all.now + 10s);
+    CHECK(has_lease(*current(all, host_of(1)), all.now));
+    CHECK(all.violation.empty());
+}
+
+TEST_CASE("Members of a region that dies stay owners until their hosts return",
+          "[lease][failures]") {
+    world all;
+    settle(all, 35);
+    for (std::size_t index = 1; index <= host_count; ++index) {
+        if (!in_store_region(host_of(index))) {
+            kill(all, host_of(index));
+        }
+    }
+    run_until(all, all.now + 1min);
+    CHECK(all.deposed.empty());
+    for (std::size_t index = 1; index <= host_count; ++index) {
+        if (!in_store_region(host_of(index))) {
+            replace(all, host_of(index), 0ns);
+        }
+    }
+    run_until(all, all.now + 10s);
+    CHECK(all.deposed.size() == host_count / 2);
+    CHECK(time_without_lease(all, all.now + 1s) == 0ns);
+}
+
+} // namespace apricotstile::tests
