Let guardians look only at the rows that changed

Cause: with 740 members each new row made a daemon walk all members, and a deposer learned of its own depositions only from its peers.

Change: wards are settled by the changed rows alone; rows that a deposer has written are taken in at once.

--- a/src/apricotstile/lease/internal/deposer.hpp
+++ b/src/apricotstile/lease/internal/deposer.hpp
@@ -91,8 +91,9 @@
     instant now
 );
 
-/// Takes the answer of its own transaction; ignores others.
-void take_commit(
+/// Takes the answer of its own transaction and returns the rows that it
+/// wrote; ignores others.
+std::vector<member::member_row> take_commit(
     deposer& state,
     const platform::transaction_done& done,
     const policy& limits,
--- a/src/apricotstile/lease/internal/deposer_table.cpp
+++ b/src/apricotstile/lease/internal/deposer_table.cpp
@@ -138,10 +138,10 @@
     work.mutations.push_back(std::move(one.mutations.front()));
 }
 
-void take_committed(
+std::vector<member::member_row> take_committed(
     deposer& state, const platform::commit_result& result, actions& out
 ) {
-    members_seen seen;
+    std::vector<member::member_row> written;
     members_deposed gone;
     for (std::size_t i = 0; i < state.committing.size(); ++i) {
         member::member_row row = state.committing[i];
@@ -150,10 +150,10 @@
         state.suspects.erase(row.record.self);
         state.watched.erase(row.record.self);
         gone.members.push_back(row.record.self);
-        seen.rows.push_back(std::move(row));
+        written.push_back(std::move(row));
     }
-    out.emplace_back(std::move(seen));
     out.emplace_back(std::move(gone));
+    return written;
 }
 
 } // namespace
@@ -245,7 +245,7 @@
     );
 }
 
-void take_commit(
+std::vector<member::member_row> take_commit(
     deposer& state,
     const platform::transaction_done& done,
     const policy& limits,
@@ -253,24 +253,25 @@
     actions& out
 ) {
     if (done.id != state.commit) {
-        return;
+        return {};
     }
     state.commit = {};
     if (done.result.status == platform::commit_status::committed) {
         state.batch_limit = deposition_batch;
         state.table_answered = now;
-        take_committed(state, done.result, out);
+        auto written = take_committed(state, done.result, out);
         state.committing.clear();
-        return;
+        return written;
     }
     reread_committing(state);
     state.committing.clear();
     if (done.result.status == platform::commit_status::conflict) {
         state.batch_limit = std::max<std::size_t>(1, state.batch_limit / 2);
-        return;
+        return {};
     }
     state.next_commit = now + limits.first_backoff;
     state.next_read = now + limits.first_backoff;
+    return {};
 }
 
 } // namespace apricotstile::lease
--- a/src/apricotstile/lease/internal/guardian.cpp
+++ b/src/apricotstile/lease/internal/guardian.cpp
@@ -99,6 +99,20 @@
            !lists(record.guardians, self);
 }
 
+void forget_settled(
+    guardian& state,
+    host_id host,
+    const member::member_ref& self,
+    const member::member_set& members
+) {
+    auto one = state.wards.lower_bound({host, incarnation{}});
+    while (one != state.wards.end() && one->first.host == host) {
+        const bool settled =
+            is_settled(one->first, one->second, self, members);
+        one = settled ? state.wards.erase(one) : std::next(one);
+    }
+}
+
 } // namespace
 
 message answer(
@@ -178,13 +192,12 @@
     guardian& state,
     const member::member_ref& self,
     const member::member_set& members,
+    const std::vector<member::member_row>& news,
     instant now
 ) {
-    std::erase_if(state.wards, [&](const auto& one) {
-        return is_settled(one.first, one.second, self, members);
-    });
-    for (const auto& [host, row] : members.rows) {
+    for (const member::member_row& row : news) {
         const member::member_record& record = row.record;
+        forget_settled(state, record.self.host, self, members);
         if (!member::is_over(members, record.self) &&
             lists(record.guardians, self)) {
             learn_listed(state.wards[record.self], record.generation, now);
--- a/src/apricotstile/lease/internal/guardian.hpp
+++ b/src/apricotstile/lease/internal/guardian.hpp
@@ -73,12 +73,14 @@
 
 void take_release(guardian& state, const release& given);
 
-/// Learns which members list this daemon as guardian, and forgets wards that
-/// are over or have other guardians by now.
+/// Learns from `news`, rows that `members` has just taken in, which members
+/// list this daemon as guardian, and forgets wards that are over or have other
+/// guardians by now.
 void take_members(
     guardian& state,
     const member::member_ref& self,
     const member::member_set& members,
+    const std::vector<member::member_row>& news,
     instant now
 );
 
--- a/src/apricotstile/lease/participant.cpp
+++ b/src/apricotstile/lease/participant.cpp
@@ -251,16 +251,6 @@
     );
 }
 
-void on(const context& in, const platform::transaction_done& what) {
-    participant& self = in.self;
-    if (self.stage == phase::joining) {
-        take_joining_commit(self, what, in.now, in.random, in.out);
-    } else if (self.stage == phase::joined) {
-        take_keeping_commit(self, what, in.now, in.out);
-    }
-    take_commit(self.deposing, what, self.limits, in.now, in.out);
-}
-
 /// Takes rows in and returns those that are news.
 std::vector<member::member_row> learn_members(
     const context& in, const std::vector<member::member_row>& rows
@@ -278,11 +268,33 @@
     }
     if (!news.empty() && self.stage == phase::joined) {
         const member::member_ref own = self.row.confirmed.record.self;
-        take_members(self.guarding, own, self.members, in.now);
+        take_members(self.guarding, own, self.members, news, in.now);
     }
     return news;
 }
 
+/// Takes in rows read from or written to the table and tells others.
+void show_news(
+    const context& in, const std::vector<member::member_row>& rows
+) {
+    std::vector<member::member_row> news = learn_members(in, rows);
+    if (!news.empty()) {
+        in.out.emplace_back(members_seen{std::move(news)});
+    }
+}
+
+void on(const context& in, const platform::transaction_done& what) {
+    participant& self = in.self;
+    if (self.stage == phase::joining) {
+        take_joining_commit(self, what, in.now, in.random, in.out);
+    } else if (self.stage == phase::joined) {
+        take_keeping_commit(self, what, in.now, in.out);
+    }
+    show_news(
+        in, take_commit(self.deposing, what, self.limits, in.now, in.out)
+    );
+}
+
 void on(const context& in, const platform::rows_read& what) {
     participant& self = in.self;
     if (self.stage == phase::joining) {
@@ -294,10 +306,7 @@
     std::erase_if(self.deposing.watched, [&](const auto& one) {
         return one.first.host == self.wish.self.host;
     });
-    auto news = learn_members(in, rows);
-    if (!news.empty()) {
-        in.out.emplace_back(members_seen{std::move(news)});
-    }
+    show_news(in, rows);
 }
 
 void on(const context& in, const members_changed& what) {
