Don't make listed guardians wait anew for each generation

Change: a guardian waits from when it is first listed, and again only after a member that it gave up has raised its generation. Its promises, kept all the while, are what makes this safe.

--- a/src/apricotstile/lease/internal/guardian.cpp
+++ b/src/apricotstile/lease/internal/guardian.cpp
@@ -8,12 +8,18 @@
 
 namespace {
 
+/// The wait begins when the guardian is first listed, and again when a member
+/// that it gave up has raised its generation, so that its heartbeat can come.
 void learn_listed(ward& known, guardian_generation generation, instant now) {
     if (generation <= known.listed_under) {
         return;
     }
+    const bool is_new = known.listed_under == guardian_generation{};
+    const bool was_given_up = known.consented >= known.listed_under;
     known.listed_under = generation;
-    known.listed_since = now;
+    if (is_new || was_given_up) {
+        known.listed_since = now;
+    }
 }
 
 /// From when on the guardian may consent.
@@ -107,8 +113,7 @@
 ) {
     auto one = state.wards.lower_bound({host, incarnation{}});
     while (one != state.wards.end() && one->first.host == host) {
-        const bool settled =
-            is_settled(one->first, one->second, self, members);
+        const bool settled = is_settled(one->first, one->second, self, members);
         one = settled ? state.wards.erase(one) : std::next(one);
     }
 }
--- a/src/apricotstile/lease/internal/guardian.hpp
+++ b/src/apricotstile/lease/internal/guardian.hpp
@@ -20,7 +20,7 @@
     /// Nothing is consented to before this; only ever moves forward.
     instant promised_until = instant::min();
     /// The newest generation under which the guardian knows that it is on the
-    /// list, and when it learned so; zero while it isn't.
+    /// list, zero while it isn't; and when it first learned that it is.
     guardian_generation listed_under;
     instant listed_since = instant::min();
     /// Under this and earlier generations nothing is promised any more.
--- a/src/apricotstile/lease/participant.cpp
+++ b/src/apricotstile/lease/participant.cpp
@@ -252,9 +252,8 @@
 }
 
 /// Takes rows in and returns those that are news.
-std::vector<member::member_row> learn_members(
-    const context& in, const std::vector<member::member_row>& rows
-) {
+std::vector<member::member_row>
+learn_members(const context& in, const std::vector<member::member_row>& rows) {
     participant& self = in.self;
     std::vector<member::member_row> news;
     for (const member::member_row& row : rows) {
@@ -274,9 +273,7 @@
 }
 
 /// Takes in rows read from or written to the table and tells others.
-void show_news(
-    const context& in, const std::vector<member::member_row>& rows
-) {
+void show_news(const context& in, const std::vector<member::member_row>& rows) {
     std::vector<member::member_row> news = learn_members(in, rows);
     if (!news.empty()) {
         in.out.emplace_back(members_seen{std::move(news)});
--- a/tests/lease/failures.tests.cpp
+++ b/tests/lease/failures.tests.cpp
@@ -71,8 +71,10 @@
     CHECK(all.violation.empty());
 }
 
-TEST_CASE("A guardian's loss costs nobody a lease and is repaired",
-          "[lease][failures]") {
+TEST_CASE(
+    "A guardian's loss costs nobody a lease and is repaired",
+    "[lease][failures]"
+) {
     world all;
     settle(all, 32);
     const host_id lost = guardians_of(all, host_of(1)).at(0).host;
@@ -89,8 +91,10 @@
     }
 }
 
-TEST_CASE("A holder that pauses past its lease has none when it wakes",
-          "[lease][failures]") {
+TEST_CASE(
+    "A holder that pauses past its lease has none when it wakes",
+    "[lease][failures]"
+) {
     world all;
     settle(all, 33);
     const auto former = lease::self_ref(current(all, host_of(3))->self);
@@ -105,8 +109,10 @@
     CHECK(all.violation.empty());
 }
 
-TEST_CASE("Two guardians and the store lost together end the lease safely",
-          "[lease][failures]") {
+TEST_CASE(
+    "Two guardians and the store lost together end the lease safely",
+    "[lease][failures]"
+) {
     world all;
     settle(all, 34);
     all.table.down = true;
@@ -122,8 +128,10 @@
     CHECK(all.violation.empty());
 }
 
-TEST_CASE("Members of a region that dies stay owners until their hosts return",
-          "[lease][failures]") {
+TEST_CASE(
+    "Members of a region that dies stay owners until their hosts return",
+    "[lease][failures]"
+) {
     world all;
     settle(all, 35);
     for (std::size_t index = 1; index <= host_count; ++index) {
