--- a/tests/lease/world.cpp
+++ b/tests/lease/world.cpp
@@ -1,7 +1,7 @@
 // The event queue, the network and the store of the test world, and the
 // promises that are checked at each step.
 
-#include <tests/lease/world.hpp>
+#include <tests/lease/world_steps.hpp>
 
 #include <fmt/format.h>
 
@@ -19,12 +19,6 @@
     return count != 0 && random_below(all.random, of) < count;
 }
 
-duration random_duration(world& all, duration longest) {
-    const auto bound = static_cast<std::uint64_t>(longest.count()) + 1;
-    return duration{
-        static_cast<duration::rep>(random_below(all.random, bound))};
-}
-
 duration network_delay(world& all) {
     const conditions& around = all.around;
     if (chance(all, around.late_percent, 100)) {
@@ -111,8 +105,6 @@
     }
 }
 
-void deliver(world& all, std::size_t index, const lease::event& what);
-
 /// What the caller makes of an answer that didn't come in time.
 platform::transaction_done timed_out(const platform::transaction_done& done) {
     return {done.id, {platform::commit_status::unknown, {}}};
@@ -290,6 +282,14 @@
     perform_all(all, index, asked);
 }
 
+} // namespace
+
+duration random_duration(world& all, duration longest) {
+    const auto bound = static_cast<std::uint64_t>(longest.count()) + 1;
+    return duration{
+        static_cast<duration::rep>(random_below(all.random, bound))};
+}
+
 void deliver(world& all, std::size_t index, const lease::event& what) {
     const process& one = all.processes[index];
     if (one.dead) {
@@ -319,62 +319,6 @@
     });
 }
 
-} // namespace
-
-host_id host_of(std::size_t index) {
-    return host_id{index};
-}
-
-location location_of(std::size_t index, std::size_t regions) {
-    const std::size_t region = index % regions;
-    const std::size_t domain = index / regions % 2;
-    return {
-        region_id{fmt::format("region-{}", region)},
-        failure_domain_id{fmt::format("region-{}-{}", region, domain)}};
-}
-
-void make_hosts(
-    world& all, std::uint64_t seed, std::size_t count, std::size_t regions
-) {
-    all.random.seed(seed);
-    if (all.faults.no_drift_margin) {
-        all.limits.margin = {};
-    }
-    all.processes.reserve(count * 20);
-    for (std::size_t index = 1; index <= count; ++index) {
-        member::member_record wish;
-        wish.self.host = host_of(index);
-        wish.where = location_of(index, regions);
-        process one;
-        one.host = wish.self.host;
-        one.self = lease::make_participant(wish, all.limits);
-        one.random.seed(all.random());
-        // The extremes are where a missing margin shows.
-        constexpr std::int64_t drifts[] = {-10'000, 10'000, 0, 5'000};
-        one.drift_ppm = drifts[random_below(all.random, 4)];
-        one.dead = true;
-        all.processes.push_back(std::move(one));
-    }
-}
-
-std::size_t start(world& all, std::size_t index) {
-    process& one = all.processes[index - 1];
-    one.dead = false;
-    plan(all, all.now + random_duration(all, all.around.tick), [&all, index] {
-        tick_on(all, index - 1);
-    });
-    return index - 1;
-}
-
-process* current(world& all, host_id host) {
-    for (process& one : all.processes) {
-        if (one.host == host && one.has_address && !one.dead) {
-            return &one;
-        }
-    }
-    return nullptr;
-}
-
 void plan(world& all, true_time at, std::function<void()> run) {
     all.events.push_back({at, ++all.planned_events, std::move(run)});
     std::push_heap(all.events.begin(), all.events.end());
@@ -391,94 +335,4 @@
     all.now = end;
 }
 
-void send_event(world& all, std::size_t index, const lease::event& what) {
-    deliver(all, index, what);
-}
-
-instant local_time(const process& one, true_time when) {
-    constexpr std::int64_t million = 1'000'000;
-    // Each clock starts at a different reading.
-    const duration base = std::chrono::hours{one.host.value + 1};
-    const std::int64_t gained = when.count() / million * one.drift_ppm;
-    return instant{base + when + duration{gained}};
-}
-
-bool has_lease(const process& one, true_time when) {
-    return local_time(one, when) < lease::lease_valid_until(one.self);
-}
-
-void pause(world& all, host_id host, duration length) {
-    if (process* one = current(all, host)) {
-        one->paused_until = std::max(one->paused_until, all.now + length);
-    }
-}
-
-void kill(world& all, host_id host) {
-    if (process* one = current(all, host)) {
-        one->dead = true;
-    }
-}
-
-namespace {
-
-/// Seeds a restart that keeps the member and forgets what it promised and
-/// consented to.
-void keep_identity(
-    lease::participant& fresh, const lease::participant& former
-) {
-    fresh = former;
-    for (auto& [holder, ward] : fresh.guarding.wards) {
-        ward.promised_until = instant::min();
-        ward.listed_since = instant::min();
-        ward.consented = {};
-    }
-    fresh.deposing = {};
-    fresh.row.read = {};
-    fresh.row.must_read = true;
-    if (fresh.row.pending) {
-        fresh.row.pending->operation = {};
-        fresh.row.pending->uncertain = true;
-    }
-}
-
-} // namespace
-
-void replace(world& all, host_id host, duration frozen) {
-    process* former = nullptr;
-    for (process& one : all.processes) {
-        if (one.host == host && one.has_address) {
-            former = &one;
-        }
-    }
-    process fresh;
-    fresh.host = host;
-    fresh.self = lease::make_participant(former->self.wish, all.limits);
-    fresh.self.wish.state = member::member_state::active;
-    fresh.self.planner = all.planner;
-    fresh.random.seed(all.random());
-    fresh.drift_ppm = former->drift_ppm;
-    const bool was_member = former->self.stage == lease::phase::joined;
-    if (all.faults.guardian_forgets && was_member) {
-        keep_identity(fresh.self, former->self);
-    }
-    if (frozen == duration{} || all.faults.guardian_forgets) {
-        former->dead = true;
-    } else {
-        former->paused_until = std::max(former->paused_until, all.now + frozen);
-    }
-    former->has_address = false;
-    all.processes.push_back(std::move(fresh));
-    const std::size_t index = all.processes.size() - 1;
-    plan(all, all.now, [&all, index] {
-        tick_on(all, index);
-    });
-}
-
-void set_planner(world& all, host_id planner) {
-    all.planner = planner;
-    for (std::size_t i = 0; i < all.processes.size(); ++i) {
-        deliver(all, i, lease::planner_changed{planner});
-    }
-}
-
 } // namespace apricotstile::tests
