Find hot keys by a bounded sketch and let the planner poll the map

Change: rounds propose only moves that their target can take, and take neighbours of a key that can't move; the planner reads the head row each second; owners count keys by a space-saving sketch.

--- a/benchmarks/planner.cpp
+++ b/benchmarks/planner.cpp
@@ -49,7 +49,6 @@
         cluster.reset_counts();
         cluster.lose_first(count);
         cluster.settle();
-        auto hosts = cluster.hosts();
         const auto ring_moved =
             ring.moved_to(hash_ring{cluster.hosts()}, slices);
         fmt::print(
@@ -186,9 +185,11 @@
     constexpr variant variants[] = {
         {"none of the three", false, false, 0},
         {"earliest finish alone", false, true, 0},
+        {"late binding, any with room, depth 2", true, false, 2},
         {"late binding, any with room, depth 4", true, false, 4},
         {"all three, depth 1", true, true, 1},
         {"all three, depth 2", true, true, 2},
+        {"all three, depth 3", true, true, 3},
         {"all three, depth 4", true, true, 4},
         {"all three, depth 8", true, true, 8},
         {"all three, depth 32", true, true, 32},
@@ -248,9 +249,6 @@
     for (const std::size_t members : member_counts) {
         bench_losses(members);
     }
-    for (const std::size_t members : member_counts) {
-        bench_rolling_restart(members);
-    }
     for (const std::size_t members : member_counts) {
         bench_balance(members, 0.6);
     }
@@ -259,4 +257,7 @@
     for (const std::uint32_t count : {256U, 2'048U, 32'768U}) {
         bench_sizes(count);
     }
+    for (const std::size_t members : member_counts) {
+        bench_rolling_restart(members);
+    }
 }
--- a/benchmarks/planner_cluster.cpp
+++ b/benchmarks/planner_cluster.cpp
@@ -260,8 +260,9 @@
     if (record.self == this->planner_state.self) {
         // Its role passes to the first member.
         const member::member_ref self = this->records.begin()->second.self;
-        this->planner_state = {};
-        this->planner_state.self = self;
+        planner fresh;
+        fresh.self = self;
+        this->planner_state = std::move(fresh);
         record.state = member::member_state::draining;
         this->tell_members();
     }
--- a/src/apricotstile/assignment/internal/rebalance.cpp
+++ b/src/apricotstile/assignment/internal/rebalance.cpp
@@ -21,8 +21,6 @@
 constexpr double hot_key_share = 0.05;
 /// An exception whose key falls below this share goes back to its slice.
 constexpr double cool_key_share = 0.01;
-/// A range isn't moved when it makes less than this share of the mean load.
-constexpr double least_share = 0.002;
 
 struct rebalance_round {
     planner& state;
@@ -31,6 +29,8 @@
     std::size_t moves{0};
     /// Ranges of overloaded members, by member, heaviest first.
     std::map<member::member_ref, std::vector<range_with_load>> ranges;
+    /// Overloaded members with nothing left that helps.
+    std::set<member::member_ref> exhausted;
 };
 
 bool is_still(const planner& planner, const range_id& range) {
@@ -49,18 +49,20 @@
     return best;
 }
 
-placement_member* most_loaded(placement& places) {
-    const auto found = std::max_element(
-        places.members.begin(),
-        places.members.end(),
-        [](const placement_member& a, const placement_member& b) {
-            return a.load < b.load;
+/// The most loaded member that may still have something to give away.
+placement_member* most_loaded(rebalance_round& round) {
+    placement_member* most = nullptr;
+    for (placement_member& one : round.places.members) {
+        const bool usable = !round.exhausted.contains(one.self);
+        if (usable && (most == nullptr || one.load > most->load)) {
+            most = &one;
         }
-    );
-    return found == places.members.end() ? nullptr : &*found;
+    }
+    return most;
 }
 
-/// Counts the move in the round's loads when it makes the pair more even.
+/// Counts the move in the round's loads unless it overloads its target. A key
+/// too hot for any target stays; its neighbours are moved away instead.
 bool try_move(
     rebalance_round& round, placement_member& from, const range_with_load& range
 ) {
@@ -70,7 +72,7 @@
     }
     const double given = share_of(from, range.range.service, range.load);
     const double taken = share_of(*to, range.range.service, range.load);
-    if (to->load + taken >= from.load) {
+    if (to->load + taken > round.limit || to->load + taken >= from.load) {
         return false;
     }
     add_pending(round.state.moves, {range.range, from.self, range.load, false});
@@ -183,10 +185,6 @@
     }
     auto& ranges = found->second;
     for (auto one = ranges.begin(); one != ranges.end(); ++one) {
-        const double share = share_of(from, one->range.service, one->load);
-        if (share < least_share * round.places.mean_load) {
-            return false;
-        }
         if (try_move(round, from, *one)) {
             ranges.erase(ranges.begin(), std::next(one));
             return true;
@@ -198,14 +196,13 @@
 void relieve_overloaded(rebalance_round& round) {
     collect_ranges(round);
     while (round.moves < max_moves_per_round) {
-        placement_member* from = most_loaded(round.places);
+        placement_member* from = most_loaded(round);
         if (from == nullptr || from->load <= round.limit) {
             return;
         }
         if (!relieve(round, *from)) {
             // Nothing more helps here; look at the others.
-            round.ranges.erase(from->self);
-            from->load = 0;
+            round.exhausted.insert(from->self);
         }
     }
 }
@@ -224,7 +221,8 @@
 
 void propose_moves(planner& planner, instant now) {
     drop_pending_rebalance(planner.moves);
-    rebalance_round round{planner, current_placement(planner, now), 0, 0, {}};
+    rebalance_round round{
+        planner, current_placement(planner, now), 0, 0, {}, {}};
     round.limit =
         round.places.mean_load * (1.0 + imbalance_tolerance(planner.weights));
     propose_returns(round);
--- /dev/null
+++ b/src/apricotstile/assignment/key_sketch.hpp
@@ -0,0 +1,55 @@
+// The hottest keys of an owner in bounded memory: the space-saving sketch of
+// Metwally, Agrawal and El Abbadi. A key that isn't counted takes the place of
+// the least counted one and inherits its count as its possible error.
+
+#ifndef APRICOTSTILE_ASSIGNMENT_KEY_SKETCH_HPP
+#define APRICOTSTILE_ASSIGNMENT_KEY_SKETCH_HPP
+
+#include <apricotstile/core/ids.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace apricotstile::assignment {
+
+/// Every key with more than one in this many requests is in the sketch.
+constexpr std::size_t sketch_capacity = 256;
+
+struct counted_key {
+    service_id service;
+    std::string key;
+    /// At least the number of its requests, and more by `error` at most.
+    std::uint64_t count{0};
+    std::uint64_t error{0};
+};
+
+struct key_sketch {
+    std::size_t capacity{sketch_capacity};
+    using name = std::pair<service_id, std::string>;
+    /// At most `capacity` entries.
+    std::map<name, counted_key> counts;
+    /// The names of `counts` by their count.
+    std::set<std::pair<std::uint64_t, name>> by_count;
+};
+
+/// Counts one request for `key`.
+void count_key(
+    key_sketch& sketch, const service_id& service, std::string_view key
+);
+
+/// The up to `most` hottest keys, hottest first.
+[[nodiscard]] std::vector<counted_key>
+hottest_keys(const key_sketch& sketch, std::size_t most);
+
+/// Forgets all counts, for the next interval.
+void clear_sketch(key_sketch& sketch);
+
+} // namespace apricotstile::assignment
+
+#endif
--- a/src/apricotstile/assignment/planner.cpp
+++ b/src/apricotstile/assignment/planner.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr duration rebalance_interval = std::chrono::seconds{5};
+/// How often the planner looks for changes that nobody shows: whoever made
+/// them may have gone before telling.
+constexpr duration map_poll_interval = std::chrono::seconds{1};
 constexpr duration outage_retry = std::chrono::milliseconds{500};
 constexpr duration conflict_retry = std::chrono::milliseconds{50};
 
@@ -33,11 +36,13 @@
 void read_map_if_needed(
     planner& planner, instant now, planner_actions& actions
 ) {
-    const bool needed = !planner.map_current || is_behind(planner);
+    const bool poll = now - planner.read_at >= map_poll_interval;
+    const bool needed = !planner.map_current || is_behind(planner) || poll;
     const bool may_read = !planner.sent &&
                           planner.reader.status != reader_status::reading &&
                           now >= planner.retry_at;
     if (planner.role == planner_role::leading && needed && may_read) {
+        planner.read_at = now;
         start_map_read(planner, actions);
     }
 }
@@ -121,6 +126,13 @@
 }
 
 void take_map(planner& planner, planner_actions& actions) {
+    const bool unchanged =
+        planner.reader.rows.head.version == planner.map.version &&
+        planner.map.version != map_version{};
+    if (unchanged) {
+        planner.map_current = true;
+        return;
+    }
     auto map = to_map(planner.reader.rows);
     if (!map) {
         planner.reader.status = reader_status::failed;
--- a/src/apricotstile/assignment/planner.hpp
+++ b/src/apricotstile/assignment/planner.hpp
@@ -70,6 +70,8 @@
     bool map_current{false};
     /// The newest version that this daemon's follower or its peers show.
     map_version shown_version;
+    /// When the map's rows were last asked for.
+    instant read_at;
     std::optional<planner_transaction> sent;
     instant retry_at;
 
--- a/tests/assignment/assignment_world.hpp
+++ b/tests/assignment/assignment_world.hpp
@@ -25,7 +25,7 @@
 struct seeded_faults {
     bool release_not_conditional{false};
     bool planner_not_conditional{false};
-    /// A lost answer is taken for "certainly not executed".
+    /// The owner serves again after a lost answer without reading.
     bool serves_after_lost_answer{false};
     /// The dispatch decision is taken when a request arrives and not asked
     /// for again when it leaves the queue.
@@ -123,6 +123,7 @@
         bool conditional,
         bool trusts_lost_answer
     );
+    void serve_again(std::size_t index);
     template <class Event>
     void read(std::size_t index, const platform::read_rows& wanted);
     void deliver(
--- a/tests/assignment/assignment_world_store.cpp
+++ b/tests/assignment/assignment_world_store.cpp
@@ -82,9 +82,28 @@
             static_cast<void>(execute());
         });
     }
-    const auto told = trusts_lost_answer ? platform::commit_status::unavailable
-                                         : platform::commit_status::unknown;
-    answer(this->short_delay() * 3, {told, {}});
+    const duration told_after = this->short_delay() * 3;
+    if (trusts_lost_answer) {
+        this->at_daemon(index, run, told_after, [this, index] {
+            this->serve_again(index);
+        });
+        return;
+    }
+    answer(told_after, {platform::commit_status::unknown, {}});
+}
+
+/// What a faulty owner does after a lost answer: it serves the ranges again
+/// without reading what became of their release.
+void assignment_world::serve_again(std::size_t index) {
+    owner_state& owner = this->daemons[index].owner;
+    if (!owner.sent) {
+        return;
+    }
+    for (const range_id& range : owner.sent->ranges) {
+        owner.refused[range] = owner.releases.at(range).to;
+        owner.releases.erase(range);
+    }
+    owner.sent.reset();
 }
 
 template <class Event>
