--- a/src/apricotstile/assignment/map_follower.cpp
+++ b/src/apricotstile/assignment/map_follower.cpp
@@ -140,64 +140,6 @@
     }
 }
 
-void take(
-    map_follower& follower,
-    host_id from,
-    const map_digest& digest,
-    instant now,
-    random_source& /*random*/,
-    follower_actions& actions
-) {
-    note_planner(follower, digest.planner_beat, digest.planner);
-    if (digest.version <= follower.map.version) {
-        return;
-    }
-    const bool room = follower.newer_peers.size() < max_newer_peers;
-    if (room || follower.newer_peers.contains(from)) {
-        follower.newer_peers[from] = digest.version;
-    }
-    start_fetch(follower, now, actions);
-}
-
-void take(
-    map_follower& follower,
-    host_id from,
-    const get_map_changes& request,
-    instant /*now*/,
-    random_source& /*random*/,
-    follower_actions& actions
-) {
-    if (request.have >= follower.map.version) {
-        return;
-    }
-    const bool in_history =
-        !follower.history.empty() &&
-        follower.history.front().version <= next(request.have);
-    if (in_history) {
-        send(actions, from, internal::changes_after(follower, request.have));
-        return;
-    }
-    for (auto& part : internal::snapshot_after(follower, request.have)) {
-        send(actions, from, std::move(part));
-    }
-}
-
-void take(
-    map_follower& follower,
-    host_id from,
-    const map_changes& message,
-    instant now,
-    random_source& random,
-    follower_actions& actions
-) {
-    auto applied = apply_following(follower, message.changes);
-    end_fetch(follower, from);
-    if (!applied.empty()) {
-        publish(follower, std::move(applied), random, actions);
-    }
-    start_fetch(follower, now, actions);
-}
-
 bool belongs_to(const map_fetch& fetch, const map_snapshot_part& part) {
     if (fetch.parts.empty()) {
         return true;
@@ -219,45 +161,6 @@
     follower.history_size = 0;
 }
 
-void take(
-    map_follower& follower,
-    host_id from,
-    const map_snapshot_part& part,
-    instant now,
-    random_source& random,
-    follower_actions& actions
-) {
-    const bool usable = follower.fetch && follower.fetch->peer == from &&
-                        part.since == follower.map.version &&
-                        part.head.version > follower.map.version;
-    if (!usable) {
-        return;
-    }
-    map_fetch& fetch = *follower.fetch;
-    if (!belongs_to(fetch, part)) {
-        fetch.parts.clear();
-    }
-    fetch.parts.emplace(part.part, part);
-    fetch.sent_at = now;
-    if (fetch.parts.size() < part.part_count) {
-        return;
-    }
-    apply_snapshot(follower, fetch);
-    end_fetch(follower, from);
-    publish(follower, {}, random, actions);
-    start_fetch(follower, now, actions);
-}
-
-/// Load reports are the planner's business.
-void take(
-    map_follower& /*follower*/,
-    host_id /*from*/,
-    const load_report& /*report*/,
-    instant /*now*/,
-    random_source& /*random*/,
-    follower_actions& /*actions*/
-) {}
-
 void replace_by_rows(
     map_follower& follower,
     const map_rows& rows,
@@ -325,98 +228,143 @@
     }
 }
 
-void take(
-    map_follower& follower,
-    const follower_tick& /*tick*/,
-    instant now,
-    random_source& random,
-    follower_actions& actions
-) {
-    expire_fetch(follower, now, actions);
-    read_table_if_due(follower, now, random, actions);
-}
+/// The decision on one event or message.
+struct follower_step {
+    map_follower& follower;
+    instant now;
+    random_source& random;
+    follower_actions actions;
+    /// The sender of the message.
+    host_id from;
 
-void take(
-    map_follower& follower,
-    const peers_changed& event,
-    instant /*now*/,
-    random_source& /*random*/,
-    follower_actions& /*actions*/
-) {
-    follower.peers = event.peers;
-}
+    void operator()(const map_digest& digest) {
+        note_planner(this->follower, digest.planner_beat, digest.planner);
+        if (digest.version <= this->follower.map.version) {
+            return;
+        }
+        const bool room = this->follower.newer_peers.size() < max_newer_peers;
+        if (room || this->follower.newer_peers.contains(this->from)) {
+            this->follower.newer_peers[this->from] = digest.version;
+        }
+        start_fetch(this->follower, this->now, this->actions);
+    }
 
-void take(
-    map_follower& follower,
-    const follower_message& event,
-    instant now,
-    random_source& random,
-    follower_actions& actions
-) {
-    std::visit(
-        [&](const auto& message) {
-            take(follower, event.from, message, now, random, actions);
-        },
-        event.message
-    );
-}
+    void operator()(const get_map_changes& request) {
+        if (request.have >= this->follower.map.version) {
+            return;
+        }
+        const bool in_history =
+            !this->follower.history.empty() &&
+            this->follower.history.front().version <= next(request.have);
+        if (in_history) {
+            send(
+                this->actions,
+                this->from,
+                internal::changes_after(this->follower, request.have)
+            );
+            return;
+        }
+        for (auto& part :
+             internal::snapshot_after(this->follower, request.have)) {
+            send(this->actions, this->from, std::move(part));
+        }
+    }
 
-void take(
-    map_follower& follower,
-    const change_committed& event,
-    instant /*now*/,
-    random_source& random,
-    follower_actions& actions
-) {
-    follower.early.emplace(event.change.version, event.change);
-    while (follower.early.size() > max_early_changes) {
-        follower.early.erase(std::prev(follower.early.end()));
+    void operator()(const map_changes& message) {
+        auto applied = apply_following(this->follower, message.changes);
+        end_fetch(this->follower, this->from);
+        if (!applied.empty()) {
+            publish(
+                this->follower, std::move(applied), this->random, this->actions
+            );
+        }
+        start_fetch(this->follower, this->now, this->actions);
     }
-    auto applied = apply_following(follower, {});
-    if (!applied.empty()) {
-        publish(follower, std::move(applied), random, actions);
+
+    void operator()(const map_snapshot_part& part) {
+        const bool usable = this->follower.fetch &&
+                            this->follower.fetch->peer == this->from &&
+                            part.since == this->follower.map.version &&
+                            part.head.version > this->follower.map.version;
+        if (!usable) {
+            return;
+        }
+        map_fetch& fetch = *this->follower.fetch;
+        if (!belongs_to(fetch, part)) {
+            fetch.parts.clear();
+        }
+        fetch.parts.emplace(part.part, part);
+        fetch.sent_at = this->now;
+        if (fetch.parts.size() < part.part_count) {
+            return;
+        }
+        apply_snapshot(this->follower, fetch);
+        end_fetch(this->follower, this->from);
+        publish(this->follower, {}, this->random, this->actions);
+        start_fetch(this->follower, this->now, this->actions);
     }
-}
 
-void take(
-    map_follower& follower,
-    const map_was_read& event,
-    instant /*now*/,
-    random_source& random,
-    follower_actions& actions
-) {
-    replace_by_rows(follower, event.rows, random, actions);
-}
+    /// Load reports are the planner's business.
+    void operator()(const load_report& /*report*/) {}
 
-void take(
-    map_follower& follower,
-    const planner_seen& event,
-    instant /*now*/,
-    random_source& random,
-    follower_actions& actions
-) {
-    const bool is_news = event.planner != follower.planner;
-    note_planner(follower, event.beat, event.planner);
-    if (is_news) {
-        tell_news(follower, random, actions);
+    void operator()(const follower_tick& /*tick*/) {
+        expire_fetch(this->follower, this->now, this->actions);
+        read_table_if_due(
+            this->follower, this->now, this->random, this->actions
+        );
     }
-}
 
-void take(
-    map_follower& follower,
-    const platform::rows_read& event,
-    instant /*now*/,
-    random_source& random,
-    follower_actions& actions
-) {
-    for (auto& one : take_rows(follower.reader, event)) {
-        actions.emplace_back(std::move(one));
+    void operator()(const peers_changed& event) {
+        this->follower.peers = event.peers;
     }
-    if (follower.reader.status == reader_status::idle) {
-        replace_by_rows(follower, follower.reader.rows, random, actions);
-        follower.reader.rows = {};
+
+    void operator()(const follower_message& event) {
+        this->from = event.from;
+        std::visit(*this, event.message);
     }
-}
+
+    void operator()(const change_committed& event) {
+        this->follower.early.emplace(event.change.version, event.change);
+        while (this->follower.early.size() > max_early_changes) {
+            this->follower.early.erase(std::prev(this->follower.early.end()));
+        }
+        auto applied = apply_following(this->follower, {});
+        if (!applied.empty()) {
+            publish(
+                this->follower, std::move(applied), this->random, this->actions
+            );
+        }
+    }
+
+    void operator()(const map_was_read& event) {
+        replace_by_rows(
+            this->follower, event.rows, this->random, this->actions
+        );
+    }
+
+    void operator()(const planner_seen& event) {
+        const bool is_news = event.planner != this->follower.planner;
+        note_planner(this->follower, event.beat, event.planner);
+        if (is_news) {
+            tell_news(this->follower, this->random, this->actions);
+        }
+    }
+
+    void operator()(const platform::rows_read& event) {
+        for (auto& one : take_rows(this->follower.reader, event)) {
+            this->actions.emplace_back(std::move(one));
+        }
+        if (this->follower.reader.status == reader_status::idle) {
+            replace_by_rows(
+                this->follower,
+                this->follower.reader.rows,
+                this->random,
+                this->actions
+            );
+            this->follower.reader.rows = {};
+        }
+    }
+};
 
 } // namespace
 
@@ -426,14 +374,9 @@
     instant now,
     random_source& random
 ) {
-    follower_actions actions;
-    std::visit(
-        [&](const auto& one) {
-            take(follower, one, now, random, actions);
-        },
-        event
-    );
-    return actions;
+    follower_step decide{follower, now, random, {}, {}};
+    std::visit(decide, event);
+    return std::move(decide.actions);
 }
 
 map_digest digest_of(const map_follower& follower) {
