Put the owner's decisions together and script what fails

Each decision held alone; a shell that joins them could still get the order wrong. `upstream/dispatcher` now takes a request through quarantine, memory and admission, looks at quarantine, ownership and deadline again immediately before the call, and pauses while the upstream is dead.

--- a/benchmarks/instance_choice.cpp
+++ b/benchmarks/instance_choice.cpp
@@ -253,7 +253,7 @@
         const std::size_t index = random_below(random, owners.size());
         quarantine& owner = owners.at(index);
         owner.policy = policy;
-        owner.self = {index + 1};
+        owner.self = {{index + 1}, {1}};
         std::vector<crash_witness> in_flight{{{0}, {}}};
         const verdict said = judge(owner, {0}, now).verdict;
         if (said == verdict::refuse) {
--- a/src/apricotstile/upstream/admission.cpp
+++ b/src/apricotstile/upstream/admission.cpp
@@ -29,7 +29,7 @@
 }
 
 bool may_start(const admission& state, const offered_work& work, instant now) {
-    if (state.exclusive || !has_room(state, now)) {
+    if (state.paused || state.exclusive || !has_room(state, now)) {
         return false;
     }
     return !work.alone || in_use(state) == 0;
@@ -182,9 +182,15 @@
     return {};
 }
 
-void upstream_restarted(admission& state, instant now) {
+void upstream_died(admission& state) {
+    state.paused = true;
     state.given_up.clear();
+}
+
+admission_actions upstream_ready(admission& state, instant now) {
+    state.paused = false;
     restart_cold(state.limit, now);
+    return next(state, now);
 }
 
 void start_drain(admission& state) {
--- a/src/apricotstile/upstream/admission.hpp
+++ b/src/apricotstile/upstream/admission.hpp
@@ -49,6 +49,8 @@
     /// True while one request runs alone.
     bool exclusive{false};
     bool draining{false};
+    /// True from the upstream's death until it is ready again: nothing starts.
+    bool paused{false};
     admission_counters counters;
 };
 
@@ -83,8 +85,11 @@
 [[nodiscard]] admission_actions
 cancel(admission& state, work_id id, instant now);
 
-/// The upstream has restarted: it is empty and cold.
-void upstream_restarted(admission& state, instant now);
+/// The upstream has died. What ran there is still to be reported `lost`.
+void upstream_died(admission& state);
+
+/// The upstream is ready again: empty and cold.
+[[nodiscard]] admission_actions upstream_ready(admission& state, instant now);
 
 /// Takes no more work; what waits and what runs is finished.
 void start_drain(admission& state);
--- /dev/null
+++ b/src/apricotstile/upstream/dispatcher.cpp
@@ -0,0 +1,319 @@
+// The path of a request through the daemon beside its upstream.
+
+#include <apricotstile/upstream/dispatcher.hpp>
+
+#include <utility>
+
+namespace apricotstile::upstream {
+
+namespace {
+
+using request::outcome;
+using request::refusal;
+
+request::keyed_request keyed(const dispatch_work& work) {
+    request::keyed_request result;
+    result.service = work.request.service;
+    result.slice = work.slice;
+    result.token = work.token;
+    result.id = {work.request.customer, work.request.caller_key};
+    result.content_hash = request::content_hash(work.request);
+    result.ticket = request::parse_ticket(work.request.ticket);
+    return result;
+}
+
+request::routed_response
+refuse(outcome told, refusal why, duration retry_after) {
+    request::routed_response response;
+    response.outcome = told;
+    response.refusal = why;
+    response.retry_after = retry_after;
+    return response;
+}
+
+request::routed_response from_kept(const request::kept_answer& kept) {
+    request::routed_response response;
+    response.outcome = kept.outcome;
+    response.refusal = kept.refusal;
+    response.status = kept.status;
+    response.content_type = kept.content_type;
+    response.body = kept.body;
+    return response;
+}
+
+request::kept_answer to_keep(const request::routed_response& response) {
+    return {
+        response.outcome,
+        response.refusal,
+        response.status,
+        response.content_type,
+        response.body};
+}
+
+void add_ticket(
+    const dispatcher& state,
+    const dispatch_work& work,
+    request::routed_response& response,
+    instant now
+) {
+    const request::slice_ref slice{work.request.service, work.slice};
+    const auto fresh =
+        request::issue_ticket(state.memory, slice, work.token, now);
+    if (work.owned && fresh) {
+        response.ticket = to_text(*fresh);
+    }
+}
+
+/// Answers and drops the work, without telling the memory.
+void respond_only(
+    dispatcher& state,
+    const dispatch_work& work,
+    request::routed_response response,
+    instant now,
+    dispatch_actions& actions
+) {
+    response.id = work.request.id;
+    response.responder_map = state.map;
+    add_ticket(state, work, response, now);
+    const work_id id = work.id;
+    const host_id to = work.from;
+    state.work.erase(id);
+    actions.emplace_back(respond{id, to, std::move(response)});
+}
+
+/// Answers and drops work that the memory holds as running.
+void conclude(
+    dispatcher& state,
+    work_id id,
+    const request::routed_response& response,
+    instant now,
+    dispatch_actions& actions
+) {
+    const dispatch_work work = state.work.at(id);
+    if (!work.request.idempotent) {
+        finish(state.memory, keyed(work), to_keep(response), now);
+    }
+    respond_only(state, work, response, now, actions);
+}
+
+void add_reports(
+    const std::vector<suspicion_report>& reports, dispatch_actions& actions
+) {
+    for (const suspicion_report& report : reports) {
+        actions.emplace_back(spread_report{report});
+    }
+}
+
+offered_work to_offer(const dispatch_work& work) {
+    return {work.id, work.request.importance, work.deadline, work.alone};
+}
+
+/// Why work that admission would start must not be called; nothing when it
+/// may be.
+std::optional<request::routed_response>
+last_check(dispatcher& state, const dispatch_work& work, instant now) {
+    const judgement judged = judge(state.quarantine, work.print, now);
+    if (judged.verdict == verdict::refuse) {
+        return refuse(
+            outcome::not_run, refusal::quarantined, judged.retry_after
+        );
+    }
+    if (!state.still_owns(work, now)) {
+        return refuse(outcome::not_run, refusal::lease_expired, duration{0});
+    }
+    return std::nullopt;
+}
+
+/// Calls the upstream, or takes the start back: refused, or offered again to
+/// run alone. Returns what admission decides then.
+admission_actions
+start(dispatcher& state, work_id id, instant now, dispatch_actions& actions) {
+    dispatch_work& work = state.work.at(id);
+    const auto refused = last_check(state, work, now);
+    if (refused) {
+        conclude(state, id, *refused, now, actions);
+        return finished(state.admission, id, work_end::lost, now);
+    }
+    // It may have become a suspect while it waited.
+    const bool suspected =
+        judge(state.quarantine, work.print, now).verdict == verdict::run_alone;
+    if (suspected && !work.alone) {
+        work.alone = true;
+        const offered_work again = to_offer(work);
+        auto decided = finished(state.admission, id, work_end::lost, now);
+        const auto more = offer(state.admission, again, now);
+        decided.insert(decided.end(), more.begin(), more.end());
+        return decided;
+    }
+    work.called = true;
+    actions.emplace_back(call_upstream{id});
+    return {};
+}
+
+/// Carries out what admission decided, and what that leads to.
+void carry_out(
+    dispatcher& state,
+    admission_actions decided,
+    instant now,
+    dispatch_actions& actions
+) {
+    for (std::size_t i = 0; i < decided.size(); ++i) {
+        const admission_action action = decided.at(i);
+        if (const auto* started = std::get_if<start_work>(&action)) {
+            const auto more = start(state, started->id, now, actions);
+            decided.insert(decided.end(), more.begin(), more.end());
+        } else if (const auto* shed = std::get_if<shed_work>(&action)) {
+            const auto response =
+                refuse(outcome::not_run, shed->refusal, shed->retry_after);
+            conclude(state, shed->id, response, now, actions);
+        } else if (const auto* stop = std::get_if<cancel_work>(&action)) {
+            actions.emplace_back(cancel_call{stop->id});
+        }
+    }
+}
+
+/// What the memory says to a non-idempotent request; nothing when it may run.
+std::optional<request::routed_response>
+ask_memory(dispatcher& state, const dispatch_work& work, instant now) {
+    if (work.request.idempotent) {
+        return std::nullopt;
+    }
+    const request::keyed_request asked = keyed(work);
+    const bool bad_ticket = !work.request.ticket.empty() && !asked.ticket;
+    if (work.request.caller_key.value.empty() || bad_ticket || !work.owned) {
+        return refuse(outcome::not_run, refusal::malformed, duration{0});
+    }
+    const request::begin_result said = begin(state.memory, asked, now);
+    if (const auto* replay = std::get_if<request::replay_it>(&said)) {
+        return from_kept(replay->answer);
+    }
+    if (const auto* refused = std::get_if<request::refuse_it>(&said)) {
+        return refuse(refused->outcome, refused->refusal, duration{0});
+    }
+    return std::nullopt;
+}
+
+work_end end_for_admission(call_end end) {
+    switch (end) {
+    case call_end::answered:
+        return work_end::answered;
+    case call_end::not_run:
+        return work_end::shed_by_upstream;
+    case call_end::lost:
+        return work_end::lost;
+    case call_end::timed_out:
+        return work_end::given_up;
+    }
+    return work_end::lost;
+}
+
+request::routed_response to_response(const call_result& result) {
+    switch (result.end) {
+    case call_end::answered: {
+        request::routed_response response;
+        response.outcome = outcome::answered;
+        response.status = result.status;
+        response.content_type = result.content_type;
+        response.body = result.body;
+        return response;
+    }
+    case call_end::not_run:
+        return refuse(outcome::not_run, refusal::upstream_refused, duration{0});
+    case call_end::lost:
+        return refuse(outcome::unknown, refusal::upstream_lost, duration{0});
+    case call_end::timed_out:
+        break;
+    }
+    return refuse(outcome::unknown, refusal::upstream_timed_out, duration{0});
+}
+
+suspect_label label_of(const dispatch_work& work) {
+    return {
+        work.request.service,
+        work.request.customer,
+        work.request.key,
+        work.request.method,
+        work.request.target};
+}
+
+} // namespace
+
+dispatch_actions receive(dispatcher& state, dispatch_work work, instant now) {
+    dispatch_actions actions;
+    work.print = fingerprint_of(work.request);
+    const judgement judged = judge(state.quarantine, work.print, now);
+    if (judged.verdict == verdict::refuse) {
+        const auto response =
+            refuse(outcome::not_run, refusal::quarantined, judged.retry_after);
+        respond_only(state, work, response, now, actions);
+        return actions;
+    }
+    if (const auto said = ask_memory(state, work, now)) {
+        respond_only(state, work, *said, now, actions);
+        return actions;
+    }
+    work.alone = judged.verdict == verdict::run_alone;
+    const offered_work offered = to_offer(work);
+    state.work.emplace(offered.id, std::move(work));
+    carry_out(state, offer(state.admission, offered, now), now, actions);
+    return actions;
+}
+
+dispatch_actions
+ended(dispatcher& state, work_id id, const call_result& result, instant now) {
+    dispatch_actions actions;
+    const auto found = state.work.find(id);
+    if (found == state.work.end() || !found->second.called) {
+        return actions;
+    }
+    if (result.end == call_end::answered) {
+        const fingerprint print = found->second.print;
+        add_reports(completed(state.quarantine, print, now), actions);
+    }
+    conclude(state, id, to_response(result), now, actions);
+    const work_end end = end_for_admission(result.end);
+    carry_out(state, finished(state.admission, id, end, now), now, actions);
+    return actions;
+}
+
+dispatch_actions crashed(dispatcher& state, instant now) {
+    dispatch_actions actions;
+    std::vector<crash_witness> witnesses;
+    std::vector<work_id> lost;
+    for (const auto& [id, work] : state.work) {
+        if (work.called) {
+            witnesses.push_back({work.print, label_of(work)});
+            lost.push_back(id);
+        }
+    }
+    add_reports(upstream_crashed(state.quarantine, witnesses, now), actions);
+    upstream_died(state.admission);
+    admission_actions decided;
+    for (const work_id id : lost) {
+        conclude(state, id, to_response({}), now, actions);
+        const auto more = finished(state.admission, id, work_end::lost, now);
+        decided.insert(decided.end(), more.begin(), more.end());
+    }
+    carry_out(state, std::move(decided), now, actions);
+    return actions;
+}
+
+dispatch_actions ready(dispatcher& state, instant now) {
+    dispatch_actions actions;
+    carry_out(state, upstream_ready(state.admission, now), now, actions);
+    return actions;
+}
+
+dispatch_actions cancel(dispatcher& state, work_id id, instant now) {
+    dispatch_actions actions;
+    carry_out(state, cancel(state.admission, id, now), now, actions);
+    return actions;
+}
+
+dispatch_actions tick(dispatcher& state, instant now) {
+    dispatch_actions actions;
+    carry_out(state, next(state.admission, now), now, actions);
+    return actions;
+}
+
+} // namespace apricotstile::upstream
--- a/src/apricotstile/upstream/quarantine.cpp
+++ b/src/apricotstile/upstream/quarantine.cpp
@@ -10,7 +10,7 @@
 
 crash_count sum(const suspicion& held) {
     crash_count total;
-    for (const auto& [host, count] : held.by_host) {
+    for (const auto& [member, count] : held.by_member) {
         total.crashes += count.crashes;
         total.alone += count.alone;
     }
@@ -39,7 +39,7 @@
 suspicion_report
 make_report(fingerprint id, const suspicion& held, instant now) {
     return {
-        id, held.label, held.generation, held.by_host, now - held.last_crash};
+        id, held.label, held.generation, held.by_member, now - held.last_crash};
 }
 
 void drop_least_blamed(quarantine& state) {
@@ -65,13 +65,13 @@
 /// Starts the counts of `held` anew, in a generation that wins over others'.
 void acquit(suspicion& held) {
     ++held.generation;
-    held.by_host.clear();
+    held.by_member.clear();
 }
 
 suspicion&
 entry_for(quarantine& state, const crash_witness& witness, instant now) {
     suspicion& held = state.suspicions[witness.id];
-    if (!held.by_host.empty() && has_expired(state, held, now)) {
+    if (!held.by_member.empty() && has_expired(state, held, now)) {
         acquit(held);
     }
     held.label = witness.label;
@@ -82,7 +82,7 @@
 std::vector<suspicion_report>
 acquit_and_report(quarantine& state, fingerprint id, instant now) {
     const auto found = state.suspicions.find(id);
-    if (found == state.suspicions.end() || found->second.by_host.empty()) {
+    if (found == state.suspicions.end() || found->second.by_member.empty()) {
         return {};
     }
     acquit(found->second);
@@ -116,11 +116,11 @@
         if (std::find(counted.begin(), counted.end(), witness.id) ==
             counted.end()) {
             counted.push_back(witness.id);
-            ++entry_for(state, witness, now).by_host[state.self].crashes;
+            ++entry_for(state, witness, now).by_member[state.self].crashes;
         }
     }
     if (counted.size() == 1) {
-        ++state.suspicions.at(counted.front()).by_host[state.self].alone;
+        ++state.suspicions.at(counted.front()).by_member[state.self].alone;
     }
     std::vector<suspicion_report> reports;
     reports.reserve(counted.size());
@@ -146,10 +146,10 @@
     held.last_crash = std::max(held.last_crash, now - report.since_last_crash);
     if (report.generation > held.generation) {
         held.generation = report.generation;
-        held.by_host = report.by_host;
+        held.by_member = report.by_member;
     } else if (report.generation == held.generation) {
-        for (const auto& [host, theirs] : report.by_host) {
-            crash_count& ours = held.by_host[host];
+        for (const auto& [member, theirs] : report.by_member) {
+            crash_count& ours = held.by_member[member];
             ours.crashes = std::max(ours.crashes, theirs.crashes);
             ours.alone = std::max(ours.alone, theirs.alone);
         }
--- a/src/apricotstile/upstream/quarantine.hpp
+++ b/src/apricotstile/upstream/quarantine.hpp
@@ -15,7 +15,7 @@
 
 struct quarantine {
     quarantine_policy policy;
-    host_id self;
+    member::member_ref self;
     std::unordered_map<fingerprint, suspicion> suspicions;
     /// Totals since the daemon started.
     std::uint64_t crashes{0};
@@ -59,7 +59,8 @@
 /// Takes a report of another daemon. Any order and repetition is harmless.
 void merge(quarantine& state, const suspicion_report& report, instant now);
 
-/// Everything held here, for daemons that join and against lost reports.
+/// Everything held here, for daemons that join and against lost reports. A
+/// daemon that joins merges a peer's before it serves.
 [[nodiscard]] std::vector<suspicion_report>
 report_all(const quarantine& state, instant now);
 
--- a/src/apricotstile/upstream/suspicion.hpp
+++ b/src/apricotstile/upstream/suspicion.hpp
@@ -6,6 +6,7 @@
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/core/ids.hpp>
 #include <apricotstile/core/time.hpp>
+#include <apricotstile/member/member_record.hpp>
 #include <apricotstile/upstream/fingerprint.hpp>
 
 #include <cstdint>
@@ -24,7 +25,8 @@
     std::string target;
 };
 
-/// One host's count, which only that host raises.
+/// One run of a daemon's count, which only that run raises: a daemon that
+/// restarts has forgotten its old count and begins another.
 struct crash_count {
     std::uint32_t crashes{0};
     /// Those at which nothing else was in flight.
@@ -35,7 +37,7 @@
     suspect_label label;
     /// Raised when it is found innocent or cleared; then counts start anew.
     std::uint64_t generation{0};
-    std::map<host_id, crash_count> by_host;
+    std::map<member::member_ref, crash_count> by_member;
     instant last_crash;
 };
 
@@ -44,7 +46,7 @@
     fingerprint id;
     suspect_label label;
     std::uint64_t generation{0};
-    std::map<host_id, crash_count> by_host;
+    std::map<member::member_ref, crash_count> by_member;
     duration since_last_crash{0};
 };
 
@@ -62,7 +64,7 @@
 template <class Archive>
 void serialize(Archive& archive, suspicion_report& value) {
     archive(value.id, value.label, value.generation);
-    archive(value.by_host, value.since_last_crash);
+    archive(value.by_member, value.since_last_crash);
 }
 
 } // namespace apricotstile::upstream
--- /dev/null
+++ b/tests/scenarios/requests/two_failures.lua
@@ -0,0 +1,16 @@
+-- An owner is lost, and the one after it freezes with an order in its inbox.
+post("order", "order 1")
+pass(2)
+lose_owner()
+freeze_owner()
+post("resend", "order 1")
+pass(2)
+depose_owner()
+settle()
+assert(outcome("resend") ~= "answered")
+assert(runs("order 1") == 1)
+
+post("again", "order 1")
+pass(20)
+assert(outcome("again") == "unknown")
+assert(runs("order 1") == 1)
--- a/tests/upstream/quarantine.tests.cpp
+++ b/tests/upstream/quarantine.tests.cpp
@@ -143,7 +143,7 @@
     model it;
     for (std::size_t i = 0; i < host_count; ++i) {
         it.hosts.at(i).state.policy = policy;
-        it.hosts.at(i).state.self = {i + 1};
+        it.hosts.at(i).state.self = {{i + 1}, {1}};
     }
     for (const std::uint32_t number : moves) {
         move_once(it, number);
@@ -171,7 +171,7 @@
 /// A request that has crashed `count` upstreams, alone each time.
 quarantine after_crashes(int count, instant now) {
     quarantine state;
-    state.self = {1};
+    state.self = {{1}, {1}};
     for (int i = 0; i < count; ++i) {
         std::ignore = upstream_crashed(state, {{{7}, {}}}, now);
     }
