--- a/src/apricotstile/lease/participant.cpp
+++ b/src/apricotstile/lease/participant.cpp
@@ -83,10 +83,46 @@
     }
 }
 
+/// Deputies that watch rows renewed in the table besides the planner, so that
+/// its own loss is seen too.
+constexpr std::size_t watching_deputies = 2;
+
+bool knows_unguarded(const participant& self) {
+    return std::any_of(
+        self.members.rows.begin(),
+        self.members.rows.end(),
+        [](const auto& one) {
+            const member::member_record& record = one.second.record;
+            return !member::is_guarded(record) && owns_slices(record.state);
+        }
+    );
+}
+
+bool is_watching_deputy(const participant& self) {
+    for (std::size_t number = 1; number <= watching_deputies; ++number) {
+        if (deputy_of(self, number) == self.wish.self.host) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Whether this daemon reads the rows of members that renew in the table.
 bool watches_table(const participant& self) {
-    return self.stage == phase::joined &&
-           (self.planner == self.wish.self.host ||
-            !member::is_guarded(self.row.confirmed.record));
+    if (!member::is_guarded(self.row.confirmed.record)) {
+        return true;
+    }
+    return knows_unguarded(self) &&
+           (self.planner == self.wish.self.host || is_watching_deputy(self));
+}
+
+void review_watch(const context& in) {
+    watch_review& review = in.self.watching;
+    if (in.now < review.next) {
+        return;
+    }
+    review.next = in.now + in.self.limits.table_renewal;
+    review.watches = watches_table(in.self);
 }
 
 void on(const context& in, const tick& what) {
@@ -100,9 +136,10 @@
     }
     advance_keeping(self, in.now, in.random, in.out);
     report_suspects(in);
+    review_watch(in);
     advance(
         self.deposing,
-        watches_table(self),
+        self.watching.watches,
         self.operations,
         self.limits,
         in.now,
@@ -119,6 +156,19 @@
     if (from != body.holder.host) {
         return;
     }
+    // A ward that is over was forgotten, and its consent with it.
+    if (member::is_over(self.members, body.holder)) {
+        reply(
+            in,
+            from,
+            refusal{
+                body.holder,
+                body.guardian,
+                refusal_reason::holder_is_over,
+                body.generation}
+        );
+        return;
+    }
     const guardian_identity own = identity_of(self);
     reply(in, from, answer(self.guarding, own, body, self.limits, in.now));
 }
@@ -156,6 +206,10 @@
         return;
     }
     note_answer(self, body.guardian, in.now);
+    if (body.reason == refusal_reason::holder_is_over) {
+        self.row.must_read = true;
+        return;
+    }
     self.keep.consented = std::max(self.keep.consented, body.generation);
 }
 
@@ -207,22 +261,26 @@
     take_commit(self.deposing, what, self.limits, in.now, in.out);
 }
 
-void learn_members(
+/// Takes rows in and returns those that are news.
+std::vector<member::member_row> learn_members(
     const context& in, const std::vector<member::member_row>& rows
 ) {
     participant& self = in.self;
-    bool news = false;
+    std::vector<member::member_row> news;
     for (const member::member_row& row : rows) {
-        news = member::merge(self.members, row) || news;
+        if (member::merge(self.members, row)) {
+            news.push_back(row);
+        }
         const bool own = row.record.self.host == self.wish.self.host;
         if (own && self.stage == phase::joined) {
             take_own_sighting(self, row, in.now, in.out);
         }
     }
-    if (news && self.stage == phase::joined) {
+    if (!news.empty() && self.stage == phase::joined) {
         const member::member_ref own = self.row.confirmed.record.self;
         take_members(self.guarding, own, self.members, in.now);
     }
+    return news;
 }
 
 void on(const context& in, const platform::rows_read& what) {
@@ -232,18 +290,18 @@
     } else if (self.stage == phase::joined) {
         take_keeping_rows(self, what, in.now, in.out);
     }
-    const bool deposers = what.id == self.deposing.read;
-    take_rows(self.deposing, what, self.limits, in.now, in.out);
+    const auto rows = take_rows(self.deposing, what, self.limits, in.now);
     std::erase_if(self.deposing.watched, [&](const auto& one) {
         return one.first.host == self.wish.self.host;
     });
-    if (deposers && what.result.answered) {
-        learn_members(in, member::decode_member_rows(what.result.rows));
+    auto news = learn_members(in, rows);
+    if (!news.empty()) {
+        in.out.emplace_back(members_seen{std::move(news)});
     }
 }
 
 void on(const context& in, const members_changed& what) {
-    learn_members(in, what.rows);
+    (void)learn_members(in, what.rows);
 }
 
 void on(const context& in, const planner_changed& what) {
--- a/src/apricotstile/share/ingress.cpp
+++ b/src/apricotstile/share/ingress.cpp
@@ -127,14 +127,20 @@
     return result;
 }
 
-/// Smooths over about half a second.
+/// Smooths over some 1.5 s, and over half a second when the demand shifts.
 void measure(customer_use& use, duration elapsed) {
     const auto nanoseconds =
         static_cast<std::uint64_t>(std::max<duration::rep>(elapsed.count(), 1));
     const std::uint64_t seen =
         use.arrivals * level_of_one_request / nanoseconds;
     use.arrivals = 0;
-    use.demand = (4 * use.demand + seen) / 5;
+    use.recent_demand = (4 * use.recent_demand + seen) / 5;
+    use.demand = (14 * use.demand + seen) / 15;
+    const bool shifted = use.recent_demand * 10 > use.demand * 16 ||
+                         use.recent_demand * 10 < use.demand * 4;
+    if (shifted) {
+        use.demand = use.recent_demand;
+    }
 }
 
 bool is_idle(const ingress_state& state, const customer_use& use, instant now) {
@@ -205,6 +211,7 @@
     claim.held_epoch = use.epoch;
     claim.held_sequence = use.sequence;
     claim.held = is_live(state, use, now) ? use.amount : share_amount{};
+    claim.held_limit = use.limit;
     claim.returned = is_live(state, use, now) ? use.returned : 0;
     use.returned = 0;
     use.peak_running = use.running;
@@ -309,6 +316,7 @@
     refill_cross_region(use, accrual_end(state, use, now));
     const share_amount before = use.amount;
     use.amount = usable_amount(grant, before);
+    use.limit = grant.limit;
     const bool same_epoch = use.epoch == grant.epoch;
     use.epoch = grant.epoch;
     use.sequence = grant.sequence;
