--- a/src/apricotstile/upstream/quarantine_policy.hpp
+++ b/src/apricotstile/upstream/quarantine_policy.hpp
@@ -21,9 +21,10 @@
 struct quarantine_policy {
     /// Crashes in a row, with no completion between, until it runs alone.
     std::uint32_t crashes_to_suspect{2};
-    /// Crashes in a row, the last of them alone, until it is refused. Also
-    /// the most crashes that one request causes before `expiry`, as long as
-    /// reports arrive between its resends.
+    /// Crashes in a row, one of them alone, until it is refused. Also the most
+    /// crashes that one request causes before `expiry`, as long as reports
+    /// arrive between its resends; each other host where it was already
+    /// running when the first reports came may add one.
     std::uint32_t crashes_to_refuse{3};
     /// After the last crash.
     duration expiry{std::chrono::minutes{30}};
