--- a/src/apricotstile/plan/follower.cpp
+++ b/src/apricotstile/plan/follower.cpp
@@ -123,7 +123,9 @@
 /// store, when the table named a newer version.
 void seek_newer(step_context& context) {
     follower_state& state = context.state;
-    if (state.fetch) {
+    const bool is_newest = state.newest_seen <= held_number(state) &&
+                           !state.table_head;
+    if (state.fetch || is_newest) {
         return;
     }
     plan_version best = held_number(state);
@@ -196,6 +198,7 @@
     follower_state& state = context.state;
     plan_version& seen = state.seen[from];
     seen = std::max(seen, digest.version);
+    state.newest_seen = std::max(state.newest_seen, digest.version);
     plan_version& floor = state.floors[from];
     floor = std::max(floor, digest.version);
     raise_floor(context, digest.receivers_floor);
@@ -364,6 +367,10 @@
 
 void poll_members(step_context& context) {
     follower_state& state = context.state;
+    const bool starting = !state.ready && !state.table_answered;
+    if (!starting && context.now >= state.poll_until) {
+        return;
+    }
     std::uint32_t left = state.policy.polls_per_tick;
     for (const host_id member : state.members) {
         if (!wants_digest(context, member)) {
--- a/src/apricotstile/plan/follower.hpp
+++ b/src/apricotstile/plan/follower.hpp
@@ -89,6 +89,8 @@
     std::deque<kept_difference> differences;
     /// The highest version that each peer showed, unless a fetch of it failed.
     std::map<host_id, plan_version> seen;
+    /// The highest version that any peer showed.
+    plan_version newest_seen;
     /// What each peer last said to have in force; zero while it starts.
     std::map<host_id, plan_version> in_force_at;
     /// The highest version that each host ever had as far as known here.
--- a/src/apricotstile/share/ingress.cpp
+++ b/src/apricotstile/share/ingress.cpp
@@ -154,7 +154,7 @@
     constexpr std::uint64_t least_change = units_per_request;
     const bool risen =
         use.demand > use.amount.rate &&
-        use.demand > use.claimed_demand + use.claimed_demand / 2 + least_change;
+        use.demand > use.claimed_demand + use.claimed_demand / 5 + least_change;
     const bool fallen = use.demand * 2 + least_change < use.claimed_demand;
     return risen || fallen;
 }
@@ -389,6 +389,20 @@
     return actions;
 }
 
+/// Spares the second look-up as long as the book is the same.
+const plan::plan_limits* known_limits(
+    customer_use& use,
+    const plan::plan_book& book,
+    const customer_id& customer
+) {
+    if (use.book != &book || use.book_version != book.version) {
+        use.limits = plan::find_limits(book, customer);
+        use.book = &book;
+        use.book_version = book.version;
+    }
+    return use.limits;
+}
+
 } // namespace
 
 admission admit(
@@ -397,14 +411,23 @@
     const admission_request& request,
     instant now
 ) {
-    const plan::plan_limits* limits = plan::find_limits(book, request.customer);
+    auto found = state.customers.find(request.customer);
+    const plan::plan_limits* limits = nullptr;
+    if (found != state.customers.end()) {
+        limits = known_limits(found->second, book, request.customer);
+    } else {
+        limits = plan::find_limits(book, request.customer);
+    }
     if (limits == nullptr) {
         return refuse(request::refusal::unknown_customer);
     }
     if (!plan::allows(*limits, request.service)) {
         return refuse(request::refusal::not_allowed_by_plan);
     }
-    customer_use& use = state.customers[request.customer];
+    if (found == state.customers.end()) {
+        found = state.customers.try_emplace(request.customer).first;
+    }
+    customer_use& use = found->second;
     ++use.arrivals;
     use.last_arrival = now;
     if (!is_live(state, use, now)) {
--- a/src/apricotstile/share/ingress.hpp
+++ b/src/apricotstile/share/ingress.hpp
@@ -35,6 +35,10 @@
 
 /// One customer's use of this daemon.
 struct customer_use {
+    /// Look-ups kept from the last request; valid for this very book.
+    const plan::plan_book* book{nullptr};
+    plan_version book_version;
+    const plan::plan_limits* limits{nullptr};
     share_amount amount;
     /// The plan's limit that the share was lent under.
     share_amount limit;
--- a/src/apricotstile/share/lender.cpp
+++ b/src/apricotstile/share/lender.cpp
@@ -286,8 +286,8 @@
 
 /// Evens out the noise of small demands; follows large changes at once.
 std::uint64_t smoothed(std::uint64_t before, std::uint64_t now) {
-    const bool close = now > before / 2 && now / 2 < before;
-    return close ? (3 * before + now) / 4 : now;
+    const bool close = now > before - before / 4 && now < before + before / 4;
+    return close ? (before + now) / 2 : now;
 }
 
 /// Takes in what the holder reports; false for a claim out of order.
