Run the owner's request decisions in the daemon

The dispatch duty now drives the dispatcher: memory of idempotency keys, admission by class and slots, quarantine, the last look at ownership before each call. A broken call is settled by a probe on a new connection. Memories pass to the next owner after a release; suspicions go to all daemons. Services that aren't divided by key get slices as well, which say who remembers their non-idempotent requests.

--- a/src/apricotstile/control/action.hpp
+++ b/src/apricotstile/control/action.hpp
@@ -32,6 +32,8 @@
     assignment::resume_dispatching,
     assignment::hand_over_range,
     assignment::range_released,
+    request::slice_handover,
+    upstream::suspicion_report,
     left>;
 
 using actions = std::vector<action>;
--- a/src/apricotstile/control/controller.cpp
+++ b/src/apricotstile/control/controller.cpp
@@ -25,6 +25,8 @@
     void take(const services_announced& what);
     void take(const load_measured& what);
     void take(const assignment::range_drained& what);
+    void take(const memory_to_send& what);
+    void take(const upstream::suspicion_report& what);
     void take(const drain_requested& what);
 
     /// Tells the other parts of members that they don't know yet.
@@ -68,6 +70,8 @@
     void take_message(host_id from, const lease::message& body);
     void take_message(host_id from, const assignment::map_message& body);
     void take_message(host_id from, const member::gossip_message& body);
+    void take_message(host_id from, const request::slice_handover& body);
+    void take_message(host_id from, const upstream::suspicion_report& body);
     void become(const member::member_ref& ref);
 
     controller& self;
@@ -349,6 +353,18 @@
     ));
 }
 
+void round::take_message(
+    host_id /*from*/, const request::slice_handover& body
+) {
+    this->out.emplace_back(body);
+}
+
+void round::take_message(
+    host_id /*from*/, const upstream::suspicion_report& body
+) {
+    this->out.emplace_back(body);
+}
+
 template <class Result>
 void round::give_result(const Result& result) {
     const auto found = this->self.operations.find(result.id);
@@ -405,6 +421,16 @@
     this->to_owner(what);
 }
 
+void round::take(const memory_to_send& what) {
+    this->send(what.to, what.memory);
+}
+
+void round::take(const upstream::suspicion_report& what) {
+    for (const host_id peer : this->self.follower.peers) {
+        this->send(peer, what);
+    }
+}
+
 void round::take(const drain_requested& /*what*/) {
     if (this->self.draining) {
         return;
--- a/src/apricotstile/control/event.hpp
+++ b/src/apricotstile/control/event.hpp
@@ -26,6 +26,12 @@
     std::vector<assignment::service_load> services;
 };
 
+/// Send the memory of a released slice to its next owner.
+struct memory_to_send {
+    host_id to;
+    request::slice_handover memory;
+};
+
 /// Release everything and leave.
 struct drain_requested {};
 
@@ -37,6 +43,8 @@
     services_announced,
     load_measured,
     assignment::range_drained,
+    memory_to_send,
+    upstream::suspicion_report,
     drain_requested>;
 
 } // namespace apricotstile::control
--- a/src/apricotstile/control/message.hpp
+++ b/src/apricotstile/control/message.hpp
@@ -7,13 +7,19 @@
 #include <apricotstile/assignment/map_messages.hpp>
 #include <apricotstile/lease/message.hpp>
 #include <apricotstile/member/gossip.hpp>
+#include <apricotstile/request/slice_handover.hpp>
+#include <apricotstile/upstream/suspicion.hpp>
 
 #include <variant>
 
 namespace apricotstile::control {
 
-using message = std::
-    variant<lease::message, assignment::map_message, member::gossip_message>;
+using message = std::variant<
+    lease::message,
+    assignment::map_message,
+    member::gossip_message,
+    request::slice_handover,
+    upstream::suspicion_report>;
 
 /// What is sent: a message together with the sender's newest map version.
 struct envelope {
--- a/src/apricotstile/daemon/control_duty.cpp
+++ b/src/apricotstile/daemon/control_duty.cpp
@@ -123,6 +123,11 @@
         this->feed(control::load_measured{std::move(load->services)});
     } else if (auto* drained = std::get_if<assignment::range_drained>(&message)) {
         this->feed(*drained);
+    } else if (auto* memory = std::get_if<outgoing_handover>(&message)) {
+        this->feed(control::memory_to_send{
+            memory->host, std::move(memory->memory)});
+    } else if (auto* report = std::get_if<upstream::suspicion_report>(&message)) {
+        this->feed(*report);
     } else {
         this->feed(control::drain_requested{});
     }
@@ -182,6 +187,14 @@
         this->publish_owner();
     } else if (const auto* stop = std::get_if<assignment::stop_dispatching>(&what)) {
         this->wiring.dispatch.push(*stop);
+    } else if (const auto* resume = std::get_if<assignment::resume_dispatching>(&what)) {
+        this->wiring.dispatch.push(*resume);
+    } else if (const auto* released = std::get_if<assignment::range_released>(&what)) {
+        this->wiring.dispatch.push(*released);
+    } else if (const auto* memory = std::get_if<request::slice_handover>(&what)) {
+        this->wiring.dispatch.push(*memory);
+    } else if (const auto* report = std::get_if<upstream::suspicion_report>(&what)) {
+        this->wiring.dispatch.push(*report);
     } else if (std::holds_alternative<control::left>(what)) {
         this->left = true;
         log::write(log::level::info, log_prefix, "Left.");
--- a/src/apricotstile/daemon/dispatch_duty.cpp
+++ b/src/apricotstile/daemon/dispatch_duty.cpp
@@ -1,9 +1,10 @@
-// Queueing, the last check before dispatch and the calls themselves.
+// Requests on the owner's side: decisions, calls and answers.
 
 #include <apricotstile/daemon/dispatch_duty.hpp>
 
 #include <apricotstile/daemon/internal/local_upstream.hpp>
 #include <apricotstile/daemon/internal/upstream_protocol.hpp>
+#include <apricotstile/request/request_snapshot.hpp>
 
 #include <algorithm>
 
@@ -12,13 +13,15 @@
 namespace {
 
 using namespace std::chrono_literals;
+using assignment::dispatch_verdict;
 using internal::local_upstream;
 using request::outcome;
 using request::refusal;
 
 constexpr std::size_t inbox_capacity = 65536;
-constexpr std::size_t max_waiting_work = 1024;
-constexpr auto check_interval = 20ms;
+constexpr std::size_t max_held_work = 1024;
+constexpr std::size_t max_handovers = 1024;
+constexpr auto check_interval = 10ms;
 constexpr duration cancel_timeout = 2s;
 constexpr duration refusal_pause = 100ms;
 
@@ -35,17 +38,7 @@
 
 void dispatch_duty::set_up() {
     this->messages.open(this->context(), [this](dispatch_message&& message) {
-        if (auto* work = std::get_if<incoming_work>(&message)) {
-            this->take_work(std::move(*work));
-        } else if (auto* gone = std::get_if<cancelled_work>(&message)) {
-            this->cancel(*gone);
-        } else if (auto* owned = std::get_if<owner_changed>(&message)) {
-            this->owner = std::move(owned->owner);
-            this->start_waiting();
-        } else if (auto* stop = std::get_if<assignment::stop_dispatching>(&message)) {
-            this->draining[stop->range] = stop->attempt;
-            this->report_drained();
-        }
+        this->take(std::move(message));
     });
     this->announcements = std::make_unique<http::server>(
         http::server_limits{},
@@ -78,190 +71,268 @@
 std::size_t dispatch_duty::unfinished() {
     std::size_t count = 0;
     this->run([&] {
-        count = this->queue.size() + this->running.size();
+        count = this->held.size() + this->works.size();
     });
     return count;
 }
 
-bool dispatch_duty::checks_tokens(const service_id& service) const {
-    const auto found = this->wiring.fencing_of.find(service);
-    return found != this->wiring.fencing_of.end() &&
-           found->second == settings::fencing::checked;
+void dispatch_duty::take(dispatch_message&& message) {
+    if (auto* work = std::get_if<incoming_work>(&message)) {
+        this->take_work(std::move(*work));
+    } else if (auto* gone = std::get_if<cancelled_work>(&message)) {
+        this->cancel(*gone);
+    } else if (auto* owned = std::get_if<owner_changed>(&message)) {
+        this->owner = std::move(owned->owner);
+        this->retry_held();
+    } else if (auto* stop = std::get_if<assignment::stop_dispatching>(&message)) {
+        this->draining[stop->range] = stop->attempt;
+        for (auto& [where, upstream] : this->upstreams) {
+            freeze_slice(
+                upstream.dispatcher.memory,
+                {stop->range.service, stop->range.slice}
+            );
+        }
+        this->report_drained();
+    } else if (auto* resume = std::get_if<assignment::resume_dispatching>(&message)) {
+        this->draining.erase(resume->range);
+        for (auto& [where, upstream] : this->upstreams) {
+            resume_slice(
+                upstream.dispatcher.memory,
+                {resume->range.service, resume->range.slice}
+            );
+        }
+        this->retry_held();
+    } else if (auto* released = std::get_if<assignment::range_released>(&message)) {
+        this->hand_over(*released, boot_clock::now());
+    } else if (auto* memory = std::get_if<request::slice_handover>(&message)) {
+        if (this->handovers.size() < max_handovers) {
+            this->handovers.emplace_back(boot_clock::now(), std::move(*memory));
+        }
+        this->take_handovers(boot_clock::now());
+    } else if (auto* report = std::get_if<upstream::suspicion_report>(&message)) {
+        for (auto& [where, upstream] : this->upstreams) {
+            merge(upstream.dispatcher.quarantine, *report, boot_clock::now());
+        }
+    }
 }
 
-assignment::dispatch_decision
-dispatch_duty::decide(const incoming_work& work, instant now) const {
+assignment::dispatch_decision dispatch_duty::decide(
+    const service_id& service, const std::string& key, instant now
+) const {
     const auto view = this->wiring.state.view.load();
     if (this->owner == nullptr || view->map == nullptr) {
         return {};
     }
     return assignment::decide_dispatch(
         {*view->map, *this->owner, this->wiring.state.lease_valid_until.load()},
-        work.request.service,
-        work.request.key,
+        service,
+        key,
         now
     );
 }
 
-bool dispatch_duty::refuse_if_useless(
-    const incoming_work& work,
-    const assignment::dispatch_decision& decision,
-    instant now
-) {
-    using assignment::dispatch_verdict;
-    if (now >= deadline_of(work)) {
-        this->refuse(work, refusal::deadline_passed);
+bool dispatch_duty::still_owns(const upstream::dispatch_work& work, instant now)
+    const {
+    if (!work.owned) {
         return true;
     }
-    if (decision.verdict == dispatch_verdict::not_owner ||
-        decision.verdict == dispatch_verdict::drained) {
-        this->refuse(work, refusal::not_owner);
-        return true;
-    }
-    return false;
+    const assignment::dispatch_decision decision =
+        this->decide(work.request.service, work.request.key, now);
+    return decision.verdict == dispatch_verdict::serve &&
+           decision.token == work.token;
 }
 
 void dispatch_duty::take_work(incoming_work&& work) {
     const instant now = boot_clock::now();
-    if (this->refuse_if_useless(work, this->decide(work, now), now)) {
+    if (now >= deadline_of(work)) {
+        this->refuse(work, refusal::deadline_passed);
         return;
     }
-    if (this->queue.size() >= max_waiting_work) {
-        this->refuse(work, refusal::overloaded);
+    local_upstream* const upstream = this->upstream_for(work.request.service);
+    if (upstream == nullptr) {
+        this->refuse(work, refusal::upstream_lost);
         return;
     }
-    this->queue.push_back(std::move(work));
-    this->start_waiting();
+    const bool owned =
+        upstream->is_keyed(work.request.service) || !work.request.idempotent;
+    if (!owned) {
+        this->offer(std::move(work), *upstream, {});
+        return;
+    }
+    const assignment::dispatch_decision decision =
+        this->decide(work.request.service, work.request.key, now);
+    if (decision.verdict == dispatch_verdict::not_owner ||
+        decision.verdict == dispatch_verdict::drained) {
+        this->refuse(work, refusal::not_owner);
+    } else if (decision.verdict == dispatch_verdict::serve && this->is_granted(*upstream, decision)) {
+        this->offer(std::move(work), *upstream, decision);
+    } else if (this->held.size() < max_held_work) {
+        this->held.push_back(std::move(work));
+    } else {
+        this->refuse(work, refusal::overloaded);
+    }
 }
 
-void dispatch_duty::start_waiting() {
-    std::deque<incoming_work> held;
-    while (!this->queue.empty()) {
-        incoming_work work = std::move(this->queue.front());
-        this->queue.pop_front();
-        // Decided again here: the lease may have run out, or the range may
-        // have gone, while the request waited.
-        const instant now = boot_clock::now();
-        const assignment::dispatch_decision decision = this->decide(work, now);
-        if (this->refuse_if_useless(work, decision, now)) {
-            continue;
-        }
-        local_upstream* const upstream =
-            this->upstream_for(work.request.service);
-        if (upstream == nullptr) {
-            this->refuse(work, refusal::upstream_lost);
-            continue;
-        }
-        const bool ready =
-            decision.verdict == assignment::dispatch_verdict::serve &&
-            this->is_granted(*upstream, decision) && upstream->pool->has_room();
-        if (ready) {
-            this->dispatch(std::move(work), *upstream, decision);
-        } else {
-            held.push_back(std::move(work));
-        }
+void dispatch_duty::retry_held() {
+    std::deque<incoming_work> waiting;
+    waiting.swap(this->held);
+    for (incoming_work& work : waiting) {
+        this->take_work(std::move(work));
     }
-    this->queue = std::move(held);
 }
 
-void dispatch_duty::dispatch(
+void dispatch_duty::offer(
     incoming_work&& work,
     local_upstream& upstream,
     const assignment::dispatch_decision& decision
 ) {
-    const duration time_left = deadline_of(work) - boot_clock::now();
-    const http::http_request request = internal::upstream_request(
-        work, decision.range.slice, decision.token, time_left
-    );
-    const work_key key{work.origin.connection, work.request.id};
-    ++this->dispatched;
-    ++this->load[decision.range];
-    running_work& entry = this->running[key];
-    entry.work = std::move(work);
-    entry.range = decision.range;
-    entry.upstream = upstream.said.address;
-    entry.exchange = upstream.pool->start(
-        request,
-        time_left,
-        [this, key](http::exchange_result&& result) {
-            this->finished(key, std::move(result));
-        }
+    this->last_work = next(this->last_work);
+    const upstream::work_id id = this->last_work;
+    this->works[id] = {
+        work.origin, upstream.said.address, decision.range, {}, false};
+    this->work_of[{work.origin.connection, work.request.id}] = id;
+    upstream::dispatch_work offered;
+    offered.id = id;
+    offered.from = work.origin.host;
+    offered.deadline = deadline_of(work);
+    offered.request = std::move(work.request);
+    offered.owned = decision.verdict == dispatch_verdict::serve;
+    offered.slice = decision.range.slice;
+    offered.token = decision.token;
+    this->perform(
+        upstream,
+        receive(upstream.dispatcher, std::move(offered), boot_clock::now())
     );
 }
 
-bool dispatch_duty::is_running(const assignment::range_id& range) const {
-    return std::any_of(
-        this->running.begin(),
-        this->running.end(),
-        [&](const auto& entry) {
-            const running_work& one = entry.second;
-            const bool same_key = !range.key.empty() &&
-                                  one.work.request.service == range.service &&
-                                  one.work.request.key == range.key;
-            return one.range == range || same_key;
+void dispatch_duty::perform(
+    local_upstream& upstream, upstream::dispatch_actions actions
+) {
+    for (const upstream::dispatch_action& one : actions) {
+        if (const auto* start = std::get_if<upstream::call_upstream>(&one)) {
+            this->call(upstream, start->id);
+        } else if (const auto* stop = std::get_if<upstream::cancel_call>(&one)) {
+            this->cancel_call(upstream, stop->id);
+        } else if (const auto* done = std::get_if<upstream::respond>(&one)) {
+            this->respond(*done);
+        } else if (const auto* report = std::get_if<upstream::spread_report>(&one)) {
+            this->wiring.control.push(report->report);
         }
-    );
+    }
 }
 
-void dispatch_duty::report_drained() {
-    for (auto place = this->draining.begin(); place != this->draining.end();) {
-        if (this->is_running(place->first)) {
-            ++place;
-            continue;
-        }
-        this->wiring.control.push(assignment::range_drained{
-            place->first, place->second});
-        place = this->draining.erase(place);
+void dispatch_duty::call(local_upstream& upstream, upstream::work_id id) {
+    const instant now = boot_clock::now();
+    const upstream::dispatch_work& work = upstream.dispatcher.work.at(id);
+    known_work& known = this->works.at(id);
+    instant end = work.deadline;
+    if (work.owned && !this->checks_tokens(work.request.service)) {
+        // Nothing but the deadline keeps this upstream within the lease.
+        end = std::min(end, this->wiring.state.lease_valid_until.load());
     }
+    const http::http_request request = internal::upstream_request(
+        work, known.origin, std::max(end - now, duration{0})
+    );
+    ++this->dispatched;
+    ++this->load[known.range];
+    known.called = true;
+    known.exchange = upstream.pool->start(
+        request,
+        end - now,
+        [this, id](http::exchange_result&& result) {
+            this->finished(id, std::move(result));
+        }
+    );
 }
 
 void dispatch_duty::finished(
-    const work_key& key, http::exchange_result&& result
+    upstream::work_id id, http::exchange_result&& result
 ) {
-    const auto found = this->running.find(key);
-    const running_work ended = std::move(found->second);
-    this->running.erase(found);
-    this->answer(
-        ended.work.origin,
-        internal::response_of(ended.work.request.id, std::move(result))
+    const auto found = this->works.find(id);
+    if (found == this->works.end()) {
+        return;
+    }
+    const auto place = this->upstreams.find(found->second.upstream);
+    if (place == this->upstreams.end()) {
+        return;
+    }
+    local_upstream& upstream = place->second;
+    if (result.failure == http::exchange_failure::lost) {
+        // Perhaps a crash, which concerns everything in flight: find out.
+        upstream.lost.push_back(id);
+        this->probe(place->first);
+        return;
+    }
+    const upstream::call_result end =
+        internal::call_result_of(std::move(result));
+    this->perform(
+        upstream, ended(upstream.dispatcher, id, end, boot_clock::now())
     );
     this->report_drained();
-    this->start_waiting();
 }
 
 void dispatch_duty::cancel(const cancelled_work& message) {
     ++this->cancelled;
+    const work_key key{message.origin.connection, message.id};
     const auto waiting = std::find_if(
-        this->queue.begin(),
-        this->queue.end(),
+        this->held.begin(),
+        this->held.end(),
         [&](const incoming_work& one) {
             return one.request.id == message.id &&
                    one.origin.connection == message.origin.connection;
         }
     );
-    if (waiting != this->queue.end()) {
-        this->queue.erase(waiting);
+    if (waiting != this->held.end()) {
+        this->held.erase(waiting);
         return;
     }
-    const auto found =
-        this->running.find({message.origin.connection, message.id});
-    if (found == this->running.end()) {
+    const auto found = this->work_of.find(key);
+    if (found == this->work_of.end()) {
         return;
     }
-    const auto upstream = this->upstreams.find(found->second.upstream);
-    if (upstream == this->upstreams.end() ||
-        !upstream->second.side_pool->has_room()) {
+    const auto upstream =
+        this->upstreams.find(this->works.at(found->second).upstream);
+    if (upstream != this->upstreams.end()) {
+        this->perform(
+            upstream->second,
+            upstream::cancel(
+                upstream->second.dispatcher, found->second, boot_clock::now()
+            )
+        );
+    }
+}
+
+void dispatch_duty::cancel_call(
+    local_upstream& upstream, upstream::work_id id
+) {
+    const auto found = this->works.find(id);
+    if (found == this->works.end() || !upstream.side_pool->has_room()) {
         return;
     }
     http::http_request request;
     request.method = "POST";
     request.path = "/cancel";
-    request.query = "id=" + internal::upstream_request_id(found->second.work);
-    upstream->second.side_pool->start(
+    request.query = "id=" + internal::upstream_request_id(
+                                found->second.origin,
+                                upstream.dispatcher.work.at(id).request.id
+                            );
+    upstream.side_pool->start(
         request, cancel_timeout, [](http::exchange_result&&) {}
     );
 }
 
+void dispatch_duty::respond(const upstream::respond& what) {
+    const auto found = this->works.find(what.id);
+    if (found == this->works.end()) {
+        return;
+    }
+    const request_origin origin = found->second.origin;
+    this->work_of.erase({origin.connection, what.response.id});
+    this->works.erase(found);
+    request::routed_response response = what.response;
+    this->answer(origin, std::move(response));
+}
+
 void dispatch_duty::answer(
     const request_origin& origin, request::routed_response&& response
 ) {
@@ -288,25 +359,48 @@
     this->answer(work.origin, std::move(response));
 }
 
+bool dispatch_duty::is_running(const assignment::range_id& range) const {
+    return std::any_of(
+        this->works.begin(),
+        this->works.end(),
+        [&](const auto& entry) {
+            const known_work& one = entry.second;
+            const bool same_slice = one.range.service == range.service &&
+                                    one.range.slice == range.slice;
+            return one.called && same_slice;
+        }
+    );
+}
+
+void dispatch_duty::report_drained() {
+    for (auto place = this->draining.begin(); place != this->draining.end();) {
+        if (this->is_running(place->first)) {
+            ++place;
+            continue;
+        }
+        this->wiring.control.push(assignment::range_drained{
+            place->first, place->second});
+        place = this->draining.erase(place);
+    }
+}
+
 nlohmann::json dispatch_duty::description() const {
     nlohmann::json result;
+    result["held"] = this->held.size();
+    result["works"] = this->works.size();
     result["ranges_draining"] = this->draining.size();
-    result["queued"] = this->queue.size();
-    result["running"] = this->running.size();
     result["dispatched"] = this->dispatched;
     result["cancelled"] = this->cancelled;
+    result["memories_handed_over"] = this->handed_over;
+    result["memories_taken_over"] = this->taken_over;
     result["refusals"] = this->refusals;
     result["inbox"] = this->messages.size();
     result["inbox_refused"] = this->messages.refused_count();
     result["upstreams"] = nlohmann::json::object();
+    const instant now = boot_clock::now();
     for (const auto& [where, upstream] : this->upstreams) {
-        result["upstreams"][to_string(where)] = {
-            {"leaving", upstream.said.leaving},
-            {"max_at_once", upstream.said.max_at_once},
-            {"granted_ranges", upstream.granted.size()},
-            {"running", upstream.pool->running()},
-            {"idle_connections", upstream.pool->idle()},
-            {"timed_out", upstream.pool->timed_out()}};
+        result["upstreams"][to_string(where)] =
+            internal::describe(upstream, now);
     }
     return result;
 }
--- a/src/apricotstile/daemon/dispatch_duty.hpp
+++ b/src/apricotstile/daemon/dispatch_duty.hpp
@@ -1,5 +1,5 @@
-// The owner's side: checks ownership and lease, queues by importance and calls
-// the upstream beside this daemon.
+// The owner's side: runs the decisions about each request beside the upstream
+// and performs the calls.
 
 #ifndef APRICOTSTILE_DAEMON_DISPATCH_DUTY_HPP
 #define APRICOTSTILE_DAEMON_DISPATCH_DUTY_HPP
@@ -12,6 +12,7 @@
 #include <apricotstile/http/client_pool.hpp>
 #include <apricotstile/http/server.hpp>
 #include <apricotstile/settings/daemon_settings.hpp>
+#include <apricotstile/upstream/dispatcher.hpp>
 
 #include <QTimer>
 
@@ -50,6 +51,7 @@
     [[nodiscard]] nlohmann::json description() const override;
 
 private:
+    /// A request of one connection; ids of two ingress daemons may be alike.
     struct work_key {
         std::uint64_t connection;
         request_id id;
@@ -57,44 +59,56 @@
         friend auto operator<=>(const work_key&, const work_key&) = default;
     };
 
-    struct running_work {
-        incoming_work work;
-        assignment::range_id range;
+    /// Work that a dispatcher has.
+    struct known_work {
+        request_origin origin;
         address upstream;
+        assignment::range_id range;
         http::client_exchange exchange;
+        bool called{false};
     };
 
-    void take_announcement(
-        http::exchange_id exchange, const http::http_request& message
-    );
-    void publish_services();
+    // Requests, in dispatch_duty.cpp.
+    void take(dispatch_message&& message);
     void take_work(incoming_work&& work);
-    void cancel(const cancelled_work& message);
-    void start_waiting();
-    void dispatch(
+    void offer(
         incoming_work&& work,
         internal::local_upstream& upstream,
         const assignment::dispatch_decision& decision
     );
-    void finished(const work_key& key, http::exchange_result&& result);
+    void cancel(const cancelled_work& message);
+    void retry_held();
+    void perform(
+        internal::local_upstream& upstream, upstream::dispatch_actions actions
+    );
+    void call(internal::local_upstream& upstream, upstream::work_id id);
+    void cancel_call(internal::local_upstream& upstream, upstream::work_id id);
+    void finished(upstream::work_id id, http::exchange_result&& result);
+    void respond(const upstream::respond& what);
+    void refuse(const incoming_work& work, request::refusal reason);
     void
     answer(const request_origin& origin, request::routed_response&& response);
-    void refuse(const incoming_work& work, request::refusal reason);
-    void check_upstreams();
-    internal::local_upstream* upstream_for(const service_id& service);
-    /// What the owner's state, the map and the lease say of `work` now.
-    [[nodiscard]] assignment::dispatch_decision
-    decide(const incoming_work& work, instant now) const;
-    /// Refuses `work` if its deadline has passed or this daemon isn't the
-    /// owner. True if it was refused.
-    bool refuse_if_useless(
-        const incoming_work& work,
-        const assignment::dispatch_decision& decision,
-        instant now
-    );
+    /// What the owner's state, the map and the lease say now.
+    [[nodiscard]] assignment::dispatch_decision decide(
+        const service_id& service, const std::string& key, instant now
+    ) const;
+    [[nodiscard]] bool
+    still_owns(const upstream::dispatch_work& work, instant now) const;
     [[nodiscard]] bool is_running(const assignment::range_id& range) const;
     void report_drained();
+
+    // Upstreams, in dispatch_upstreams.cpp.
+    void take_announcement(
+        http::exchange_id exchange, const http::http_request& message
+    );
+    void welcome(const address& where, internal::local_upstream& upstream);
+    void publish_services();
+    internal::local_upstream* upstream_for(const service_id& service);
+    void probe(const address& where);
+    void take_probe(const address& where, bool alive);
+    void check_upstreams();
     void report_load();
+    [[nodiscard]] bool checks_tokens(const service_id& service) const;
     [[nodiscard]] bool is_granted(
         const internal::local_upstream& upstream,
         const assignment::dispatch_decision& decision
@@ -108,7 +122,9 @@
         const std::map<assignment::range_id, fencing_token>& granting,
         bool accepted
     );
-    [[nodiscard]] bool checks_tokens(const service_id& service) const;
+    void open_owned_slices(instant now);
+    void hand_over(const assignment::range_released& what, instant now);
+    void take_handovers(instant now);
 
     dispatch_wiring wiring;
     std::unique_ptr<http::server> announcements;
@@ -117,15 +133,24 @@
     std::vector<member::served_service> published;
     /// As the control duty last published it.
     std::shared_ptr<const assignment::owner_state> owner;
+    /// The map whose slices were opened last.
+    std::shared_ptr<const assignment::assignment_map> opened;
     /// Ranges being drained and the attempt to answer with.
     std::map<assignment::range_id, std::uint64_t> draining;
+    /// Requests for ranges that are on their way here; bounded.
+    std::deque<incoming_work> held;
+    std::map<upstream::work_id, known_work> works;
+    std::map<work_key, upstream::work_id> work_of;
+    upstream::work_id last_work;
+    /// Memories handed over that wait for the map; bounded.
+    std::deque<std::pair<instant, request::slice_handover>> handovers;
     /// Requests dispatched since the last load report, by range.
     std::map<assignment::range_id, std::uint64_t> load;
     instant load_since;
-    std::deque<incoming_work> queue;
-    std::map<work_key, running_work> running;
     std::uint64_t dispatched{0};
     std::uint64_t cancelled{0};
+    std::uint64_t handed_over{0};
+    std::uint64_t taken_over{0};
     std::map<std::string, std::uint64_t> refusals;
 };
 
--- a/src/apricotstile/daemon/dispatch_upstreams.cpp
+++ b/src/apricotstile/daemon/dispatch_upstreams.cpp
@@ -19,7 +19,10 @@
 constexpr duration load_report_interval = 2s;
 constexpr duration grant_interval = 200ms;
 constexpr duration grant_timeout = 500ms;
+constexpr duration probe_timeout = 300ms;
+constexpr duration handover_patience = 5s;
 constexpr auto log_prefix = "upstream";
+constexpr fencing_token first_token{1};
 constexpr std::uint16_t status_ok = 200;
 constexpr std::uint16_t status_malformed = 400;
 constexpr std::uint16_t status_not_found = 404;
@@ -60,26 +63,101 @@
     }
     const auto [found, added] = this->upstreams.try_emplace(said->address);
     local_upstream& upstream = found->second;
-    if (added || upstream.said.max_at_once != said->max_at_once) {
-        upstream.pool = std::make_unique<http::client_pool>(
-            said->address, said->max_at_once
-        );
-        upstream.side_pool = std::make_unique<http::client_pool>(
-            said->address, side_connections
-        );
-        log::write(
-            log::level::info,
-            log_prefix,
-            "Upstream announced itself.",
-            {{"address", to_string(said->address)},
-             {"max_at_once", std::to_string(said->max_at_once)}}
-        );
-    }
+    const bool changed =
+        added || upstream.said.max_at_once != said->max_at_once;
     upstream.said = *said;
     upstream.last_heard = boot_clock::now();
+    if (changed) {
+        this->welcome(found->first, upstream);
+    } else if (upstream.died) {
+        upstream.died = false;
+        upstream.granted.clear();
+        this->perform(upstream, ready(upstream.dispatcher, boot_clock::now()));
+    }
     this->announcements->reply(exchange, response);
     this->publish_services();
-    this->start_waiting();
+    this->retry_held();
+}
+
+void dispatch_duty::welcome(const address& where, local_upstream& upstream) {
+    const instant now = boot_clock::now();
+    upstream.pool = std::make_unique<http::client_pool>(
+        where, upstream.said.max_connections
+    );
+    upstream.side_pool =
+        std::make_unique<http::client_pool>(where, side_connections);
+    upstream::admission_policy policy;
+    policy.slots = static_cast<std::uint32_t>(upstream.said.max_at_once);
+    policy.connections =
+        static_cast<std::uint32_t>(upstream.said.max_connections);
+    upstream.dispatcher.admission = upstream::make_admission(policy, now);
+    upstream.dispatcher.quarantine.self = this->wiring.state.view.load()->self;
+    upstream.dispatcher.still_owns =
+        [this](const upstream::dispatch_work& work, instant when) {
+            return this->still_owns(work, when);
+        };
+    this->opened.reset();
+    log::write(
+        log::level::info,
+        log_prefix,
+        "Upstream announced itself.",
+        {{"address", to_string(where)},
+         {"max_at_once", std::to_string(upstream.said.max_at_once)}}
+    );
+}
+
+void dispatch_duty::probe(const address& where) {
+    local_upstream& upstream = this->upstreams.at(where);
+    if (upstream.probing) {
+        return;
+    }
+    upstream.probing = true;
+    // A pool of its own: a probe needs a new connection.
+    auto fresh = std::make_shared<http::client_pool>(where, 1);
+    http::http_request request;
+    request.method = "GET";
+    request.path = "/health";
+    fresh->start(
+        request,
+        probe_timeout,
+        [this, where, fresh](http::exchange_result&& result) {
+            // The pool must outlive its own callback.
+            QMetaObject::invokeMethod(
+                this->context(), [fresh] {}, Qt::QueuedConnection
+            );
+            this->take_probe(
+                where, result.failure == http::exchange_failure::none
+            );
+        }
+    );
+}
+
+void dispatch_duty::take_probe(const address& where, bool alive) {
+    const auto found = this->upstreams.find(where);
+    if (found == this->upstreams.end()) {
+        return;
+    }
+    local_upstream& upstream = found->second;
+    upstream.probing = false;
+    const instant now = boot_clock::now();
+    std::vector<upstream::work_id> lost;
+    lost.swap(upstream.lost);
+    if (alive) {
+        for (const upstream::work_id id : lost) {
+            this->perform(upstream, ended(upstream.dispatcher, id, {}, now));
+        }
+    } else {
+        upstream.died = true;
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Upstream died with work in flight.",
+            {{"address", to_string(where)},
+             {"lost", std::to_string(lost.size())}}
+        );
+        this->perform(upstream, crashed(upstream.dispatcher, now));
+    }
+    this->report_drained();
 }
 
 void dispatch_duty::publish_services() {
@@ -122,7 +200,7 @@
          place != this->upstreams.end();) {
         const bool silent =
             now - place->second.last_heard > announcement_timeout;
-        if (silent && place->second.pool->running() == 0) {
+        if (silent && place->second.dispatcher.work.empty()) {
             log::write(
                 log::level::warning,
                 log_prefix,
@@ -138,11 +216,95 @@
     if (changed) {
         this->publish_services();
     }
+    this->open_owned_slices(now);
+    this->take_handovers(now);
     for (auto& [where, upstream] : this->upstreams) {
+        upstream.dispatcher.quarantine.self =
+            this->wiring.state.view.load()->self;
         this->grant(upstream, now);
+        this->perform(upstream, tick(upstream.dispatcher, now));
     }
     this->report_load();
-    this->start_waiting();
+    this->report_drained();
+    this->retry_held();
+}
+
+void dispatch_duty::open_owned_slices(instant now) {
+    const auto view = this->wiring.state.view.load();
+    if (view->map == nullptr || view->map == this->opened) {
+        return;
+    }
+    this->opened = view->map;
+    for (auto& [where, upstream] : this->upstreams) {
+        for (const member::served_service& served : upstream.said.services) {
+            const auto found = view->map->services.find(served.service);
+            if (found == view->map->services.end()) {
+                continue;
+            }
+            const auto& slices = found->second.slices;
+            for (std::uint32_t index = 0; index < slices.size(); ++index) {
+                if (slices[index].owner != view->self) {
+                    continue;
+                }
+                const auto origin = slices[index].token == first_token
+                                        ? request::slice_origin::never_owned
+                                        : request::slice_origin::owned_before;
+                request::open_slice(
+                    upstream.dispatcher.memory,
+                    {served.service, {index}},
+                    slices[index].token,
+                    origin,
+                    now
+                );
+            }
+        }
+    }
+}
+
+void dispatch_duty::hand_over(
+    const assignment::range_released& what, instant now
+) {
+    const auto view = this->wiring.state.view.load();
+    const auto service = view->map->services.find(what.range.service);
+    if (service == view->map->services.end()) {
+        return;
+    }
+    const assignment::slice_assignment& slice =
+        service->second.slices.at(what.range.slice.value);
+    if (slice.owner != what.to) {
+        return;
+    }
+    for (auto& [where, upstream] : this->upstreams) {
+        auto memory = request::hand_over(
+            upstream.dispatcher.memory,
+            {what.range.service, what.range.slice},
+            slice.token,
+            now
+        );
+        if (memory) {
+            ++this->handed_over;
+            this->wiring.control.push(outgoing_handover{
+                what.to.host, std::move(*memory)});
+        }
+    }
+}
+
+void dispatch_duty::take_handovers(instant now) {
+    std::deque<std::pair<instant, request::slice_handover>> waiting;
+    waiting.swap(this->handovers);
+    this->open_owned_slices(now);
+    for (auto& [arrived, memory] : waiting) {
+        bool taken = false;
+        for (auto& [where, upstream] : this->upstreams) {
+            taken = taken ||
+                    request::take_over(upstream.dispatcher.memory, memory, now);
+        }
+        if (taken) {
+            ++this->taken_over;
+        } else if (now - arrived < handover_patience) {
+            this->handovers.emplace_back(arrived, std::move(memory));
+        }
+    }
 }
 
 bool dispatch_duty::is_granted(
@@ -232,7 +394,7 @@
     for (const auto& [range, token] : granting) {
         found->second.granted[range] = token;
     }
-    this->start_waiting();
+    this->retry_held();
 }
 
 void dispatch_duty::report_load() {
--- a/src/apricotstile/daemon/internal/callers_protocol.cpp
+++ b/src/apricotstile/daemon/internal/callers_protocol.cpp
@@ -138,6 +138,9 @@
     out.headers.push_back(
         {"Apricotstile-Outcome", std::string{to_string(response.outcome)}}
     );
+    if (!response.ticket.empty()) {
+        out.headers.push_back({"Apricotstile-Ticket", response.ticket});
+    }
     if (response.outcome == outcome::answered) {
         out.status = response.status;
         out.content_type = response.content_type;
--- a/src/apricotstile/daemon/internal/local_upstream.hpp
+++ b/src/apricotstile/daemon/internal/local_upstream.hpp
@@ -8,6 +8,9 @@
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/http/client_pool.hpp>
 #include <apricotstile/member/member_record.hpp>
+#include <apricotstile/upstream/dispatcher.hpp>
+
+#include <nlohmann/json_fwd.hpp>
 
 #include <map>
 #include <memory>
@@ -22,8 +25,9 @@
     apricotstile::address address;
     bool leaving{false};
     std::vector<member::served_service> services;
-    /// The least number of slots and of connections of its services.
+    /// The least number of slots of its services.
     std::size_t max_at_once{0};
+    std::size_t max_connections{0};
 };
 
 /// Reads an announcement's JSON; nothing when it is malformed.
@@ -40,8 +44,20 @@
     std::map<assignment::range_id, fencing_token> granted;
     bool grant_in_flight{false};
     instant granted_at;
+    upstream::dispatcher dispatcher;
+    /// Calls whose connection broke, until the probe tells why.
+    std::vector<upstream::work_id> lost;
+    bool probing{false};
+    /// Set from a crash until the next announcement.
+    bool died{false};
+
+    [[nodiscard]] bool is_keyed(const service_id& service) const;
 };
 
+/// What a dump shows of an upstream.
+[[nodiscard]] nlohmann::json
+describe(const local_upstream& upstream, instant now);
+
 } // namespace apricotstile::daemon::internal
 
 #endif
--- a/src/apricotstile/daemon/internal/upstream_protocol.cpp
+++ b/src/apricotstile/daemon/internal/upstream_protocol.cpp
@@ -10,23 +10,17 @@
 
 namespace {
 
-using namespace std::chrono_literals;
 using http::exchange_failure;
-using request::outcome;
-using request::refusal;
-
-constexpr duration refusal_pause = 100ms;
 
 } // namespace
 
-std::string upstream_request_id(const incoming_work& work) {
-    return fmt::format("{}/{}", work.origin.host.value, work.request.id.value);
+std::string upstream_request_id(const request_origin& origin, request_id id) {
+    return fmt::format("{}/{}", origin.host.value, id.value);
 }
 
 http::http_request upstream_request(
-    const incoming_work& work,
-    slice_id slice,
-    fencing_token token,
+    const upstream::dispatch_work& work,
+    const request_origin& origin,
     duration time_left
 ) {
     const request::routed_request& request = work.request;
@@ -43,9 +37,9 @@
         {"Apricotstile-Service", request.service.value},
         {"Apricotstile-Key", request.key},
         {"Apricotstile-Customer", request.customer.value},
-        {"Apricotstile-Slice", std::to_string(slice.value)},
-        {"Apricotstile-Token", std::to_string(token.value)},
-        {"Apricotstile-Request-Id", upstream_request_id(work)},
+        {"Apricotstile-Slice", std::to_string(work.slice.value)},
+        {"Apricotstile-Token", std::to_string(work.token.value)},
+        {"Apricotstile-Request-Id", upstream_request_id(origin, request.id)},
         {"Apricotstile-Deadline-Ms", std::to_string(milliseconds)}};
     if (!request.caller_key.value.empty()) {
         out.headers.push_back({"Idempotency-Key", request.caller_key.value});
@@ -54,34 +48,26 @@
     return out;
 }
 
-request::routed_response
-response_of(request_id id, http::exchange_result&& result) {
-    request::routed_response response;
-    response.id = id;
+upstream::call_result call_result_of(http::exchange_result&& result) {
+    using upstream::call_end;
+    upstream::call_result end;
     if (result.failure == exchange_failure::not_sent) {
-        response.outcome = outcome::not_run;
-        response.refusal = refusal::upstream_lost;
-        response.retry_after = refusal_pause;
-        return response;
+        end.end = call_end::not_run;
+        return end;
     }
     if (result.failure != exchange_failure::none) {
-        response.outcome = outcome::unknown;
-        response.refusal = refusal::upstream_lost;
-        return response;
+        end.end = result.failure == exchange_failure::timed_out
+                      ? call_end::timed_out
+                      : call_end::lost;
+        return end;
     }
     const bool not_run =
         header_value(result.response.headers, "Apricotstile-Not-Run") == "1";
-    if (not_run) {
-        response.outcome = outcome::not_run;
-        response.refusal = refusal::upstream_refused;
-        response.retry_after = refusal_pause;
-        return response;
-    }
-    response.outcome = outcome::answered;
-    response.status = result.response.status;
-    response.content_type = std::move(result.response.content_type);
-    response.body = std::move(result.response.body);
-    return response;
+    end.end = not_run ? call_end::not_run : call_end::answered;
+    end.status = result.response.status;
+    end.content_type = std::move(result.response.content_type);
+    end.body = std::move(result.response.body);
+    return end;
 }
 
 } // namespace apricotstile::daemon::internal
--- a/src/apricotstile/daemon/internal/upstream_protocol.hpp
+++ b/src/apricotstile/daemon/internal/upstream_protocol.hpp
@@ -6,25 +6,26 @@
 #include <apricotstile/daemon/messages.hpp>
 #include <apricotstile/http/client_connection.hpp>
 #include <apricotstile/http/message.hpp>
+#include <apricotstile/upstream/dispatch_work.hpp>
 
 #include <string>
 
 namespace apricotstile::daemon::internal {
 
 /// The id that an upstream sees: unique over all daemons.
-[[nodiscard]] std::string upstream_request_id(const incoming_work& work);
+[[nodiscard]] std::string
+upstream_request_id(const request_origin& origin, request_id id);
 
-/// The request for the upstream, fenced by `token`.
+/// The request for the upstream, fenced by the work's token.
 [[nodiscard]] http::http_request upstream_request(
-    const incoming_work& work,
-    slice_id slice,
-    fencing_token token,
+    const upstream::dispatch_work& work,
+    const request_origin& origin,
     duration time_left
 );
 
 /// What an exchange with an upstream means for the request.
-[[nodiscard]] request::routed_response
-response_of(request_id id, http::exchange_result&& result);
+[[nodiscard]] upstream::call_result
+call_result_of(http::exchange_result&& result);
 
 } // namespace apricotstile::daemon::internal
 
--- a/src/apricotstile/daemon/messages.hpp
+++ b/src/apricotstile/daemon/messages.hpp
@@ -10,6 +10,8 @@
 #include <apricotstile/member/member_record.hpp>
 #include <apricotstile/platform/operations.hpp>
 #include <apricotstile/request/routed_request.hpp>
+#include <apricotstile/request/slice_handover.hpp>
+#include <apricotstile/upstream/suspicion.hpp>
 
 #include <memory>
 #include <variant>
@@ -48,7 +50,11 @@
     incoming_work,
     cancelled_work,
     owner_changed,
-    assignment::stop_dispatching>;
+    assignment::stop_dispatching,
+    assignment::resume_dispatching,
+    assignment::range_released,
+    request::slice_handover,
+    upstream::suspicion_report>;
 
 /// A request to send to the daemon on `host`.
 struct outgoing_request {
@@ -129,6 +135,12 @@
     std::vector<assignment::service_load> services;
 };
 
+/// The memory of a released slice, for its next owner.
+struct outgoing_handover {
+    host_id host;
+    request::slice_handover memory;
+};
+
 /// Release everything and leave.
 struct drain_order {};
 
@@ -138,6 +150,8 @@
     served_services,
     measured_load,
     assignment::range_drained,
+    outgoing_handover,
+    upstream::suspicion_report,
     drain_order>;
 
 /// Payloads of TCP frames.
--- a/src/apricotstile/http/client_connection.hpp
+++ b/src/apricotstile/http/client_connection.hpp
@@ -21,6 +21,8 @@
     not_sent,
     /// The connection ended before the whole answer; it may have run.
     lost,
+    /// No whole answer in the time allowed; it may still run.
+    timed_out,
     /// The answer was malformed or too large.
     malformed
 };
--- a/src/apricotstile/http/client_pool.cpp
+++ b/src/apricotstile/http/client_pool.cpp
@@ -122,7 +122,7 @@
         const client_connection::done_handler done =
             std::move(found->second.done);
         this->abandon(exchange);
-        done({exchange_failure::lost, {}});
+        done({exchange_failure::timed_out, {}});
     }
     if (this->exchanges.empty()) {
         this->timer.stop();
--- a/src/apricotstile/member/member_record.hpp
+++ b/src/apricotstile/member/member_record.hpp
@@ -48,9 +48,11 @@
     std::uint32_t slots{0};
     /// Whether the upstream refuses work that carries an old fencing token.
     bool checks_tokens{false};
-    /// How many slices the service's keys are divided into; zero for a
-    /// service that isn't divided by key.
+    /// How many slices the service's keys are divided into.
     std::uint32_t slice_count{0};
+    /// Whether each key has one owner that alone may serve it. Without, the
+    /// slices only say who remembers non-idempotent requests.
+    bool keyed{true};
 
     friend bool
     operator==(const served_service&, const served_service&) = default;
@@ -88,7 +90,7 @@
 template <class Archive>
 void serialize(Archive& archive, served_service& value) {
     archive(value.service, value.slots, value.checks_tokens);
-    archive(value.slice_count);
+    archive(value.slice_count, value.keyed);
 }
 
 template <class Archive>
