Wait for an owner that isn't ready in place of refusing

During a planned move, or until a new owner has read the map, the ingress tried an owner again once after 20 ms and then refused. It now asks again after 20, 40, 80 and 160 ms within the deadline, also when the owner says that its lease has run out.

--- a/src/apricotstile/request/attempt.hpp
+++ b/src/apricotstile/request/attempt.hpp
@@ -31,8 +31,12 @@
     instant deadline;
     /// How often it was sent, the present one included.
     std::uint32_t sends{0};
-    /// Whether it has followed a `not_owner` already.
+    /// Those of the sends that were on the retry budget.
+    std::uint32_t retries{0};
+    /// Whether it has followed a `not_owner` to a newer map already.
     bool redirected{false};
+    /// How often it has waited for an owner that wasn't ready.
+    std::uint32_t owner_waits{0};
     /// Whether some earlier send may have run; then the outcome can no longer
     /// be `not_run`.
     bool may_have_run{false};
--- a/src/apricotstile/request/attempt_failure.cpp
+++ b/src/apricotstile/request/attempt_failure.cpp
@@ -23,19 +23,29 @@
     }
 }
 
+/// Whether the refusing host did no work since it doesn't own the key now.
+bool lacks_ownership(const attempt& it, const failure& why) {
+    if (why.may_have_run) {
+        return false;
+    }
+    return why.refusal == refusal::not_owner ||
+           (why.refusal == refusal::lease_expired && it.keyed);
+}
+
 next_move after_not_owner(
     const ingress& state, const attempt& it, const failure& why, instant now
 ) {
-    if (it.redirected) {
-        return next_move::give_up;
-    }
     if (why.responder_map > it.routed_by) {
+        if (it.redirected) {
+            return next_move::give_up;
+        }
         return why.responder_map > state.map ? next_move::await_map
                                              : next_move::follow_map;
     }
-    // The host hasn't learned yet that it is the owner.
-    return now + state.policy.owner_backoff < it.deadline ? next_move::back_off
-                                                          : next_move::give_up;
+    const bool in_time = now + owner_wait(state, it) < it.deadline;
+    return in_time && it.owner_waits < state.policy.max_owner_waits
+               ? next_move::back_off
+               : next_move::give_up;
 }
 
 } // namespace
@@ -50,16 +60,23 @@
     return why;
 }
 
+duration owner_wait(const ingress& state, const attempt& it) {
+    return state.policy.owner_backoff * (1U << it.owner_waits);
+}
+
 next_move after_failure(
     ingress& state, const attempt& it, const failure& why, instant now
 ) {
     const ingress_faults& faults = state.policy.faults;
-    if (it.sends >= state.policy.max_sends || now >= it.deadline) {
+    if (now >= it.deadline) {
         return next_move::give_up;
     }
-    if (why.refusal == refusal::not_owner && !why.may_have_run) {
+    if (lacks_ownership(it, why)) {
         return after_not_owner(state, it, why, now);
     }
+    if (it.retries >= state.policy.max_retries) {
+        return next_move::give_up;
+    }
     const bool safe = it.idempotent || !why.may_have_run ||
                       faults.retries_unknown_non_idempotent;
     if (!safe || !may_help(it, why.refusal)) {
--- a/src/apricotstile/request/ingress.cpp
+++ b/src/apricotstile/request/ingress.cpp
@@ -107,10 +107,10 @@
 
 void back_off(ingress& state, request_id id, instant now) {
     attempt& it = state.attempts.at(id);
-    it.redirected = true;
     it.journal.push_back({now, journal_step::backs_off, it.host, {}});
     state.wake_ups.erase({wake_up_of(it), id});
-    it.resume_at = now + state.policy.owner_backoff;
+    it.resume_at = now + internal::owner_wait(state, it);
+    ++it.owner_waits;
     it.state = attempt_state::backing_off;
     state.wake_ups.insert({wake_up_of(it), id});
 }
@@ -131,6 +131,7 @@
     switch (internal::after_failure(state, it, why, now)) {
     case internal::next_move::retry:
         ++state.counters.retries;
+        ++it.retries;
         route_again(state, id, actions);
         break;
     case internal::next_move::follow_map:
@@ -143,7 +144,7 @@
         await_map(state, id, why.responder_map, now, actions);
         break;
     case internal::next_move::back_off:
-        ++state.counters.redirects;
+        ++state.counters.owner_waits;
         back_off(state, id, now);
         break;
     case internal::next_move::give_up:
--- a/src/apricotstile/request/ingress.hpp
+++ b/src/apricotstile/request/ingress.hpp
@@ -24,6 +24,9 @@
     /// Follow a `not_owner`, at most one a request; not on the budget, since
     /// the refusing host did no work.
     std::uint64_t redirects{0};
+    /// Sent again after waiting for an owner that wasn't ready; a few a
+    /// request, not on the budget either.
+    std::uint64_t owner_waits{0};
     std::uint64_t retries_over_budget{0};
     /// Responses to streams that are no longer waited for.
     std::uint64_t late_or_duplicate{0};
--- a/src/apricotstile/request/ingress_policy.hpp
+++ b/src/apricotstile/request/ingress_policy.hpp
@@ -20,10 +20,14 @@
 };
 
 struct ingress_policy {
-    /// Sends of one request at most, a redirect included.
-    std::uint32_t max_sends{3};
-    /// Before going back to an owner that doesn't know yet that it is one.
+    /// Retries of one request at most.
+    std::uint32_t max_retries{2};
+    /// Before going back to an owner that isn't ready: it doesn't know yet
+    /// that it is one, is handing the slice over, or waits for its lease.
+    /// Doubled with each wait.
     duration owner_backoff{std::chrono::milliseconds{20}};
+    /// Such waits of one request at most; 20 to 160 ms, 300 ms in all.
+    std::uint32_t max_owner_waits{4};
     /// Told to callers when the refusing host names no time.
     duration default_retry_after{std::chrono::milliseconds{200}};
     /// Requests held at once; more are refused `overloaded`.
--- a/src/apricotstile/request/internal/attempt_failure.hpp
+++ b/src/apricotstile/request/internal/attempt_failure.hpp
@@ -31,6 +31,9 @@
 
 [[nodiscard]] failure to_failure(const routed_response& response);
 
+/// How long the next wait for an owner that isn't ready takes.
+[[nodiscard]] duration owner_wait(const ingress& state, const attempt& it);
+
 /// Decides, and takes a retry off the budget with `retry`.
 [[nodiscard]] next_move after_failure(
     ingress& state, const attempt& it, const failure& why, instant now
--- a/tests/request/ingress.tests.cpp
+++ b/tests/request/ingress.tests.cpp
@@ -352,3 +352,24 @@
     REQUIRE(line.journal.size() == 2);
     REQUIRE(line.journal.back().step == journal_step::sent);
 }
+
+TEST_CASE("an owner that isn't ready is waited for", "[ingress]") {
+    ingress state;
+    instant now{};
+    routed_response refused;
+    refused.id = send_one(state, {false, true, now + 1s});
+    refused.outcome = outcome::not_run;
+    refused.refusal = refusal::not_owner;
+    const request_id id = state.streams.at(refused.id);
+    for (const duration wait : {20ms, 40ms, 80ms, 160ms}) {
+        REQUIRE(step(state, response_arrived{{1}, refused}, now).empty());
+        REQUIRE(next_wake_up(state) == now + wait);
+        now += wait;
+        REQUIRE(step(state, clock_ticked{}, now).size() == 1);
+        std::ignore = step(state, route_found{id, {1}, {4}, 0ns}, now);
+        refused.id = state.attempts.at(id).stream;
+    }
+    const auto ended = step(state, response_arrived{{1}, refused}, now);
+    REQUIRE(std::get<answer_caller>(ended.front()).outcome == outcome::not_run);
+    REQUIRE(state.counters.retries == 0);
+}
