--- a/src/apricotstile/lease/policy.hpp
+++ b/src/apricotstile/lease/policy.hpp
@@ -55,7 +55,7 @@
     /// For how long a host that didn't answer isn't asked again.
     duration avoid_silent_host = 60s;
     /// Between looks for guardians in better places.
-    duration placement_review = 60s;
+    duration placement_review = 5s;
 
     /// Between reports of one suspicion, doubled up to the longest.
     duration first_report_interval = 250ms;
@@ -64,6 +64,9 @@
     /// deposes the member itself.
     duration planner_patience = 100ms;
 
+    /// Guardians whose consent a deposition needs; a lease needs two promises,
+    /// so fewer than two of the three would not be safe.
+    std::size_t consents = 2;
     /// Depositions are gathered for this long before each call to the table.
     duration deposition_gathering = 10ms;
     /// Between requests for the same consent.
