--- a/src/apricotstile/daemon/dispatch_upstreams.cpp
+++ b/src/apricotstile/daemon/dispatch_upstreams.cpp
@@ -307,6 +307,12 @@
     }
 }
 
+bool dispatch_duty::checks_tokens(const service_id& service) const {
+    const auto found = this->wiring.fencing_of.find(service);
+    return found != this->wiring.fencing_of.end() &&
+           found->second == settings::fencing::checked;
+}
+
 bool dispatch_duty::is_granted(
     const local_upstream& upstream,
     const assignment::dispatch_decision& decision
