Settle each range of a lost release by itself

Cause: a release of several ranges was taken to have worked when the planner had changed one of them meanwhile; the others were then served by nobody. Change: the newer head row decides that the release is in or never will be, and each range's row decides whose it is.

--- a/src/apricotstile/assignment/internal/owner_moves.cpp
+++ b/src/apricotstile/assignment/internal/owner_moves.cpp
@@ -135,11 +135,7 @@
         }
     }
     for (const range_id& range : cancelled) {
-        if (is_served(owner, map, range)) {
-            resume(owner, range, actions);
-        } else {
-            owner.releases.erase(range);
-        }
+        resume(owner, range, actions);
     }
 }
 
--- a/src/apricotstile/assignment/internal/release_settling.hpp
+++ b/src/apricotstile/assignment/internal/release_settling.hpp
@@ -8,21 +8,20 @@
 
 namespace apricotstile::assignment::internal {
 
-enum class release_outcome : std::uint8_t {
-    took_effect,
-    /// It didn't take effect and no longer can.
-    without_effect,
-    /// It may still take effect.
-    open
-};
+/// Whether `owner.sent` can't take effect any more after what the rows that
+/// were just read show: it did, or it never will.
+[[nodiscard]] bool is_decided(const owner_state& owner);
 
-/// The outcome of `owner.sent` by the rows that were just read.
-[[nodiscard]] release_outcome outcome_of(const owner_state& owner);
+/// Whether the rows that were just read give the range to another member or
+/// under a newer token. Each range tells for itself alone: the planner may
+/// have changed one of a release's ranges and not the others.
+[[nodiscard]] bool
+has_moved_on(const owner_state& owner, const range_id& range);
 
 /// Remembers that the range ended here under its token.
 void forget_release(owner_state& owner, const range_id& range);
 
-/// Returns the range to service. Only for releases that weren't sent or
+/// Ends the move without a release. Only for releases that weren't sent or
 /// certainly had and will have no effect.
 void resume(owner_state& owner, const range_id& range, owner_actions& actions);
 
--- a/src/apricotstile/assignment/owner.cpp
+++ b/src/apricotstile/assignment/owner.cpp
@@ -160,18 +160,42 @@
     owner.retry_at = now + duration{static_cast<std::int64_t>(delay)};
 }
 
+/// Tells whether a range that moved on is another's or, under a newer token,
+/// this member's.
+void tell_end(
+    const owner_state& owner,
+    const range_id& range,
+    const member::member_ref& to,
+    owner_actions& actions
+) {
+    const auto* stored = find_range(owner.reader.rows, range);
+    if (stored != nullptr && stored->owner == owner.self) {
+        actions.emplace_back(resume_dispatching{range});
+    } else {
+        actions.emplace_back(range_released{range, to});
+    }
+}
+
+/// Ends a release whose answer was lost, by the rows just read.
 void settle(owner_state& owner, instant now, owner_actions& actions) {
-    switch (internal::outcome_of(owner)) {
-    case internal::release_outcome::took_effect:
-        finish_release(owner, actions);
-        break;
-    case internal::release_outcome::without_effect:
-        undo_release(owner);
-        break;
-    case internal::release_outcome::open:
+    if (!internal::is_decided(owner)) {
         owner.retry_at = now + outage_retry;
-        break;
+        return;
     }
+    for (const range_id& range : owner.sent->ranges) {
+        const auto found = owner.releases.find(range);
+        if (found == owner.releases.end()) {
+            continue;
+        }
+        if (internal::has_moved_on(owner, range)) {
+            const member::member_ref to = found->second.to;
+            forget_release(owner, range);
+            tell_end(owner, range, to, actions);
+        } else {
+            found->second.phase = release_phase::drained;
+        }
+    }
+    owner.sent.reset();
 }
 
 void note_plan(
--- a/src/apricotstile/assignment/owner.hpp
+++ b/src/apricotstile/assignment/owner.hpp
@@ -134,7 +134,8 @@
     member::member_ref to;
 };
 
-/// The range is served here again.
+/// The move ended without a release: forget the drain. `decide_dispatch`
+/// says whether the range is served here again.
 struct resume_dispatching {
     range_id range;
 };
