Count an idle slice by the mean load

Cause: an idle slice counted for one request a second, which hid imbalance where slices carry only a few. Change: it counts for 5 % of the mean slice's load once load is known.

--- a/src/apricotstile/assignment/internal/rebalance.cpp
+++ b/src/apricotstile/assignment/internal/rebalance.cpp
@@ -221,6 +221,7 @@
 
 void propose_moves(planner& planner, instant now) {
     drop_pending_rebalance(planner.moves);
+    update_idle_load(planner.load);
     rebalance_round round{
         planner, current_placement(planner, now), 0, 0, {}, {}};
     round.limit =
--- a/src/apricotstile/assignment/placement.cpp
+++ b/src/apricotstile/assignment/placement.cpp
@@ -18,7 +18,7 @@
         found != load.slices.end() && range.slice.value < found->second.size();
     const double rate =
         reported ? static_cast<double>(found->second[range.slice.value]) : 0.0;
-    return rate + idle_slice_load;
+    return rate + load.idle;
 }
 
 placement_member make_member(
@@ -131,6 +131,19 @@
     return std::clamp(age / whole, ramp_start, 1.0);
 }
 
+void update_idle_load(observed_load& load) {
+    double sum = 0;
+    std::size_t count = 0;
+    for (const auto& [service, rates] : load.slices) {
+        for (const float rate : rates) {
+            sum += static_cast<double>(rate);
+        }
+        count += rates.size();
+    }
+    load.idle = sum > 0 ? idle_slice_share * sum / static_cast<double>(count)
+                        : idle_slice_load;
+}
+
 double load_of(const observed_load& load, const range_id& range) {
     if (range.key.empty()) {
         return slice_load_of(load, range);
--- a/src/apricotstile/assignment/placement.hpp
+++ b/src/apricotstile/assignment/placement.hpp
@@ -14,14 +14,19 @@
 
 namespace apricotstile::assignment {
 
-/// What an idle slice counts for, so that slices spread without any traffic.
+/// What an idle slice counts for while no load is known.
 constexpr double idle_slice_load = 1.0;
+/// The same as a share of the mean slice's load once it is known.
+constexpr double idle_slice_share = 0.05;
 /// A new member's capacity rises to its whole over this time.
 constexpr duration ramp_time = std::chrono::seconds{60};
 constexpr double ramp_start = 0.25;
 
 /// Requests a second by slice and by hot key, as last reported.
 struct observed_load {
+    /// What a slice counts for besides its requests, so that slices spread
+    /// without any traffic.
+    double idle{idle_slice_load};
     std::map<service_id, std::vector<float>> slices;
     std::map<range_id, float> keys;
 };
@@ -51,6 +56,9 @@
 /// What share of its capacity a member first seen at `seen` offers at `now`.
 [[nodiscard]] double ramp_factor(instant seen, instant now);
 
+/// Sets what an idle slice counts for by the load reported so far.
+void update_idle_load(observed_load& load);
+
 /// The load of `range` as placement counts it.
 [[nodiscard]] double load_of(const observed_load& load, const range_id& range);
 
