--- a/src/apricotstile/lease/internal/deposer_table.cpp
+++ b/src/apricotstile/lease/internal/deposer_table.cpp
@@ -12,14 +12,6 @@
 
 namespace {
 
-/// Consents that a deposition needs.
-constexpr std::size_t consent_majority = 2;
-
-bool is_alive(const member::member_record& record) {
-    return record.state == member::member_state::active ||
-           record.state == member::member_state::draining;
-}
-
 /// The narrowest prefix that covers every unread suspect.
 std::string prefix_to_read(const deposer& state, bool watch_is_due) {
     if (watch_is_due || count_unread(state) != 1) {
@@ -53,7 +45,7 @@
 
 void watch(deposer& state, const member::member_row& seen, instant now) {
     const member::member_ref& holder = seen.record.self;
-    if (!is_alive(seen.record) || member::is_guarded(seen.record)) {
+    if (!owns_slices(seen.record.state) || member::is_guarded(seen.record)) {
         state.watched.erase(holder);
         return;
     }
@@ -70,7 +62,8 @@
 ) {
     for (const member::member_row& seen : rows) {
         const member::member_record& record = seen.record;
-        const bool stays = is_alive(record) && member::is_guarded(record);
+        const bool stays =
+            owns_slices(record.state) && member::is_guarded(record);
         std::erase_if(state.suspects, [&](const auto& one) {
             return one.first.host == record.self.host &&
                    (one.first != record.self || !stays);
@@ -82,15 +75,15 @@
     return known.last_seen - known.first_seen >= promised_for(limits);
 }
 
-bool is_consented(const suspect& one) {
-    return !one.unread && one.consented.size() >= consent_majority;
+bool is_consented(const suspect& one, const policy& limits) {
+    return !one.unread && one.consented.size() >= limits.consents;
 }
 
 std::vector<member::member_row>
 rows_to_depose(const deposer& state, const policy& limits) {
     std::vector<member::member_row> ready;
     for (const auto& [holder, one] : state.suspects) {
-        if (is_consented(one)) {
+        if (is_consented(one, limits)) {
             ready.push_back(*one.row);
         }
     }
@@ -105,12 +98,12 @@
     return ready;
 }
 
-bool all_suspects_are_ready(const deposer& state) {
+bool all_suspects_are_ready(const deposer& state, const policy& limits) {
     return std::all_of(
         state.suspects.begin(),
         state.suspects.end(),
-        [](const auto& one) {
-            return is_consented(one.second);
+        [&](const auto& one) {
+            return is_consented(one.second, limits);
         }
     );
 }
@@ -120,7 +113,7 @@
     if (!state.ready_since) {
         state.ready_since = now;
     }
-    return !all_suspects_are_ready(state) &&
+    return !all_suspects_are_ready(state, limits) &&
            now < *state.ready_since + limits.deposition_gathering;
 }
 
@@ -190,37 +183,37 @@
         return;
     }
     state.read = next_operation(operations);
-    state.next_watch = now + limits.table_renewal;
+    state.next_watch = now + limits.table_watch;
     out.emplace_back(platform::read_rows{
         state.read, prefix_to_read(state, watch_is_due)});
 }
 
-void take_rows(
+std::vector<member::member_row> take_rows(
     deposer& state,
     const platform::rows_read& answer,
     const policy& limits,
-    instant now,
-    actions& out
+    instant now
 ) {
     if (answer.id != state.read) {
-        return;
+        return {};
     }
     state.read = {};
     if (!answer.result.answered) {
         state.next_read = now + limits.first_backoff;
         // Members couldn't renew either: watch each for a whole lease again.
         state.watched.clear();
-        return;
+        return {};
     }
     state.table_answered = now;
     state.next_read = now + limits.consent_retry;
-    members_seen seen{member::decode_member_rows(answer.result.rows)};
-    drop_settled_suspects(state, seen.rows);
-    for (const member::member_row& row : seen.rows) {
+    std::vector<member::member_row> rows =
+        member::decode_member_rows(answer.result.rows);
+    drop_settled_suspects(state, rows);
+    for (const member::member_row& row : rows) {
         take_suspect_row(state, row);
         watch(state, row, now);
     }
-    out.emplace_back(std::move(seen));
+    return rows;
 }
 
 void start_commit(
--- a/src/apricotstile/lease/policy.hpp
+++ b/src/apricotstile/lease/policy.hpp
@@ -35,8 +35,10 @@
     duration margin = drift_margin;
     duration heartbeat = heartbeat_interval;
 
-    /// Between renewals in the table, and between readings by those that watch.
+    /// Between renewals in the table.
     duration table_renewal = 250ms;
+    /// Between readings by those that watch such renewals.
+    duration table_watch = 100ms;
 
     /// A first member waits up to this long before it joins, so that hosts
     /// started together see each other.
@@ -53,7 +55,7 @@
     /// For how long a host that didn't answer isn't asked again.
     duration avoid_silent_host = 60s;
     /// Between looks for guardians in better places.
-    duration placement_review = 60s;
+    duration placement_review = 5s;
 
     /// Between reports of one suspicion, doubled up to the longest.
     duration first_report_interval = 250ms;
@@ -62,6 +64,9 @@
     /// deposes the member itself.
     duration planner_patience = 100ms;
 
+    /// Guardians whose consent a deposition needs; a lease needs two promises,
+    /// so fewer than two of the three would not be safe.
+    std::size_t consents = 2;
     /// Depositions are gathered for this long before each call to the table.
     duration deposition_gathering = 10ms;
     /// Between requests for the same consent.
--- a/tests/assignment/assignment_world_store.cpp
+++ b/tests/assignment/assignment_world_store.cpp
@@ -52,7 +52,7 @@
     const incarnation run = this->daemons[index].self.incarnation;
     const bool lost = this->loses_answers && random_below(this->random, 2) == 0;
     const auto execute = [this, work] {
-        const auto result = commit(this->table, work);
+        auto result = commit(this->table, work);
         this->check_table();
         return result;
     };
@@ -82,9 +82,28 @@
             static_cast<void>(execute());
         });
     }
-    const auto told = trusts_lost_answer ? platform::commit_status::unavailable
-                                         : platform::commit_status::unknown;
-    answer(this->short_delay() * 3, {told, {}});
+    const duration told_after = this->short_delay() * 3;
+    if (trusts_lost_answer) {
+        this->at_daemon(index, run, told_after, [this, index] {
+            this->serve_again(index);
+        });
+        return;
+    }
+    answer(told_after, {platform::commit_status::unknown, {}});
+}
+
+/// What a faulty owner does after a lost answer: it serves the ranges again
+/// without reading what became of their release.
+void assignment_world::serve_again(std::size_t index) {
+    owner_state& owner = this->daemons[index].owner;
+    if (!owner.sent) {
+        return;
+    }
+    for (const range_id& range : owner.sent->ranges) {
+        owner.refused[range] = owner.releases.at(range).to;
+        owner.releases.erase(range);
+    }
+    owner.sent.reset();
 }
 
 template <class Event>
@@ -102,7 +121,9 @@
     });
 }
 
-void assignment_world::perform(std::size_t index, planner_actions actions) {
+void assignment_world::perform(
+    std::size_t index, const planner_actions& actions
+) {
     for (const planner_action& action : actions) {
         if (const auto* one = std::get_if<share_change>(&action)) {
             this->check_acknowledged(one->change);
@@ -124,7 +145,9 @@
     }
 }
 
-void assignment_world::perform(std::size_t index, owner_actions actions) {
+void assignment_world::perform(
+    std::size_t index, const owner_actions& actions
+) {
     const seeded_faults& faults = this->options.faults;
     for (const owner_action& action : actions) {
         if (const auto* stop = std::get_if<stop_dispatching>(&action)) {
@@ -162,7 +185,9 @@
     );
 }
 
-void assignment_world::perform(std::size_t index, follower_actions actions) {
+void assignment_world::perform(
+    std::size_t index, const follower_actions& actions
+) {
     for (const follower_action& action : actions) {
         if (const auto* message = std::get_if<send_map_message>(&action)) {
             this->deliver(index, message->to, message->message);
