--- a/benchmarks/plan.cpp
+++ b/benchmarks/plan.cpp
@@ -108,9 +108,7 @@
     if (result.answered && !w.head.empty()) {
         result.rows.push_back({{plan::head_row_key}, {1}, w.head});
     }
-    post(
-        w, w.what.store_delay, at, platform::rows_read{action.id, result}
-    );
+    post(w, w.what.store_delay, at, platform::rows_read{action.id, result});
 }
 
 void perform(world& w, std::size_t at, const platform::get_object& action) {
@@ -182,9 +180,7 @@
     w.objects[name.value] = bytes;
     w.head = encode(plan::version_record{w.applied, body.applied_by, name});
     feed(
-        w,
-        random_below(w.source, w.daemons.size()),
-        plan::version_applied{body}
+        w, random_below(w.source, w.daemons.size()), plan::version_applied{body}
     );
 }
 
@@ -203,12 +199,7 @@
         state.self = members[at];
         feed(w, at, plan::plan_members_changed{members});
         feed(w, at, plan::follower_started{});
-        post(
-            w,
-            random_below(w.source, 100) * 1ms,
-            at,
-            plan::follower_tick{}
-        );
+        post(w, random_below(w.source, 100) * 1ms, at, plan::follower_tick{});
     }
     run_until(w, w.now + 2s);
     apply(w);
@@ -232,8 +223,7 @@
         for (const daemon_run& one : w.daemons) {
             const bool there = one.in_force == w.applied;
             const double seconds =
-                there ? std::chrono::duration<double>{
-                            one.in_force_at - applied}
+                there ? std::chrono::duration<double>{one.in_force_at - applied}
                             .count()
                       : 999;
             times.push_back(seconds);
--- a/benchmarks/share.cpp
+++ b/benchmarks/share.cpp
@@ -104,13 +104,14 @@
 }
 
 share::ownership_lookup ownership(const world& w, std::size_t at) {
-    return [&w, at](const customer_id&)
-               -> std::optional<share::customer_ownership> {
-        if (at != 0) {
-            return std::nullopt;
-        }
-        return share::customer_ownership{{1}, instant{1h}, w.now + 1s};
-    };
+    return
+        [&w,
+         at](const customer_id&) -> std::optional<share::customer_ownership> {
+            if (at != 0) {
+                return std::nullopt;
+            }
+            return share::customer_ownership{{1}, instant{1h}, w.now + 1s};
+        };
 }
 
 void feed(world& w, std::size_t at, const share::lender_event& event) {
@@ -150,12 +151,9 @@
         if (const auto* claims =
                 std::get_if<share::share_claims>(&one.message)) {
             feed(
-                w,
-                one.to,
-                share::claims_received{claims->holder.host, *claims}
+                w, one.to, share::claims_received{claims->holder.host, *claims}
             );
-        } else if (const auto* grants =
-                       std::get_if<share::share_grants>(&one.message)) {
+        } else if (const auto* grants = std::get_if<share::share_grants>(&one.message)) {
             feed(w, one.to, share::grants_received{*grants});
         }
     }
@@ -173,9 +171,8 @@
     if (share::take(w.central, share::level_of_one_request)) {
         ++w.admitted_central;
     }
-    const auto result = share::admit(
-        from.ingress, w.book, {customer, service, 1s, 0}, w.now
-    );
+    const auto result =
+        share::admit(from.ingress, w.book, {customer, service, 1s, 0}, w.now);
     if (result.status == share::admission_status::admitted) {
         ++w.admitted;
         from.running.push_back(w.now + work_time);
@@ -333,7 +330,8 @@
     std::vector<std::uint64_t> times;
     times.reserve(rounds);
     for (std::size_t round = 0; round < rounds; ++round) {
-        const customer_id& id = ids[random_below(source, active) * 50];
+        // A copy, as a request has just been read from its connection.
+        const customer_id id = ids[random_below(source, active) * 50];
         now += 160us;
         const auto start = std::chrono::steady_clock::now();
         const auto result =
--- a/src/apricotstile/plan/follower.cpp
+++ b/src/apricotstile/plan/follower.cpp
@@ -125,8 +125,8 @@
 /// store, when the table named a newer version.
 void seek_newer(step_context& context) {
     follower_state& state = context.state;
-    const bool is_newest = state.newest_seen <= held_number(state) &&
-                           !state.table_head;
+    const bool is_newest =
+        state.newest_seen <= held_number(state) && !state.table_head;
     if (state.fetch || is_newest) {
         return;
     }
@@ -358,9 +358,9 @@
         return;
     }
     const bool urgent = context.now < state.urgent_until;
-    state.next_gossip = context.now + (urgent
-                                           ? state.policy.urgent_gossip_interval
-                                           : state.policy.gossip_interval);
+    state.next_gossip =
+        context.now + (urgent ? state.policy.urgent_gossip_interval
+                              : state.policy.gossip_interval);
     for (const host_id member : random_members(context, 1)) {
         send_digest(context, member, !state.ready);
     }
--- a/src/apricotstile/plan/follower.hpp
+++ b/src/apricotstile/plan/follower.hpp
@@ -36,7 +36,8 @@
     duration shortest_table_read_interval{std::chrono::seconds{2}};
     /// A part or a call that took longer counts as lost.
     duration fetch_timeout{std::chrono::milliseconds{500}};
-    /// A peer that left so many in a row unanswered is left until its next digest.
+    /// A peer that left so many in a row unanswered is left until its next
+    /// digest.
     std::uint32_t fetch_attempts{3};
     duration platform_timeout{std::chrono::seconds{5}};
     std::uint32_t part_bytes{16 * 1024};
--- a/src/apricotstile/share/ingress.cpp
+++ b/src/apricotstile/share/ingress.cpp
@@ -391,9 +391,7 @@
 
 /// Spares the second look-up as long as the book is the same.
 const plan::plan_limits* known_limits(
-    customer_use& use,
-    const plan::plan_book& book,
-    const customer_id& customer
+    customer_use& use, const plan::plan_book& book, const customer_id& customer
 ) {
     if (use.book != &book || use.book_version != book.version) {
         use.limits = plan::find_limits(book, customer);
