--- /dev/null
+++ b/src/apricotstile/share/admission.cpp
@@ -0,0 +1,174 @@
+// Admission of requests under the shares held.
+
+#include <apricotstile/share/ingress.hpp>
+#include <apricotstile/share/internal/customer_share.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::share {
+
+namespace {
+
+using internal::accrual_end;
+using internal::is_live;
+using internal::refill_cross_region;
+
+constexpr duration shortest_retry = std::chrono::milliseconds{10};
+constexpr duration longest_retry = std::chrono::seconds{5};
+
+admission refuse(request::refusal why, duration retry_after = duration{0}) {
+    return {admission_status::refused, why, retry_after, {}, {}, {}};
+}
+
+admission refuse_over_plan(duration retry_after) {
+    return refuse(
+        request::refusal::over_plan,
+        std::clamp(retry_after, shortest_retry, longest_retry)
+    );
+}
+
+/// Time until the bucket holds one request.
+duration time_to_refill(const token_bucket& bucket) {
+    if (bucket.rate == 0) {
+        return longest_retry;
+    }
+    const std::uint64_t missing = level_of_one_request - bucket.level;
+    return duration{static_cast<duration::rep>(missing / bucket.rate + 1)};
+}
+
+bool has_cross_region(customer_use& use, instant now) {
+    refill_cross_region(use, now);
+    return use.cross_region_debt == 0 &&
+           use.cross_region.level >= level_of_one_unit;
+}
+
+void charge(customer_use& use, std::uint64_t bytes) {
+    token_bucket& bucket = use.cross_region;
+    const std::uint64_t paid =
+        std::min(bytes, bucket.level / level_of_one_unit);
+    bucket.level -= paid * level_of_one_unit;
+    use.cross_region_debt += bytes - paid;
+}
+
+admission
+without_share(const ingress_state& state, customer_use& use, instant now) {
+    use.urgent = true;
+    const duration timeout = state.policy.answer_timeout;
+    if (!use.unanswered_since) {
+        return {
+            admission_status::wait_for_share,
+            request::refusal::over_plan,
+            timeout,
+            {},
+            {},
+            {}};
+    }
+    if (now - *use.unanswered_since <= timeout) {
+        return {
+            admission_status::wait_for_share,
+            request::refusal::over_plan,
+            *use.unanswered_since + timeout - now + shortest_retry,
+            {},
+            {},
+            {}};
+    }
+    return refuse(request::refusal::no_owner, std::chrono::seconds{1});
+}
+
+admission take_share(
+    const ingress_state& state,
+    customer_use& use,
+    const admission_request& request,
+    instant now
+) {
+    if (!is_usable(use.amount)) {
+        use.urgent = true;
+        return refuse_over_plan(state.policy.turn);
+    }
+    if (use.running >= use.amount.at_once) {
+        use.urgent = true;
+        ++use.refused_at_once;
+        return refuse_over_plan(state.policy.change_interval);
+    }
+    if (request.cross_region_bytes > 0 && !has_cross_region(use, now)) {
+        return refuse_over_plan(std::chrono::seconds{1});
+    }
+    refill(use.requests, accrual_end(state, use, now));
+    if (!take(use.requests, level_of_one_request)) {
+        return refuse_over_plan(time_to_refill(use.requests));
+    }
+    charge(use, request.cross_region_bytes);
+    ++use.running;
+    use.peak_running = std::max(use.peak_running, use.running);
+    admission result;
+    result.status = admission_status::admitted;
+    result.time_allowed =
+        std::min(request.time_left, state.policy.longest_deadline);
+    return result;
+}
+
+/// Spares the second look-up as long as the book is the same.
+const plan::plan_limits* known_limits(
+    customer_use& use, const plan::plan_book& book, const customer_id& customer
+) {
+    if (use.book != &book || use.book_version != book.version) {
+        use.limits = plan::find_limits(book, customer);
+        use.book = &book;
+        use.book_version = book.version;
+    }
+    return use.limits;
+}
+
+} // namespace
+
+admission admit(
+    ingress_state& state,
+    const plan::plan_book& book,
+    const admission_request& request,
+    instant now
+) {
+    auto found = state.customers.find(request.customer);
+    const plan::plan_limits* limits = nullptr;
+    if (found != state.customers.end()) {
+        limits = known_limits(found->second, book, request.customer);
+    } else {
+        limits = plan::find_limits(book, request.customer);
+    }
+    if (limits == nullptr) {
+        return refuse(request::refusal::unknown_customer);
+    }
+    if (!plan::allows(*limits, request.service)) {
+        return refuse(request::refusal::not_allowed_by_plan);
+    }
+    if (found == state.customers.end()) {
+        found = state.customers.try_emplace(request.customer).first;
+    }
+    customer_use& use = found->second;
+    ++use.arrivals;
+    use.last_arrival = now;
+    if (!is_live(state, use, now)) {
+        return without_share(state, use, now);
+    }
+    admission result = take_share(state, use, request, now);
+    result.version = book.version;
+    result.importance = limits->importance;
+    return result;
+}
+
+void finish(ingress_state& state, const customer_id& customer) {
+    const auto found = state.customers.find(customer);
+    if (found != state.customers.end() && found->second.running > 0) {
+        --found->second.running;
+    }
+}
+
+void charge_cross_region(
+    ingress_state& state, const customer_id& customer, std::uint64_t bytes
+) {
+    const auto found = state.customers.find(customer);
+    if (found != state.customers.end()) {
+        charge(found->second, bytes);
+    }
+}
+
+} // namespace apricotstile::share
--- /dev/null
+++ b/src/apricotstile/share/internal/opening.cpp
@@ -0,0 +1,188 @@
+// Waiting out, taking over and opening of customers.
+
+#include <apricotstile/core/hashing.hpp>
+#include <apricotstile/share/internal/lending.hpp>
+#include <apricotstile/share/internal/opening.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::share::internal {
+
+namespace {
+
+constexpr fencing_token first_epoch{1};
+
+/// A state without shares. What it was before, if anything, ended more than
+/// the longest deadline ago, so as much may have accrued.
+lent_customer fresh_customer(
+    step_context& context,
+    const customer_id& id,
+    slice_id slice,
+    const customer_ownership& ownership
+) {
+    const waiting_end end = end_of_waiting(context.state, slice, ownership);
+    lent_customer fresh;
+    fresh.epoch = ownership.epoch;
+    fresh.rate_from = end.rate;
+    fresh.at_once_from = end.at_once;
+    set_limit(context, id, fresh);
+    fresh.pool.updated =
+        std::max(end.rate, context.now - context.state.policy.longest_deadline);
+    reshape(
+        fresh.pool, fresh.limit.rate, fresh.limit.burst * level_of_one_request
+    );
+    return fresh;
+}
+
+lent_share take_over(const handed_share& handed, instant received) {
+    lent_share share;
+    share.host = handed.holder.host;
+    share.last_mark = handed.last_mark;
+    share.demand = handed.demand;
+    share.demand_at_once = handed.demand_at_once;
+    share.last_granted = handed.amount;
+    share.claimed_at = received;
+    share.grants.push_back(
+        {0,
+         handed.amount,
+         received + handed.rate_left,
+         received + handed.at_once_left}
+    );
+    return share;
+}
+
+void import_shares(
+    step_context& context,
+    lent_customer& customer,
+    const customer_handover& handed,
+    instant received
+) {
+    for (const handed_share& one : handed.shares) {
+        lent_share share = take_over(one, received);
+        const auto known = customer.shares.find(one.holder);
+        if (known == customer.shares.end()) {
+            customer.shares.emplace(one.holder, std::move(share));
+        } else {
+            known->second.grants.push_back(share.grants.front());
+        }
+    }
+    customer.rate_from = context.now;
+    customer.at_once_from = context.now;
+    customer.pool.updated = context.now;
+    customer.uneven = true;
+}
+
+/// The predecessor's shares are all known: nothing needs waiting out.
+void use_handover(
+    step_context& context, slice_id slice, const customer_ownership& ownership
+) {
+    lender_state& state = context.state;
+    const auto found = state.handovers.find(slice);
+    const bool of_predecessor =
+        found != state.handovers.end() &&
+        next(found->second.handover.epoch) == ownership.epoch;
+    if (!of_predecessor) {
+        return;
+    }
+    const received_handover received = std::move(found->second);
+    state.handovers.erase(found);
+    for (const customer_handover& one : received.handover.customers) {
+        auto at = state.customers.find(one.customer);
+        if (at == state.customers.end() ||
+            at->second.epoch != ownership.epoch) {
+            state.customers.insert_or_assign(
+                one.customer,
+                fresh_customer(context, one.customer, slice, ownership)
+            );
+            at = state.customers.find(one.customer);
+        }
+        import_shares(context, at->second, one, received.received);
+    }
+    state.known[slice] = ownership.epoch;
+}
+
+/// False while the slice is handed on under this epoch. A higher epoch at the
+/// same owner means that the move was called off: it knows all shares.
+bool is_open(
+    lender_state& state, slice_id slice, const customer_ownership& ownership
+) {
+    const auto closed = state.closed.find(slice);
+    if (closed == state.closed.end()) {
+        return true;
+    }
+    if (closed->second == ownership.epoch) {
+        return false;
+    }
+    if (next(closed->second) == ownership.epoch) {
+        state.known[slice] = ownership.epoch;
+        for (auto& [id, customer] : state.customers) {
+            if (slice_of(id.value, state.slice_count) == slice) {
+                customer.epoch = ownership.epoch;
+                customer.uneven = true;
+            }
+        }
+    }
+    state.closed.erase(closed);
+    return true;
+}
+
+} // namespace
+
+void set_limit(
+    step_context& context, const customer_id& id, lent_customer& customer
+) {
+    if (customer.version == context.view.book.version) {
+        return;
+    }
+    const plan::plan_limits* limits = plan::find_limits(context.view.book, id);
+    const share_amount limit =
+        limits == nullptr ? share_amount{} : amount_of(*limits);
+    customer.version = context.view.book.version;
+    if (limit != customer.limit) {
+        customer.limit = limit;
+        customer.uneven = true;
+    }
+}
+
+waiting_end end_of_waiting(
+    const lender_state& state,
+    slice_id slice,
+    const customer_ownership& ownership
+) {
+    const share_policy& policy = state.policy;
+    const auto known = state.known.find(slice);
+    const bool all_known =
+        ownership.epoch == first_epoch || policy.fault_no_waiting ||
+        (known != state.known.end() && known->second == ownership.epoch);
+    if (all_known) {
+        return {ownership.since, ownership.since};
+    }
+    const instant rate =
+        ownership.since + policy.lifetime + policy.drift_margin;
+    return {rate, rate + policy.longest_deadline + policy.drift_margin};
+}
+
+lent_customer* open_customer(step_context& context, const customer_id& id) {
+    lender_state& state = context.state;
+    const auto ownership = context.view.ownership_of(id);
+    const slice_id slice = slice_of(id.value, state.slice_count);
+    const bool lends = ownership && ownership->until > context.now &&
+                       is_open(state, slice, *ownership);
+    if (!lends) {
+        return nullptr;
+    }
+    use_handover(context, slice, *ownership);
+    auto found = state.customers.find(id);
+    if (found == state.customers.end() ||
+        found->second.epoch != ownership->epoch) {
+        state.customers.insert_or_assign(
+            id, fresh_customer(context, id, slice, *ownership)
+        );
+        found = state.customers.find(id);
+    }
+    set_limit(context, id, found->second);
+    internal::drop_expired(found->second, state.policy, context.now);
+    return &found->second;
+}
+
+} // namespace apricotstile::share::internal
