--- a/standins/caller/attempt.cpp
+++ b/standins/caller/attempt.cpp
@@ -85,6 +85,7 @@
     made.status = response.status;
     made.refusal = header_value(response.headers, "Apricotstile-Refusal");
     made.retry_after = retry_after_of(response);
+    made.fresh_ticket = header_value(response.headers, "Apricotstile-Ticket");
     const bool succeeded = made.result == attempt_result::answered &&
                            response.status < first_error_status;
     if (succeeded) {
--- a/standins/caller/attempt.hpp
+++ b/standins/caller/attempt.hpp
@@ -49,6 +49,8 @@
     /// False when a successful answer isn't the one to this call.
     bool right_answer{true};
     duration retry_after{0};
+    /// For idempotency keys that are first sent later; may be empty.
+    std::string fresh_ticket;
 };
 
 /// True when the attempt may have run.
--- a/standins/caller/load_caller.cpp
+++ b/standins/caller/load_caller.cpp
@@ -87,6 +87,10 @@
     while (!this->stopping && this->next_due <= now) {
         auto open = std::make_shared<open_call>();
         open->call = draw_call(this->generator);
+        if (!is_idempotent(open->call)) {
+            open->call.ticket =
+                this->tickets[{open->call.service, open->call.key}];
+        }
         open->due = this->next_due;
         ++this->open_calls;
         this->make_attempt(open, 1);
@@ -123,6 +127,9 @@
     if (!call.idempotency_key.empty()) {
         request.headers.push_back({"Idempotency-Key", call.idempotency_key});
     }
+    if (!call.ticket.empty()) {
+        request.headers.push_back({"Apricotstile-Ticket", call.ticket});
+    }
     return request;
 }
 
@@ -178,6 +185,9 @@
 
 void load_caller::attempt_done(const call_pointer& open, const attempt& made) {
     this->log(made);
+    if (!made.fresh_ticket.empty()) {
+        this->tickets[{made.service, made.key}] = made.fresh_ticket;
+    }
     open->attempts_done = made.number;
     const auto pause = pause_after(this->settings.retries, made, open->due);
     if (!pause) {
--- a/standins/caller/load_caller.hpp
+++ b/standins/caller/load_caller.hpp
@@ -13,8 +13,10 @@
 #include <QTimer>
 
 #include <fstream>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace apricotstile::standins {
@@ -61,6 +63,8 @@
     random_source daemon_choice;
     std::vector<daemon_pool> daemons;
     std::ofstream out;
+    /// The latest ticket of each service and key.
+    std::map<std::pair<std::string, std::string>, std::string> tickets;
     instant next_due{};
     instant last_due{};
     /// Calls whose last attempt isn't done.
--- a/standins/caller/planned_call.hpp
+++ b/standins/caller/planned_call.hpp
@@ -21,6 +21,8 @@
     /// Empty for lookups.
     std::string idempotency_key;
     std::string body;
+    /// The ticket of the first attempt, repeated in every other; may be empty.
+    std::string ticket;
     /// When to hang up after sending, if at all.
     std::optional<duration> hang_up_after;
 };
--- a/standins/check/call_checks.cpp
+++ b/standins/check/call_checks.cpp
@@ -102,7 +102,8 @@
         return true;
     case attempt_result::unknown:
         return one.refusal != "deadline_passed" &&
-               one.refusal != "upstream_timed_out";
+               one.refusal != "upstream_timed_out" &&
+               one.refusal != "in_progress" && one.refusal != "cancelled";
     default:
         return false;
     }
