Follow the lists, settle applies and lend shares in the daemon

The control duty drives a plan desk: the version in force, operators' applies and the lending of customers' limits. A pseudo-service's slices say who lends to which customer. /plans/apply and /plans/status answer on the operators' address. Callers' requests aren't admitted by it yet.

--- a/src/apricotstile/control/action.hpp
+++ b/src/apricotstile/control/action.hpp
@@ -19,6 +19,17 @@
 /// before anything that follows.
 struct publish_owner {};
 
+/// For the plan desk.
+struct plan_arrived {
+    host_id from;
+    plan::plan_message message;
+};
+
+struct share_arrived {
+    host_id from;
+    share::share_message message;
+};
+
 /// The daemon has left; it may end.
 struct left {};
 
@@ -34,6 +45,8 @@
     assignment::range_released,
     request::slice_handover,
     upstream::suspicion_report,
+    plan_arrived,
+    share_arrived,
     left>;
 
 using actions = std::vector<action>;
--- a/src/apricotstile/control/controller.cpp
+++ b/src/apricotstile/control/controller.cpp
@@ -72,6 +72,8 @@
     void take_message(host_id from, const member::gossip_message& body);
     void take_message(host_id from, const request::slice_handover& body);
     void take_message(host_id from, const upstream::suspicion_report& body);
+    void take_message(host_id from, const plan::plan_message& body);
+    void take_message(host_id from, const share::share_message& body);
     void become(const member::member_ref& ref);
 
     controller& self;
@@ -365,6 +367,14 @@
     this->out.emplace_back(body);
 }
 
+void round::take_message(host_id from, const plan::plan_message& body) {
+    this->out.emplace_back(plan_arrived{from, body});
+}
+
+void round::take_message(host_id from, const share::share_message& body) {
+    this->out.emplace_back(share_arrived{from, body});
+}
+
 template <class Result>
 void round::give_result(const Result& result) {
     const auto found = this->self.operations.find(result.id);
--- a/src/apricotstile/control/message.hpp
+++ b/src/apricotstile/control/message.hpp
@@ -7,7 +7,9 @@
 #include <apricotstile/assignment/map_messages.hpp>
 #include <apricotstile/lease/message.hpp>
 #include <apricotstile/member/gossip.hpp>
+#include <apricotstile/plan/plan_message.hpp>
 #include <apricotstile/request/slice_handover.hpp>
+#include <apricotstile/share/share_message.hpp>
 #include <apricotstile/upstream/suspicion.hpp>
 
 #include <variant>
@@ -19,7 +21,9 @@
     assignment::map_message,
     member::gossip_message,
     request::slice_handover,
-    upstream::suspicion_report>;
+    upstream::suspicion_report,
+    plan::plan_message,
+    share::share_message>;
 
 /// What is sent: a message together with the sender's newest map version.
 struct envelope {
--- /dev/null
+++ b/src/apricotstile/control/plan_desk.cpp
@@ -0,0 +1,262 @@
+// Passing of events to the follower, the applies and the lender.
+
+#include <apricotstile/control/plan_desk.hpp>
+
+#include <apricotstile/core/hashing.hpp>
+
+#include <chrono>
+
+namespace apricotstile::control {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_interval = 100ms;
+
+/// One call of `step`.
+class desk_round {
+public:
+    desk_round(
+        plan_desk& state, instant at, random_source& source, desk_actions& out
+    )
+        : desk(state), now(at), random(source), actions(out) {}
+
+    void take(const desk_tick& what);
+    void take(const desk_members& what);
+    void take(const plan_message_received& what);
+    void take(const share_message_received& what);
+    void take(const apply_ordered& what);
+    void take(const status_ordered& what);
+    template <class Result>
+    void take(const Result& result);
+
+private:
+    void to_follower(const plan::follower_event& what);
+    void to_apply(std::uint64_t order, const plan::apply_event& what);
+    void to_lender(const share::lender_event& what);
+    void adopt_version();
+    template <class Call>
+    void ask(std::uint64_t apply, Call call);
+
+    plan_desk& desk;
+    instant now;
+    random_source& random;
+    desk_actions& actions;
+};
+
+template <class Call>
+void desk_round::ask(std::uint64_t apply, Call call) {
+    this->desk.last_operation = next(this->desk.last_operation);
+    this->desk.operations[this->desk.last_operation] = {apply, call.id};
+    call.id = this->desk.last_operation;
+    this->actions.emplace_back(std::move(call));
+}
+
+void desk_round::adopt_version() {
+    const plan::held_version* const held = plan::in_force(this->desk.follower);
+    if (held == nullptr) {
+        return;
+    }
+    this->desk.book = std::make_shared<const plan::plan_book>(
+        plan::compile(held->record.version, held->lists)
+    );
+    this->actions.emplace_back(publish_book{});
+    this->to_lender(share::lender_tick{});
+}
+
+void desk_round::to_follower(const plan::follower_event& what) {
+    for (const plan::follower_action& one :
+         plan::step(this->desk.follower, what, this->now, this->random)) {
+        if (const auto* sent = std::get_if<plan::send_plan_message>(&one)) {
+            this->actions.emplace_back(send_plan{sent->to, sent->message});
+        } else if (std::holds_alternative<plan::version_in_force>(one)) {
+            this->adopt_version();
+        } else if (const auto* read = std::get_if<platform::read_rows>(&one)) {
+            this->ask(0, *read);
+        } else if (const auto* get = std::get_if<platform::get_object>(&one)) {
+            this->ask(0, *get);
+        }
+    }
+}
+
+void desk_round::to_apply(std::uint64_t order, const plan::apply_event& what) {
+    const auto found = this->desk.applies.find(order);
+    if (found == this->desk.applies.end()) {
+        return;
+    }
+    for (const plan::apply_action& one :
+         plan::step(found->second, what, this->now)) {
+        if (const auto* report = std::get_if<plan::apply_report>(&one)) {
+            this->actions.emplace_back(apply_settled{order, *report});
+            const bool applied = report->status == plan::apply_status::applied;
+            const plan::apply_request request = found->second.request;
+            this->desk.applies.erase(found);
+            if (applied) {
+                this->to_follower(plan::version_applied{
+                    {report->version, request.id, request.lists}});
+            }
+            return;
+        }
+        std::visit(
+            [&](const auto& call) {
+                using type = std::decay_t<decltype(call)>;
+                if constexpr (!std::is_same_v<type, plan::apply_report>) {
+                    this->ask(order, call);
+                }
+            },
+            one
+        );
+    }
+}
+
+void desk_round::to_lender(const share::lender_event& what) {
+    if (this->desk.book == nullptr) {
+        return;
+    }
+    const share::ownership_lookup ownership_of =
+        [this](const customer_id& customer
+        ) -> std::optional<share::customer_ownership> {
+        const auto found =
+            this->desk.owned.find(slice_of(customer.value, customers_slices));
+        if (found == this->desk.owned.end()) {
+            return std::nullopt;
+        }
+        return share::customer_ownership{
+            found->second.token, found->second.since, this->desk.lease_until};
+    };
+    for (const share::send_grants& one : share::step(
+             this->desk.lender,
+             what,
+             {*this->desk.book, ownership_of},
+             this->now
+         )) {
+        this->actions.emplace_back(send_share{one.to, one.grants});
+    }
+}
+
+void desk_round::take(const desk_tick& /*what*/) {
+    if (this->now < this->desk.tick_at) {
+        return;
+    }
+    this->desk.tick_at = this->now + tick_interval;
+    if (!this->desk.started) {
+        this->desk.started = true;
+        this->to_follower(plan::follower_started{});
+    }
+    this->to_follower(plan::follower_tick{});
+    std::vector<std::uint64_t> orders;
+    for (const auto& [order, state] : this->desk.applies) {
+        orders.push_back(order);
+    }
+    for (const std::uint64_t order : orders) {
+        this->to_apply(order, plan::apply_tick{});
+    }
+    this->to_lender(share::lender_tick{});
+}
+
+void desk_round::take(const desk_members& what) {
+    this->to_follower(plan::plan_members_changed{what.hosts});
+}
+
+void desk_round::take(const plan_message_received& what) {
+    this->to_follower(plan::plan_message_received{what.from, what.message});
+}
+
+void desk_round::take(const share_message_received& what) {
+    if (const auto* claims = std::get_if<share::share_claims>(&what.message)) {
+        this->to_lender(share::claims_received{what.from, *claims});
+    } else if (const auto* handover = std::get_if<share::share_handover>(&what.message)) {
+        this->to_lender(share::handover_received{*handover});
+    }
+}
+
+void desk_round::take(const apply_ordered& what) {
+    this->desk.applies.try_emplace(what.order);
+    this->to_apply(what.order, what.request);
+}
+
+void desk_round::take(const status_ordered& /*what*/) {
+    this->to_follower(plan::status_requested{});
+}
+
+template <class Result>
+void desk_round::take(const Result& result) {
+    const auto found = this->desk.operations.find(result.id);
+    if (found == this->desk.operations.end()) {
+        return;
+    }
+    const desk_operation asked = found->second;
+    this->desk.operations.erase(found);
+    Result own = result;
+    own.id = asked.id;
+    constexpr bool follower_takes_it =
+        std::is_same_v<Result, platform::rows_read> ||
+        std::is_same_v<Result, platform::object_got>;
+    if (asked.apply != 0) {
+        this->to_apply(asked.apply, own);
+    } else if constexpr (follower_takes_it) {
+        this->to_follower(own);
+    }
+}
+
+} // namespace
+
+plan_desk make_plan_desk(host_id self) {
+    plan_desk desk;
+    desk.follower.self = self;
+    desk.lender.slice_count = customers_slices;
+    return desk;
+}
+
+void take_ownership(
+    plan_desk& desk,
+    const member::member_ref& self,
+    const assignment::assignment_map& map,
+    instant lease_until,
+    instant now
+) {
+    desk.lease_until = lease_until;
+    const bool same = desk.self == self && desk.map_seen == map.version;
+    if (same) {
+        return;
+    }
+    desk.self = self;
+    desk.map_seen = map.version;
+    std::map<slice_id, customer_slice> owned;
+    const auto found = map.services.find(customers_service);
+    if (found != map.services.end()) {
+        const auto& slices = found->second.slices;
+        for (std::uint32_t index = 0; index < slices.size(); ++index) {
+            if (slices[index].owner != self) {
+                continue;
+            }
+            const auto before = desk.owned.find({index});
+            const bool kept = before != desk.owned.end() &&
+                              before->second.token == slices[index].token;
+            owned[{index}] = kept ? before->second
+                                  : customer_slice{slices[index].token, now};
+        }
+    }
+    desk.owned = std::move(owned);
+}
+
+desk_actions step(
+    plan_desk& desk, const desk_event& what, instant now, random_source& random
+) {
+    desk_actions actions;
+    desk_round present{desk, now, random, actions};
+    std::visit(
+        [&](const auto& one) {
+            present.take(one);
+        },
+        what
+    );
+    return actions;
+}
+
+bool is_desk_operation(platform::operation_id id) {
+    return id > first_desk_operation;
+}
+
+} // namespace apricotstile::control
--- a/src/apricotstile/daemon/control_duty.cpp
+++ b/src/apricotstile/daemon/control_duty.cpp
@@ -50,7 +50,8 @@
 
 control_duty::control_duty(const control_wiring& parts)
     : duty("control"), messages(inbox_capacity), wiring(parts),
-      controller(control::make_controller(settings_of(parts.settings))) {
+      controller(control::make_controller(settings_of(parts.settings))),
+      desk(control::make_plan_desk(host_at(parts.settings.listen.peers))) {
     std::random_device device;
     this->random.seed((static_cast<std::uint64_t>(device()) << 32U) | device());
 }
@@ -77,6 +78,7 @@
             this->read_datagrams();
         }
     );
+    this->announce({});
     this->publish_view();
     this->messages.open(this->context(), [this](control_message&& message) {
         this->take(std::move(message));
@@ -110,15 +112,15 @@
 
 void control_duty::take(control_message&& message) {
     if (auto* result = std::get_if<store_result>(&message)) {
-        if (auto* done = std::get_if<platform::transaction_done>(result)) {
-            this->feed(*done);
-        } else if (auto* rows = std::get_if<platform::rows_read>(result)) {
-            this->feed(*rows);
-        }
+        this->take_result(*result);
+    } else if (auto* ordered = std::get_if<control::apply_ordered>(&message)) {
+        this->feed_desk(*ordered);
+    } else if (auto* needed = std::get_if<share_needed>(&message)) {
+        this->feed_shares(share::share_wanted{needed->customer});
     } else if (auto* bulk = std::get_if<incoming_control>(&message)) {
         this->take_envelope(bulk->payload);
     } else if (auto* served = std::get_if<served_services>(&message)) {
-        this->feed(control::services_announced{std::move(served->services)});
+        this->announce(std::move(served->services));
     } else if (auto* load = std::get_if<measured_load>(&message)) {
         this->feed(control::load_measured{std::move(load->services)});
     } else if (auto* drained = std::get_if<assignment::range_drained>(&message)) {
@@ -133,6 +135,36 @@
     }
 }
 
+void control_duty::take_result(const store_result& result) {
+    if (const auto* done = std::get_if<platform::transaction_done>(&result)) {
+        if (control::is_desk_operation(done->id)) {
+            this->feed_desk(*done);
+        } else {
+            this->feed(*done);
+        }
+    } else if (const auto* rows = std::get_if<platform::rows_read>(&result)) {
+        if (control::is_desk_operation(rows->id)) {
+            this->feed_desk(*rows);
+        } else {
+            this->feed(*rows);
+        }
+    } else if (const auto* put = std::get_if<platform::object_put>(&result)) {
+        this->feed_desk(*put);
+    } else if (const auto* got = std::get_if<platform::object_got>(&result)) {
+        this->feed_desk(*got);
+    }
+}
+
+void control_duty::announce(std::vector<member::served_service> services) {
+    // Every daemon can own customers, whatever stands beside it.
+    member::served_service customers;
+    customers.service = control::customers_service;
+    customers.slots = 1;
+    customers.slice_count = control::customers_slices;
+    services.push_back(std::move(customers));
+    this->feed(control::services_announced{std::move(services)});
+}
+
 void control_duty::read_datagrams() {
     while (this->socket->hasPendingDatagrams()) {
         const std::string bytes =
@@ -195,6 +227,17 @@
         this->wiring.dispatch.push(*memory);
     } else if (const auto* report = std::get_if<upstream::suspicion_report>(&what)) {
         this->wiring.dispatch.push(*report);
+    } else if (const auto* plan = std::get_if<control::plan_arrived>(&what)) {
+        this->feed_desk(control::plan_message_received{
+            plan->from, plan->message});
+    } else if (const auto* share = std::get_if<control::share_arrived>(&what)) {
+        if (const auto* grants =
+                std::get_if<share::share_grants>(&share->message)) {
+            this->feed_shares(share::grants_received{*grants});
+        } else {
+            this->feed_desk(control::share_message_received{
+                share->from, share->message});
+        }
     } else if (std::holds_alternative<control::left>(what)) {
         this->left = true;
         log::write(log::level::info, log_prefix, "Left.");
@@ -243,7 +286,9 @@
             {{"self", name_of(view->self)}}
         );
     }
+    this->wiring.shares.set_self(view->self);
     this->wiring.state.view.store(std::move(view));
+    this->tell_desk_members();
 }
 
 void control_duty::publish_owner() {
@@ -284,6 +329,11 @@
           {"moves_pending", planner.moves.pending.size()},
           {"moves_active", planner.moves.active.size()}}},
         {"map_version", this->controller.follower.map.version.value},
+        {"plan_version", this->wiring.shares.version().value},
+        {"customers_in_use", this->wiring.shares.customers()},
+        {"customer_slices_owned", this->desk.owned.size()},
+        {"customers_lent", this->desk.lender.customers.size()},
+        {"applies_running", this->desk.applies.size()},
         {"releases", this->controller.owner.releases.size()},
         {"operations_in_flight", this->controller.operations.size()},
         {"datagrams_sent", this->datagrams_sent},
--- a/src/apricotstile/daemon/control_duty.hpp
+++ b/src/apricotstile/daemon/control_duty.hpp
@@ -5,16 +5,20 @@
 #define APRICOTSTILE_DAEMON_CONTROL_DUTY_HPP
 
 #include <apricotstile/control/controller.hpp>
+#include <apricotstile/control/plan_desk.hpp>
 #include <apricotstile/daemon/duty.hpp>
 #include <apricotstile/daemon/inbox.hpp>
 #include <apricotstile/daemon/messages.hpp>
 #include <apricotstile/daemon/routing_view.hpp>
+#include <apricotstile/daemon/share_gate.hpp>
+#include <apricotstile/plan/status.hpp>
 #include <apricotstile/settings/daemon_settings.hpp>
 
 #include <QTimer>
 #include <QUdpSocket>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 
 namespace apricotstile::daemon {
@@ -25,6 +29,10 @@
     inbox<store_request>& store;
     inbox<link_message>& links;
     inbox<dispatch_message>& dispatch;
+    inbox<ingress_message>& ingress;
+    share_gate& shares;
+    /// Runs in the control duty's thread when an operator's apply is settled.
+    std::function<void(const control::apply_settled&)> on_apply;
 };
 
 class control_duty : public duty {
@@ -36,6 +44,9 @@
 
     /// Whether this daemon has released everything and left.
     [[nodiscard]] bool has_left() const;
+    /// Which members have which version of the lists; waits a moment for
+    /// fresh answers. Not from this duty's thread.
+    [[nodiscard]] plan::plan_status plan_status();
 
 protected:
     void set_up() override;
@@ -44,6 +55,9 @@
 
 private:
     void take(control_message&& message);
+    void take_result(const store_result& result);
+    /// Tells what this daemon serves, its customers included.
+    void announce(std::vector<member::served_service> services);
     void read_datagrams();
     void take_envelope(const std::string& payload);
     void feed(const control::event& what);
@@ -51,9 +65,15 @@
     void send(const control::envelope& what);
     void publish_view();
     void publish_owner();
+    void feed_desk(const control::desk_event& what);
+    void perform_for_desk(const control::desk_action& what);
+    void feed_shares(const share::ingress_event& what);
+    void tell_desk_members();
 
     control_wiring wiring;
     control::controller controller;
+    control::plan_desk desk;
+    instant shares_tick_at;
     random_source random;
     std::unique_ptr<QTimer> timer;
     std::unique_ptr<QUdpSocket> socket;
--- a/src/apricotstile/daemon/daemon.cpp
+++ b/src/apricotstile/daemon/daemon.cpp
@@ -58,7 +58,12 @@
                state,
                store.messages,
                links.messages,
-               dispatch.messages}
+               dispatch.messages,
+               ingress.messages,
+               shares,
+               [this](const control::apply_settled& settled) {
+                   this->operators.apply_settled(settled);
+               }}
           ),
           store(settings.platform, control.messages),
           operators(
@@ -66,6 +71,7 @@
                settings.operators_token,
                state,
                {&ingress, &links, &dispatch, &control, &store},
+               control,
                std::move(on_drain)}
           ) {}
 
@@ -81,6 +87,7 @@
     }
 
     published_state state;
+    share_gate shares;
     ingress_duty ingress;
     link_duty links;
     dispatch_duty dispatch;
--- a/src/apricotstile/daemon/messages.hpp
+++ b/src/apricotstile/daemon/messages.hpp
@@ -6,6 +6,7 @@
 
 #include <apricotstile/assignment/load_report.hpp>
 #include <apricotstile/assignment/owner.hpp>
+#include <apricotstile/control/plan_desk_events.hpp>
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/member/member_record.hpp>
 #include <apricotstile/platform/operations.hpp>
@@ -103,8 +104,13 @@
     request_id id;
 };
 
+/// Requests that wait for the customer's share may be tried again.
+struct share_came {
+    customer_id customer;
+};
+
 using ingress_message =
-    std::variant<finished_request, link_broken, request_not_sent>;
+    std::variant<finished_request, link_broken, request_not_sent, share_came>;
 
 using store_request = std::variant<
     platform::submit_transaction,
@@ -141,6 +147,11 @@
     request::slice_handover memory;
 };
 
+/// The first request of a customer waits for a share.
+struct share_needed {
+    customer_id customer;
+};
+
 /// Release everything and leave.
 struct drain_order {};
 
@@ -152,6 +163,8 @@
     assignment::range_drained,
     outgoing_handover,
     upstream::suspicion_report,
+    control::apply_ordered,
+    share_needed,
     drain_order>;
 
 /// Payloads of TCP frames.
--- a/src/apricotstile/daemon/operators_duty.cpp
+++ b/src/apricotstile/daemon/operators_duty.cpp
@@ -2,6 +2,8 @@
 
 #include <apricotstile/daemon/operators_duty.hpp>
 
+#include <apricotstile/command/exchange.hpp>
+#include <apricotstile/daemon/control_duty.hpp>
 #include <apricotstile/link/authentication.hpp>
 #include <apricotstile/log/logger.hpp>
 #include <apricotstile/metrics/text_format.hpp>
@@ -11,6 +13,8 @@
 namespace {
 
 constexpr std::uint16_t status_accepted = 202;
+constexpr std::uint16_t status_malformed = 400;
+constexpr std::size_t max_request_bytes = 16U << 20U;
 constexpr std::uint16_t status_unauthorized = 401;
 constexpr std::uint16_t status_not_found = 404;
 
@@ -66,8 +70,10 @@
 operators_duty::~operators_duty() = default;
 
 void operators_duty::set_up() {
+    http::server_limits limits;
+    limits.max_request_bytes = max_request_bytes;
     this->server = std::make_unique<http::server>(
-        http::server_limits{},
+        limits,
         [this](http::exchange_id exchange, http::http_request&& message) {
             this->take(exchange, message);
         },
@@ -110,6 +116,12 @@
     } else if (message.method == "GET" && message.path == "/metrics") {
         response.content_type = "text/plain; version=0.0.4";
         response.body = metrics::to_text_format(this->dump());
+    } else if (message.method == "POST" && message.path == "/plans/apply") {
+        this->start_apply(exchange, message.body);
+        return;
+    } else if (message.method == "GET" && message.path == "/plans/status") {
+        response.body =
+            command::write_status(this->wiring.control.plan_status());
     } else if (message.method == "POST" && message.path == "/drain") {
         response.status = status_accepted;
         response.body = "{}";
@@ -120,6 +132,50 @@
     this->server->reply(exchange, response);
 }
 
+void operators_duty::start_apply(
+    http::exchange_id exchange, const std::string& body
+) {
+    http::http_response refused;
+    refused.status = status_malformed;
+    try {
+        const command::apply_order order = command::read_order(body);
+        plan::check_result checked = plan::check(order.texts);
+        if (!checked.accepted) {
+            refused.body = R"({"error":"the lists have errors"})";
+            this->server->reply(exchange, refused);
+            return;
+        }
+        ++this->last_order;
+        this->applies[this->last_order] = exchange;
+        this->wiring.control.messages.push(control::apply_ordered{
+            this->last_order,
+            {order.id, order.based_on, std::move(checked.lists)}});
+    } catch (const command::exchange_error& error) {
+        refused.body = nlohmann::json{{"error", error.what()}}.dump();
+        this->server->reply(exchange, refused);
+    }
+}
+
+void operators_duty::apply_settled(const control::apply_settled& settled) {
+    QMetaObject::invokeMethod(
+        this->context(),
+        [this, settled] {
+            this->answer_apply(settled);
+        },
+        Qt::QueuedConnection
+    );
+}
+
+void operators_duty::answer_apply(const control::apply_settled& settled) {
+    const auto node = this->applies.extract(settled.order);
+    if (node.empty() || this->server == nullptr) {
+        return;
+    }
+    http::http_response response;
+    response.body = command::write_report(settled.report);
+    this->server->reply(node.mapped(), response);
+}
+
 nlohmann::json operators_duty::description() const {
     return {{"refused_without_token", this->refused_without_token}};
 }
