Run the request and instance decisions in the ingress

The ingress had its own retry logic: up to three attempts without a budget, non-idempotent work among them, owners by slice alone, and no choice among instances of services that aren't divided by key.

It now runs request/ingress from arrival to answer, and upstream/chooser for idempotent requests of services without keys. A link that breaks names the streams it had unanswered in place of all that were sent to the host. `Apricotstile-Ticket: issue` gets 204 and a ticket from the slice's owner.

--- a/src/apricotstile/daemon/daemon.cpp
+++ b/src/apricotstile/daemon/daemon.cpp
@@ -33,6 +33,7 @@
     )
         : ingress(
               {settings.listen.callers,
+               settings.host,
                state,
                links.messages,
                dispatch.messages}
--- a/src/apricotstile/daemon/dispatch_duty.cpp
+++ b/src/apricotstile/daemon/dispatch_duty.cpp
@@ -24,6 +24,7 @@
 constexpr auto check_interval = 10ms;
 constexpr duration cancel_timeout = 2s;
 constexpr duration refusal_pause = 100ms;
+constexpr std::uint16_t status_no_content = 204;
 
 instant deadline_of(const incoming_work& work) {
     return work.received_at + work.request.time_left;
@@ -153,8 +154,9 @@
         this->refuse(work, refusal::upstream_lost);
         return;
     }
-    const bool owned =
-        upstream->is_keyed(work.request.service) || !work.request.idempotent;
+    const bool wants_ticket = work.request.ticket == request::ticket_wanted;
+    const bool owned = upstream->is_keyed(work.request.service) ||
+                       !work.request.idempotent || wants_ticket;
     if (!owned) {
         this->offer(std::move(work), *upstream, {});
         return;
@@ -165,6 +167,10 @@
         decision.verdict == dispatch_verdict::drained) {
         this->refuse(work, refusal::not_owner);
     } else if (decision.verdict == dispatch_verdict::serve && this->is_granted(*upstream, decision)) {
+        if (wants_ticket) {
+            this->issue_ticket(work, *upstream, decision);
+            return;
+        }
         this->offer(std::move(work), *upstream, decision);
     } else if (this->held.size() < max_held_work) {
         this->held.push_back(std::move(work));
@@ -173,6 +179,29 @@
     }
 }
 
+void dispatch_duty::issue_ticket(
+    const incoming_work& work,
+    const local_upstream& upstream,
+    const assignment::dispatch_decision& decision
+) {
+    const auto ticket = request::issue_ticket(
+        upstream.dispatcher.memory,
+        {work.request.service, decision.range.slice},
+        decision.token,
+        boot_clock::now()
+    );
+    if (!ticket) {
+        this->refuse(work, refusal::not_owner);
+        return;
+    }
+    request::routed_response response;
+    response.id = work.request.id;
+    response.outcome = outcome::answered;
+    response.status = status_no_content;
+    response.ticket = to_text(*ticket);
+    this->answer(work.origin, std::move(response));
+}
+
 void dispatch_duty::retry_held() {
     std::deque<incoming_work> waiting;
     waiting.swap(this->held);
--- a/src/apricotstile/daemon/dispatch_duty.hpp
+++ b/src/apricotstile/daemon/dispatch_duty.hpp
@@ -76,6 +76,11 @@
         internal::local_upstream& upstream,
         const assignment::dispatch_decision& decision
     );
+    void issue_ticket(
+        const incoming_work& work,
+        const internal::local_upstream& upstream,
+        const assignment::dispatch_decision& decision
+    );
     void cancel(const cancelled_work& message);
     void retry_held();
     void perform(
--- a/src/apricotstile/daemon/ingress_duty.cpp
+++ b/src/apricotstile/daemon/ingress_duty.cpp
@@ -1,11 +1,11 @@
-// Routing of callers' requests.
+// Callers' requests from arrival to answer.
 
 #include <apricotstile/daemon/ingress_duty.hpp>
 
 #include <apricotstile/daemon/internal/callers_protocol.hpp>
-#include <apricotstile/daemon/internal/owner_lookup.hpp>
+#include <apricotstile/daemon/internal/ingress_description.hpp>
 
-#include <random>
+#include <iterator>
 
 namespace apricotstile::daemon {
 
@@ -16,42 +16,29 @@
 using request::refusal;
 
 constexpr std::size_t inbox_capacity = 65536;
-constexpr std::size_t max_waiting_requests = 16384;
-constexpr auto expiry_interval = 5ms;
-constexpr unsigned max_attempts = 3;
-constexpr duration refusal_pause = 100ms;
+constexpr auto tick_interval = 5ms;
 
-request::routed_response refused(request_id id, refusal reason) {
-    request::routed_response response;
-    response.id = id;
-    response.outcome = outcome::not_run;
-    response.refusal = reason;
-    response.retry_after = refusal_pause;
-    return response;
+random_source seeded_source() {
+    std::random_device device;
+    std::seed_seq seed{device(), device(), device(), device()};
+    return random_source{seed};
 }
 
 } // namespace
 
 ingress_duty::ingress_duty(const ingress_wiring& parts)
-    : duty("ingress"), messages(inbox_capacity), wiring(parts) {
-    std::random_device device;
-    this->last_id.value =
-        (static_cast<std::uint64_t>(device()) << 32U) | device();
+    : duty("ingress"), messages(inbox_capacity), wiring(parts),
+      random(seeded_source()) {
+    // Ids of an earlier run of this daemon must not come again.
+    this->decisions.last_id.value = this->random();
+    this->chooser.self = parts.where;
 }
 
 ingress_duty::~ingress_duty() = default;
 
 void ingress_duty::set_up() {
     this->messages.open(this->context(), [this](ingress_message&& message) {
-        if (auto* done = std::get_if<finished_request>(&message)) {
-            this->take_response(std::move(*done));
-        } else if (auto* broken = std::get_if<link_broken>(&message)) {
-            this->take_broken_link(broken->host);
-        } else if (auto* unsent = std::get_if<request_not_sent>(&message)) {
-            this->take_response(
-                {unsent->host, refused(unsent->id, refusal::link_lost)}
-            );
-        }
+        this->take_message(std::move(message));
     });
     this->server = std::make_unique<http::server>(
         http::server_limits{},
@@ -59,18 +46,18 @@
             this->take(exchange, std::move(message));
         },
         [this](http::exchange_id exchange) {
-            this->caller_hung_up(exchange);
+            this->hung_up(exchange);
         }
     );
     this->server->listen_on(this->wiring.callers);
     this->timer = std::make_unique<QTimer>();
-    this->timer->setInterval(expiry_interval);
+    this->timer->setInterval(tick_interval);
     QObject::connect(
         this->timer.get(),
         &QTimer::timeout,
         this->context(),
         [this] {
-            this->expire();
+            this->tick();
         }
     );
     this->timer->start();
@@ -83,6 +70,7 @@
 
 void ingress_duty::drain() {
     this->run([this] {
+        this->decisions.stopping = true;
         this->server->stop_listening();
     });
 }
@@ -90,7 +78,7 @@
 std::size_t ingress_duty::waiting() {
     std::size_t count = 0;
     this->run([&] {
-        count = this->waiting_requests.size();
+        count = this->requests.size();
     });
     return count;
 }
@@ -101,163 +89,191 @@
     const instant now = boot_clock::now();
     internal::parsed_request parsed =
         internal::parse_caller_request(std::move(message));
-    this->last_id = next(this->last_id);
-    const request_id id = this->last_id;
-    parsed.request.id = id;
-    pending one;
-    one.exchange = exchange;
-    one.started = now;
-    one.deadline = now + parsed.request.time_left;
-    one.request = std::move(parsed.request);
-    this->request_of.emplace(exchange, id);
-    this->deadlines.emplace(one.deadline, id);
-    const auto [place, added] =
-        this->waiting_requests.emplace(id, std::move(one));
-    if (parsed.refusal != refusal::none) {
-        this->refuse(id, parsed.refusal);
-    } else if (this->waiting_requests.size() > max_waiting_requests) {
-        this->refuse(id, refusal::overloaded);
-    } else {
-        this->route(place->second);
+    acceptance accepted{parsed.refusal};
+    if (accepted.refusal == refusal::none) {
+        accepted = this->accept(parsed.request);
     }
-}
-
-void ingress_duty::route(pending& one) {
-    const auto view = this->wiring.state.view.load();
-    const internal::owner_result owner =
-        internal::find_owner(*view, one.request.service, one.request.key);
-    if (owner.refusal != refusal::none) {
-        this->refuse(one.request.id, owner.refusal);
+    if (accepted.refusal != refusal::none) {
+        request::routed_response response;
+        response.outcome = outcome::not_run;
+        response.refusal = accepted.refusal;
+        response.retry_after = accepted.retry_after;
+        this->reply(exchange, response);
         return;
     }
-    one.request.routed_by = view->map->version;
-    this->send(one, owner.host);
+    request::arrival arrival;
+    arrival.idempotent = parsed.request.idempotent;
+    arrival.keyed = this->has_owner(parsed.request);
+    arrival.deadline = now + parsed.request.time_left;
+    request::arrival_result arrived = arrive(this->decisions, arrival, now);
+    this->request_of.emplace(exchange, arrived.id);
+    this->requests.emplace(
+        arrived.id, open_request{exchange, std::move(parsed.request), now, {}}
+    );
+    this->perform(std::move(arrived.actions));
 }
 
-void ingress_duty::send(pending& one, host_id host) {
-    const instant now = boot_clock::now();
-    if (now >= one.deadline) {
-        this->refuse(one.request.id, refusal::deadline_passed);
-        return;
-    }
-    ++one.attempts;
-    one.host = host;
-    one.request.time_left = one.deadline - now;
-    const host_id self = this->wiring.state.view.load()->self.host;
-    const bool pushed =
-        host == self
-            ? this->wiring.dispatch.push(incoming_work{{}, one.request, now})
-            : this->wiring.links.push(outgoing_request{host, one.request});
-    if (!pushed) {
-        this->refuse(one.request.id, refusal::overloaded);
+ingress_duty::acceptance
+ingress_duty::accept(const request::routed_request& /*request*/) {
+    return {};
+}
+
+void ingress_duty::take_message(ingress_message&& message) {
+    if (auto* done = std::get_if<finished_request>(&message)) {
+        this->take_response(std::move(*done));
+    } else if (auto* broken = std::get_if<link_broken>(&message)) {
+        for (const request_id stream : broken->unanswered) {
+            if (open_request* const one = this->request_on(stream)) {
+                this->end_try(*one, upstream::send_result::failed, {});
+            }
+            this->apply(request::link_lost{stream});
+        }
+    } else if (auto* unsent = std::get_if<request_not_sent>(&message)) {
+        if (open_request* const one = this->request_on(unsent->id)) {
+            this->end_try(*one, upstream::send_result::failed, {});
+        }
+        this->apply(request::send_failed{unsent->id});
     }
 }
 
 void ingress_duty::take_response(finished_request&& message) {
-    const auto found = this->waiting_requests.find(message.response.id);
-    if (found == this->waiting_requests.end()) {
-        ++this->late_responses;
-        return;
-    }
-    pending& one = found->second;
-    if (one.host != message.host) {
-        ++this->late_responses;
-        return;
-    }
-    const bool stale_route = message.response.outcome == outcome::not_run &&
-                             (message.response.refusal == refusal::not_owner ||
-                              message.response.refusal == refusal::link_lost);
-    if (stale_route && one.attempts < max_attempts) {
-        const auto view = this->wiring.state.view.load();
-        if (view->map->version > one.request.routed_by) {
-            this->route(one);
-            return;
-        }
+    this->follow_map();
+    open_request* const one = this->request_on(message.response.id);
+    if (one != nullptr && one->placed && one->placed->host == message.host) {
+        this->end_try(
+            *one, internal::send_result_of(message.response), message.response
+        );
     }
-    this->finish(message.response.id, message.response);
+    this->apply(request::response_arrived{
+        message.host, std::move(message.response)});
 }
 
-void ingress_duty::take_broken_link(host_id host) {
-    std::vector<request_id> affected;
-    for (const auto& [id, one] : this->waiting_requests) {
-        if (one.host == host) {
-            affected.push_back(id);
-        }
+void ingress_duty::hung_up(http::exchange_id exchange) {
+    const auto found = this->request_of.find(exchange);
+    if (found != this->request_of.end()) {
+        this->apply(request::caller_gone{found->second});
     }
-    for (const request_id id : affected) {
-        request::routed_response response;
-        response.id = id;
-        response.outcome = outcome::unknown;
-        response.refusal = refusal::link_lost;
-        this->finish(id, response);
+}
+
+void ingress_duty::tick() {
+    this->follow_view();
+    if (next_wake_up(this->decisions) <= boot_clock::now()) {
+        this->apply(request::clock_ticked{});
     }
 }
 
-void ingress_duty::refuse(request_id id, refusal reason) {
-    this->finish(id, refused(id, reason));
+void ingress_duty::apply(const request::ingress_event& event) {
+    this->perform(step(this->decisions, event, boot_clock::now()));
 }
 
-void ingress_duty::finish(
-    request_id id, const request::routed_response& response
-) {
-    const auto found = this->waiting_requests.find(id);
-    pending one = std::move(found->second);
-    this->waiting_requests.erase(found);
-    this->request_of.erase(one.exchange);
-    const auto [first, last] = this->deadlines.equal_range(one.deadline);
-    for (auto place = first; place != last; ++place) {
-        if (place->second == id) {
-            this->deadlines.erase(place);
-            break;
+void ingress_duty::perform(request::ingress_actions&& actions) {
+    std::deque<request::ingress_action> waiting{
+        std::make_move_iterator(actions.begin()),
+        std::make_move_iterator(actions.end())};
+    const auto append = [&](request::ingress_actions&& more) {
+        std::move(more.begin(), more.end(), std::back_inserter(waiting));
+    };
+    while (!waiting.empty()) {
+        request::ingress_action one = std::move(waiting.front());
+        waiting.pop_front();
+        // A reply may take the connection's next request or find it closed,
+        // so what waits here may concern requests that are gone by now.
+        if (const auto* route = std::get_if<request::find_route>(&one)) {
+            if (this->decisions.attempts.contains(route->id)) {
+                append(step(
+                    this->decisions, this->find_route(*route), boot_clock::now()
+                ));
+            }
+        } else if (const auto* out = std::get_if<request::send_to_host>(&one)) {
+            if (this->decisions.streams.contains(out->stream)) {
+                append(this->send(*out));
+            }
+        } else if (const auto* stop = std::get_if<request::cancel_stream>(&one)) {
+            this->cancel(*stop);
+        } else if (auto* done = std::get_if<request::answer_caller>(&one)) {
+            this->answer(std::move(*done));
         }
+        // The control duty gets newer maps without being asked.
     }
-    ++this->outcomes[std::string{to_string(response.outcome)}];
-    if (response.refusal != refusal::none) {
-        ++this->outcomes[std::string{to_string(response.refusal)}];
+}
+
+request::ingress_actions ingress_duty::send(const request::send_to_host& what) {
+    const instant now = boot_clock::now();
+    open_request& one = this->requests.at(what.id);
+    request::routed_request copy = one.request;
+    copy.id = what.stream;
+    copy.time_left = what.time_left;
+    copy.routed_by = what.routed_by;
+    if (one.placed) {
+        one.placed->sent = now;
     }
-    if (response.outcome == outcome::answered) {
-        metrics::record(
-            this->answered_latency, boot_clock::now() - one.started
-        );
+    const bool own = what.host == this->wiring.state.view.load()->self.host;
+    const bool pushed = own ? this->wiring.dispatch.push(incoming_work{
+                                  {}, std::move(copy), now})
+                            : this->wiring.links.push(outgoing_request{
+                                  what.host, std::move(copy)});
+    if (pushed) {
+        return {};
     }
-    this->server->reply(one.exchange, internal::response_to_caller(response));
+    this->end_try(one, upstream::send_result::abandoned, {});
+    return step(this->decisions, request::send_failed{what.stream}, now);
 }
 
-void ingress_duty::caller_hung_up(http::exchange_id exchange) {
-    const auto found = this->request_of.find(exchange);
-    if (found == this->request_of.end()) {
-        return;
-    }
-    const request_id id = found->second;
-    const host_id host = this->waiting_requests.at(id).host;
-    const host_id self = this->wiring.state.view.load()->self.host;
-    if (host == self) {
-        this->wiring.dispatch.push(cancelled_work{{}, id});
+void ingress_duty::cancel(const request::cancel_stream& what) {
+    if (what.host == this->wiring.state.view.load()->self.host) {
+        this->wiring.dispatch.push(cancelled_work{{}, what.stream});
     } else {
-        this->wiring.links.push(outgoing_cancel{host, id});
+        this->wiring.links.push(outgoing_cancel{what.host, what.stream});
     }
+}
+
+void ingress_duty::answer(request::answer_caller&& what) {
+    const auto found = this->requests.find(what.id);
+    open_request& one = found->second;
     request::routed_response response;
-    response.id = id;
-    response.refusal = refusal::cancelled;
-    this->finish(id, response);
+    if (what.response) {
+        response = std::move(*what.response);
+    } else {
+        response.outcome = what.outcome;
+        response.refusal = what.refusal;
+        response.retry_after = what.retry_after;
+        response.ticket = std::move(what.ticket);
+    }
+    const bool timed_out = what.refusal == refusal::deadline_passed;
+    this->end_try(
+        one,
+        timed_out ? upstream::send_result::failed
+                  : upstream::send_result::abandoned,
+        response
+    );
+    if (response.outcome == outcome::answered) {
+        metrics::record(
+            this->answered_latency, boot_clock::now() - one.started
+        );
+    }
+    const http::exchange_id exchange = one.exchange;
+    this->request_of.erase(exchange);
+    this->requests.erase(found);
+    this->reply(exchange, response);
 }
 
-void ingress_duty::expire() {
-    const instant now = boot_clock::now();
-    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
-        const request_id id = this->deadlines.begin()->second;
-        request::routed_response response;
-        response.id = id;
-        response.outcome = outcome::unknown;
-        response.refusal = refusal::deadline_passed;
-        this->finish(id, response);
+void ingress_duty::reply(
+    http::exchange_id exchange, const request::routed_response& response
+) {
+    ++this->outcomes[std::string{to_string(response.outcome)}];
+    if (response.refusal != refusal::none) {
+        ++this->outcomes[std::string{to_string(response.refusal)}];
     }
+    this->server->reply(exchange, internal::response_to_caller(response));
 }
 
 nlohmann::json ingress_duty::description() const {
-    nlohmann::json result;
-    result["waiting_requests"] = this->waiting_requests.size();
-    result["late_responses"] = this->late_responses;
+    const instant now = boot_clock::now();
+    nlohmann::json result = internal::describe(
+        request::describe(this->decisions, now),
+        upstream::describe(this->chooser, now)
+    );
+    result["waiting_requests"] = this->requests.size();
     result["inbox"] = this->messages.size();
     result["inbox_refused"] = this->messages.refused_count();
     result["outcomes"] = this->outcomes;
--- a/src/apricotstile/daemon/ingress_duty.hpp
+++ b/src/apricotstile/daemon/ingress_duty.hpp
@@ -1,25 +1,34 @@
-// Takes callers' requests, routes them to the owner's daemon and answers.
+// Takes callers' requests, routes them to the owner's daemon or to a chosen
+// instance, and answers. Runs the decisions of request/ingress.
 
 #ifndef APRICOTSTILE_DAEMON_INGRESS_DUTY_HPP
 #define APRICOTSTILE_DAEMON_INGRESS_DUTY_HPP
 
+#include <apricotstile/core/random.hpp>
 #include <apricotstile/daemon/duty.hpp>
 #include <apricotstile/daemon/inbox.hpp>
 #include <apricotstile/daemon/messages.hpp>
 #include <apricotstile/daemon/routing_view.hpp>
+#include <apricotstile/host/location.hpp>
 #include <apricotstile/http/server.hpp>
 #include <apricotstile/metrics/latency.hpp>
+#include <apricotstile/request/ingress.hpp>
+#include <apricotstile/upstream/chooser.hpp>
 
 #include <QTimer>
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace apricotstile::daemon {
 
 struct ingress_wiring {
     address callers;
+    location where;
     published_state& state;
     inbox<link_message>& links;
     inbox<dispatch_message>& dispatch;
@@ -43,37 +52,80 @@
     [[nodiscard]] nlohmann::json description() const override;
 
 private:
-    struct pending {
+    /// A send that the chooser counts as in flight at `host`.
+    struct placement {
+        host_id host;
+        instant sent;
+    };
+
+    /// A request in the ingress state.
+    struct open_request {
         http::exchange_id exchange;
         request::routed_request request;
         instant started;
-        instant deadline;
-        /// Where it was sent last.
-        host_id host;
-        unsigned attempts{0};
+        /// Only for requests that the chooser places.
+        std::optional<placement> placed;
     };
 
+    /// Whether a request is taken in, before anything is routed.
+    struct acceptance {
+        request::refusal refusal{request::refusal::none};
+        duration retry_after{0};
+    };
+
+    // Requests and answers, in ingress_duty.cpp.
     void take(http::exchange_id exchange, http::http_request&& message);
-    void route(pending& one);
-    void send(pending& one, host_id host);
-    void finish(request_id id, const request::routed_response& response);
-    void refuse(request_id id, request::refusal reason);
-    void caller_hung_up(http::exchange_id exchange);
+    [[nodiscard]] acceptance accept(const request::routed_request& request);
+    void take_message(ingress_message&& message);
     void take_response(finished_request&& message);
-    void take_broken_link(host_id host);
-    void expire();
+    void hung_up(http::exchange_id exchange);
+    void tick();
+    /// Applies `event` and performs what follows from it.
+    void apply(const request::ingress_event& event);
+    void perform(request::ingress_actions&& actions);
+    [[nodiscard]] request::ingress_actions
+    send(const request::send_to_host& what);
+    void cancel(const request::cancel_stream& what);
+    void answer(request::answer_caller&& what);
+    void
+    reply(http::exchange_id exchange, const request::routed_response& response);
+
+    // Hosts to send to, in ingress_routes.cpp.
+    [[nodiscard]] bool has_owner(const request::routed_request& request) const;
+    [[nodiscard]] request::ingress_event
+    find_route(const request::find_route& what);
+    [[nodiscard]] request::ingress_event
+    find_owner(const open_request& one, request_id id) const;
+    [[nodiscard]] request::ingress_event
+    choose_instance(open_request& one, const request::find_route& what);
+    /// Takes in the members and the map that are published now.
+    void follow_view();
+    void follow_map();
+    /// The request whose try on `stream` is in flight, or nothing.
+    [[nodiscard]] open_request* request_on(request_id stream);
+    /// Tells the chooser how the present try of `one` has ended.
+    void end_try(
+        open_request& one,
+        upstream::send_result result,
+        const request::routed_response& response
+    );
 
     ingress_wiring wiring;
     std::unique_ptr<http::server> server;
     std::unique_ptr<QTimer> timer;
-    std::unordered_map<request_id, pending> waiting_requests;
+    random_source random;
+    request::ingress decisions;
+    upstream::chooser chooser;
+    /// Has the same requests as `decisions` while no event is applied.
+    std::unordered_map<request_id, open_request> requests;
     std::unordered_map<http::exchange_id, request_id> request_of;
-    /// Every waiting request, by deadline.
-    std::multimap<instant, request_id> deadlines;
-    request_id last_id;
+    /// The view that `chooser` and `divided` were taken from.
+    std::shared_ptr<const routing_view> followed;
+    /// Services whose keys have one owner each; the others that members
+    /// serve are in `chooser`.
+    std::set<service_id> divided;
     metrics::latency answered_latency;
     std::map<std::string, std::uint64_t> outcomes;
-    std::uint64_t late_responses{0};
 };
 
 } // namespace apricotstile::daemon
--- a/src/apricotstile/daemon/internal/callers_protocol.cpp
+++ b/src/apricotstile/daemon/internal/callers_protocol.cpp
@@ -2,6 +2,8 @@
 
 #include <apricotstile/daemon/internal/callers_protocol.hpp>
 
+#include <apricotstile/request/ticket.hpp>
+
 #include <fmt/format.h>
 
 #include <charconv>
@@ -115,7 +117,9 @@
         header_value(message.headers, "Apricotstile-Customer");
     request.caller_key.value = header_value(message.headers, "Idempotency-Key");
     request.ticket = header_value(message.headers, "Apricotstile-Ticket");
-    request.idempotent = is_idempotent(message.method);
+    // A request for a ticket runs nothing.
+    request.idempotent = is_idempotent(message.method) ||
+                         request.ticket == request::ticket_wanted;
     const bool path_ok = read_path(message.path, request);
     const bool key_ok = request.idempotent || !request.caller_key.value.empty();
     const bool ok = deadline_ok && path_ok && key_ok &&
@@ -154,11 +158,9 @@
         to_string(response.outcome),
         reason
     );
-    if (response.outcome == outcome::unknown) {
-        out.status = status_unknown;
-        return out;
-    }
-    out.status = status_of(response.refusal);
+    out.status = response.outcome == outcome::unknown
+                     ? status_unknown
+                     : status_of(response.refusal);
     add_retry_after(out, response.retry_after);
     return out;
 }
--- a/src/apricotstile/daemon/internal/peer_connection.hpp
+++ b/src/apricotstile/daemon/internal/peer_connection.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace apricotstile::daemon::internal {
@@ -29,7 +30,7 @@
     instant opened_at;
     instant last_received;
     /// Requests sent on this connection that have no answer yet.
-    std::uint64_t unanswered{0};
+    std::unordered_set<request_id> unanswered;
 };
 
 } // namespace apricotstile::daemon::internal
--- a/src/apricotstile/daemon/link_duty.cpp
+++ b/src/apricotstile/daemon/link_duty.cpp
@@ -179,7 +179,7 @@
         peer_connection& where = this->open_to(request->host);
         if (link::is_open(where.session) &&
             where.socket->bytesToWrite() < max_unsent_bytes) {
-            ++where.unanswered;
+            where.unanswered.insert(request->request.id);
             this->send(where, std::move(request->request));
         } else if (where.waiting.size() < max_waiting_frames &&
                    !link::is_open(where.session)) {
@@ -194,6 +194,7 @@
         if (found != this->outgoing.end()) {
             peer_connection& where = *this->connections.at(found->second);
             if (link::is_open(where.session)) {
+                where.unanswered.erase(cancel->id);
                 this->send(where, cancel_frame{cancel->id});
             }
         }
@@ -246,7 +247,9 @@
         return;
     }
     if (!was_open && link::is_open(where.session)) {
-        where.unanswered += where.waiting_requests.size();
+        where.unanswered.insert(
+            where.waiting_requests.begin(), where.waiting_requests.end()
+        );
         where.waiting_requests.clear();
         for (const std::string& payload : where.waiting) {
             const std::string sealed =
@@ -273,7 +276,7 @@
             this->send(where, response);
         }
     } else if (auto* response = std::get_if<request::routed_response>(&received)) {
-        where.unanswered -= where.unanswered > 0 ? 1 : 0;
+        where.unanswered.erase(response->id);
         this->wiring.ingress.push(finished_request{peer, std::move(*response)});
     } else if (auto* cancel = std::get_if<cancel_frame>(&received)) {
         this->wiring.dispatch.push(cancelled_work{
@@ -301,15 +304,16 @@
     for (const request_id id : gone->waiting_requests) {
         this->wiring.ingress.push(request_not_sent{gone->target, id});
     }
-    if (gone->unanswered > 0) {
-        this->wiring.ingress.push(link_broken{gone->target});
+    if (!gone->unanswered.empty()) {
+        this->wiring.ingress.push(link_broken{
+            gone->target, {gone->unanswered.begin(), gone->unanswered.end()}});
     }
     log::write(
         log::level::info,
         log_prefix,
         "Link closed.",
         {{"peer", to_string(peer_address(gone->target))},
-         {"unanswered", std::to_string(gone->unanswered)}}
+         {"unanswered", std::to_string(gone->unanswered.size())}}
     );
 }
 
@@ -320,7 +324,7 @@
         const bool too_slow =
             opening && now - connection->opened_at > open_timeout;
         const bool idle = connection->target != host_id{} &&
-                          connection->unanswered == 0 &&
+                          connection->unanswered.empty() &&
                           now - connection->last_received > idle_timeout;
         if (too_slow || idle) {
             connection->socket->abort();
--- a/src/apricotstile/daemon/messages.hpp
+++ b/src/apricotstile/daemon/messages.hpp
@@ -95,6 +95,7 @@
 /// The link to `host` broke; what was in flight on it may have run.
 struct link_broken {
     host_id host;
+    std::vector<request_id> unanswered;
 };
 
 /// A request that never left: the link could not be opened.
--- a/src/apricotstile/request/ticket.hpp
+++ b/src/apricotstile/request/ticket.hpp
@@ -13,6 +13,9 @@
 
 namespace apricotstile::request {
 
+/// In place of a ticket: the caller wants one, and no work.
+constexpr std::string_view ticket_wanted = "issue";
+
 /// Issued by a slice's owner. It holds nothing secret: a caller that alters
 /// its ticket endangers only its own requests.
 struct ticket {
--- a/src/apricotstile/upstream/chooser.cpp
+++ b/src/apricotstile/upstream/chooser.cpp
@@ -276,6 +276,8 @@
     case send_result::failed:
         note_outcome(state, held, *one, false, now);
         break;
+    case send_result::abandoned:
+        break;
     }
 }
 
--- a/src/apricotstile/upstream/chooser.hpp
+++ b/src/apricotstile/upstream/chooser.hpp
@@ -55,7 +55,9 @@
     /// Refused for load; no sign of a fault.
     shed,
     /// No answer, a broken connection, or an answer that is a server error.
-    failed
+    failed,
+    /// Given up for a reason that isn't the instance's.
+    abandoned
 };
 
 /// Replaces the instances of `service`, keeping what is known of those that
