--- a/src/apricotstile/lease/internal/guardian.hpp
+++ b/src/apricotstile/lease/internal/guardian.hpp
@@ -20,7 +20,7 @@
     /// Nothing is consented to before this; only ever moves forward.
     instant promised_until = instant::min();
     /// The newest generation under which the guardian knows that it is on the
-    /// list, and when it learned so; zero while it isn't.
+    /// list, zero while it isn't; and when it first learned that it is.
     guardian_generation listed_under;
     instant listed_since = instant::min();
     /// Under this and earlier generations nothing is promised any more.
@@ -73,12 +73,14 @@
 
 void take_release(guardian& state, const release& given);
 
-/// Learns which members list this daemon as guardian, and forgets wards that
-/// are over or have other guardians by now.
+/// Learns from `news`, rows that `members` has just taken in, which members
+/// list this daemon as guardian, and forgets wards that are over or have other
+/// guardians by now.
 void take_members(
     guardian& state,
     const member::member_ref& self,
     const member::member_set& members,
+    const std::vector<member::member_row>& news,
     instant now
 );
 
