--- a/src/apricotstile/daemon/daemon.cpp
+++ b/src/apricotstile/daemon/daemon.cpp
@@ -36,7 +36,9 @@
                settings.host,
                state,
                links.messages,
-               dispatch.messages}
+               dispatch.messages,
+               control.messages,
+               shares}
           ),
           links(
               {settings.listen.peers,
--- a/src/apricotstile/daemon/ingress_duty.cpp
+++ b/src/apricotstile/daemon/ingress_duty.cpp
@@ -78,7 +78,7 @@
 std::size_t ingress_duty::waiting() {
     std::size_t count = 0;
     this->run([&] {
-        count = this->requests.size();
+        count = this->requests.size() + this->waiting_count;
     });
     return count;
 }
@@ -89,35 +89,28 @@
     const instant now = boot_clock::now();
     internal::parsed_request parsed =
         internal::parse_caller_request(std::move(message));
-    acceptance accepted{parsed.refusal};
-    if (accepted.refusal == refusal::none) {
-        accepted = this->accept(parsed.request);
-    }
-    if (accepted.refusal != refusal::none) {
-        request::routed_response response;
-        response.outcome = outcome::not_run;
-        response.refusal = accepted.refusal;
-        response.retry_after = accepted.retry_after;
-        this->reply(exchange, response);
+    if (parsed.refusal != refusal::none) {
+        this->refuse(exchange, parsed.refusal, duration{0});
         return;
     }
+    this->admit({exchange, std::move(parsed.request), now, now});
+}
+
+void ingress_duty::begin(unadmitted_request&& one) {
+    const instant now = boot_clock::now();
     request::arrival arrival;
-    arrival.idempotent = parsed.request.idempotent;
-    arrival.keyed = this->has_owner(parsed.request);
-    arrival.deadline = now + parsed.request.time_left;
+    arrival.idempotent = one.request.idempotent;
+    arrival.keyed = this->has_owner(one.request);
+    arrival.deadline = one.started + one.request.time_left;
     request::arrival_result arrived = arrive(this->decisions, arrival, now);
-    this->request_of.emplace(exchange, arrived.id);
+    this->request_of.emplace(one.exchange, arrived.id);
     this->requests.emplace(
-        arrived.id, open_request{exchange, std::move(parsed.request), now, {}}
+        arrived.id,
+        open_request{one.exchange, std::move(one.request), one.started, {}}
     );
     this->perform(std::move(arrived.actions));
 }
 
-ingress_duty::acceptance
-ingress_duty::accept(const request::routed_request& /*request*/) {
-    return {};
-}
-
 void ingress_duty::take_message(ingress_message&& message) {
     if (auto* done = std::get_if<finished_request>(&message)) {
         this->take_response(std::move(*done));
@@ -133,6 +126,8 @@
             this->end_try(*one, upstream::send_result::failed, {});
         }
         this->apply(request::send_failed{unsent->id});
+    } else if (auto* share = std::get_if<share_came>(&message)) {
+        this->retry_waiting(share->customer);
     }
 }
 
@@ -152,11 +147,19 @@
     const auto found = this->request_of.find(exchange);
     if (found != this->request_of.end()) {
         this->apply(request::caller_gone{found->second});
+        return;
+    }
+    for (auto& [customer, queue] : this->waiting_for_share) {
+        this->waiting_count -=
+            std::erase_if(queue, [&](const unadmitted_request& one) {
+                return one.exchange == exchange;
+            });
     }
 }
 
 void ingress_duty::tick() {
     this->follow_view();
+    this->expire_waiting();
     if (next_wake_up(this->decisions) <= boot_clock::now()) {
         this->apply(request::clock_ticked{});
     }
@@ -252,6 +255,7 @@
         );
     }
     const http::exchange_id exchange = one.exchange;
+    this->wiring.shares.finish(one.request.customer);
     this->request_of.erase(exchange);
     this->requests.erase(found);
     this->reply(exchange, response);
@@ -274,6 +278,7 @@
         upstream::describe(this->chooser, now)
     );
     result["waiting_requests"] = this->requests.size();
+    result["waiting_for_share"] = this->waiting_count;
     result["inbox"] = this->messages.size();
     result["inbox_refused"] = this->messages.refused_count();
     result["outcomes"] = this->outcomes;
--- a/src/apricotstile/daemon/ingress_duty.hpp
+++ b/src/apricotstile/daemon/ingress_duty.hpp
@@ -9,6 +9,7 @@
 #include <apricotstile/daemon/inbox.hpp>
 #include <apricotstile/daemon/messages.hpp>
 #include <apricotstile/daemon/routing_view.hpp>
+#include <apricotstile/daemon/share_gate.hpp>
 #include <apricotstile/host/location.hpp>
 #include <apricotstile/http/server.hpp>
 #include <apricotstile/metrics/latency.hpp>
@@ -32,6 +33,8 @@
     published_state& state;
     inbox<link_message>& links;
     inbox<dispatch_message>& dispatch;
+    inbox<control_message>& control;
+    share_gate& shares;
 };
 
 class ingress_duty : public duty {
@@ -67,15 +70,29 @@
         std::optional<placement> placed;
     };
 
-    /// Whether a request is taken in, before anything is routed.
-    struct acceptance {
-        request::refusal refusal{request::refusal::none};
-        duration retry_after{0};
+    /// A request whose customer has no share here yet.
+    struct unadmitted_request {
+        http::exchange_id exchange;
+        request::routed_request request;
+        instant started;
+        instant give_up;
     };
 
+    // Limits of customers, in ingress_admission.cpp.
+    void admit(unadmitted_request&& one);
+    void wait_for_share(unadmitted_request&& one, duration patience);
+    void retry_waiting(const customer_id& customer);
+    void expire_waiting();
+    void refuse(
+        http::exchange_id exchange,
+        request::refusal reason,
+        duration retry_after
+    );
+
     // Requests and answers, in ingress_duty.cpp.
     void take(http::exchange_id exchange, http::http_request&& message);
-    [[nodiscard]] acceptance accept(const request::routed_request& request);
+    /// Begins to route an admitted request.
+    void begin(unadmitted_request&& one);
     void take_message(ingress_message&& message);
     void take_response(finished_request&& message);
     void hung_up(http::exchange_id exchange);
@@ -124,6 +141,10 @@
     /// Services whose keys have one owner each; the others that members
     /// serve are in `chooser`.
     std::set<service_id> divided;
+    /// Bounded; each entry is released by a share, its patience or its
+    /// caller.
+    std::map<customer_id, std::deque<unadmitted_request>> waiting_for_share;
+    std::size_t waiting_count{0};
     metrics::latency answered_latency;
     std::map<std::string, std::uint64_t> outcomes;
 };
