Close links that are silent or whose member is gone

Cause: a link was closed only when TCP reported a loss. After a partition the retransmissions of the old connection back off, so calls over it ended unknown at their deadline long after new connections worked. Requests on a link to a paused host whose member had been deposed waited the same way.

Change: while the peer owes an answer, a link without a byte for 300 ms is pinged, and one without a byte for 1 s is closed; the next request opens a new connection. The peer answers pings at once, so slow work keeps its link. A gap between checks restarts the wait, so that a pause of this side isn't taken for the peer's. The link duty's timer also closes links whose member the view has deposed, left, replaced or dropped, and requests to such a member are refused as not sent. link_broken now also lists the requests that were in flight. Accepted links quiet for 90 s are closed.

--- a/src/apricotstile/daemon/internal/peer_connection.hpp
+++ b/src/apricotstile/daemon/internal/peer_connection.hpp
@@ -4,13 +4,16 @@
 #define APRICOTSTILE_DAEMON_INTERNAL_PEER_CONNECTION_HPP
 
 #include <apricotstile/core/time.hpp>
+#include <apricotstile/daemon/internal/peer_presence.hpp>
 #include <apricotstile/link/session.hpp>
+#include <apricotstile/link/silence.hpp>
 
 #include <QTcpSocket>
 
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace apricotstile::daemon::internal {
@@ -29,7 +32,11 @@
     instant opened_at;
     instant last_received;
     /// Requests sent on this connection that have no answer yet.
-    std::uint64_t unanswered{0};
+    std::unordered_set<request_id> unanswered;
+    /// Bulk control was sent and no byte has come since.
+    bool owes_pong{false};
+    link::silence silence;
+    peer_presence presence;
 };
 
 } // namespace apricotstile::daemon::internal
--- a/src/apricotstile/daemon/link_duty.cpp
+++ b/src/apricotstile/daemon/link_duty.cpp
@@ -27,6 +27,9 @@
 constexpr auto check_interval = 50ms;
 constexpr duration open_timeout = 500ms;
 constexpr duration idle_timeout = 60s;
+/// Longer than `idle_timeout`: the peer closes a link that it doesn't use, so
+/// a link that is quiet for longer was lost.
+constexpr duration accepted_idle_timeout = 90s;
 constexpr std::size_t nonce_words = 4;
 constexpr auto log_prefix = "link";
 
@@ -102,6 +105,7 @@
     );
     connection.opened_at = boot_clock::now();
     connection.last_received = connection.opened_at;
+    connection.silence = link::make_silence(connection.opened_at);
     QTcpSocket* const raw = connection.socket.get();
     QObject::connect(raw, &QTcpSocket::readyRead, this->context(), [=, this] {
         this->bytes_arrived(number);
@@ -176,10 +180,16 @@
 
 void link_duty::take(link_message&& message) {
     if (auto* request = std::get_if<outgoing_request>(&message)) {
+        const auto view = this->wiring.state.view.load();
+        if (internal::owns_nothing(view->members, request->host)) {
+            this->wiring.ingress.push(request_not_sent{
+                request->host, request->request.id});
+            return;
+        }
         peer_connection& where = this->open_to(request->host);
         if (link::is_open(where.session) &&
             where.socket->bytesToWrite() < max_unsent_bytes) {
-            ++where.unanswered;
+            where.unanswered.insert(request->request.id);
             this->send(where, std::move(request->request));
         } else if (where.waiting.size() < max_waiting_frames &&
                    !link::is_open(where.session)) {
@@ -194,6 +204,7 @@
         if (found != this->outgoing.end()) {
             peer_connection& where = *this->connections.at(found->second);
             if (link::is_open(where.session)) {
+                where.unanswered.erase(cancel->id);
                 this->send(where, cancel_frame{cancel->id});
             }
         }
@@ -208,6 +219,7 @@
         peer_connection& where = this->open_to(control->host);
         if (link::is_open(where.session)) {
             this->send(where, control_frame{std::move(control->payload)});
+            where.owes_pong = true;
         } else if (where.waiting.size() < max_waiting_frames) {
             where.waiting.push_back(encode(frame{
                 control_frame{std::move(control->payload)}}));
@@ -224,6 +236,8 @@
     const std::string bytes = where.socket->readAll().toStdString();
     this->bytes_received += bytes.size();
     where.last_received = boot_clock::now();
+    where.owes_pong = false;
+    link::bytes_heard(where.silence, where.last_received);
     const bool was_open = link::is_open(where.session);
     try {
         for (const std::string& payload : link::receive(where.session, bytes)) {
@@ -246,7 +260,9 @@
         return;
     }
     if (!was_open && link::is_open(where.session)) {
-        where.unanswered += where.waiting_requests.size();
+        where.unanswered.insert(
+            where.waiting_requests.begin(), where.waiting_requests.end()
+        );
         where.waiting_requests.clear();
         for (const std::string& payload : where.waiting) {
             const std::string sealed =
@@ -273,7 +289,7 @@
             this->send(where, response);
         }
     } else if (auto* response = std::get_if<request::routed_response>(&received)) {
-        where.unanswered -= where.unanswered > 0 ? 1 : 0;
+        where.unanswered.erase(response->id);
         this->wiring.ingress.push(finished_request{peer, std::move(*response)});
     } else if (auto* cancel = std::get_if<cancel_frame>(&received)) {
         this->wiring.dispatch.push(cancelled_work{
@@ -281,6 +297,8 @@
     } else if (auto* control = std::get_if<control_frame>(&received)) {
         this->wiring.control.push(incoming_control{
             peer, std::move(control->payload)});
+    } else if (std::holds_alternative<ping_frame>(received)) {
+        this->send(where, pong_frame{});
     }
 }
 
@@ -301,38 +319,55 @@
     for (const request_id id : gone->waiting_requests) {
         this->wiring.ingress.push(request_not_sent{gone->target, id});
     }
-    if (gone->unanswered > 0) {
-        this->wiring.ingress.push(link_broken{gone->target});
+    if (!gone->unanswered.empty()) {
+        this->wiring.ingress.push(link_broken{
+            gone->target, {gone->unanswered.begin(), gone->unanswered.end()}});
     }
     log::write(
         log::level::info,
         log_prefix,
         "Link closed.",
         {{"peer", to_string(peer_address(gone->target))},
-         {"unanswered", std::to_string(gone->unanswered)}}
+         {"unanswered", std::to_string(gone->unanswered.size())}}
     );
 }
 
+bool link_duty::is_lost(peer_connection& where, instant now) {
+    if (!link::is_open(where.session)) {
+        return now - where.opened_at > open_timeout;
+    }
+    if (where.target == host_id{}) {
+        return now - where.last_received > accepted_idle_timeout;
+    }
+    const bool awaited = !where.unanswered.empty() || where.owes_pong;
+    const auto action = link::check(where.silence, awaited, now);
+    if (action == link::silence_action::ping) {
+        ++this->pings_sent;
+        this->send(where, ping_frame{});
+    }
+    const bool silent = action == link::silence_action::close;
+    this->links_silent += silent ? 1 : 0;
+    const bool idle = !awaited && now - where.last_received > idle_timeout;
+    return silent || idle;
+}
+
 void link_duty::check_links() {
     const instant now = boot_clock::now();
+    const auto view = this->wiring.state.view.load();
+    std::vector<connection_number> lost;
     for (auto& [number, connection] : this->connections) {
-        const bool opening = !link::is_open(connection->session);
-        const bool too_slow =
-            opening && now - connection->opened_at > open_timeout;
-        const bool idle = connection->target != host_id{} &&
-                          connection->unanswered == 0 &&
-                          now - connection->last_received > idle_timeout;
-        if (too_slow || idle) {
-            connection->socket->abort();
-            QMetaObject::invokeMethod(
-                this->context(),
-                [this, gone = number] {
-                    this->closed(gone);
-                },
-                Qt::QueuedConnection
-            );
+        const host_id target = connection->target;
+        const bool gone =
+            target != host_id{} &&
+            internal::has_gone(connection->presence, view->members, target);
+        this->members_gone += gone ? 1 : 0;
+        if (gone || this->is_lost(*connection, now)) {
+            lost.push_back(number);
         }
     }
+    for (const connection_number number : lost) {
+        this->closed(number);
+    }
 }
 
 nlohmann::json link_duty::description() const {
@@ -345,6 +380,9 @@
     result["bytes_received"] = this->bytes_received;
     result["links_refused"] = this->links_refused;
     result["links_lost"] = this->links_lost;
+    result["links_silent"] = this->links_silent;
+    result["members_gone"] = this->members_gone;
+    result["pings_sent"] = this->pings_sent;
     result["late_answers"] = this->late_answers;
     result["inbox"] = this->messages.size();
     result["inbox_refused"] = this->messages.refused_count();
--- a/src/apricotstile/daemon/link_duty.hpp
+++ b/src/apricotstile/daemon/link_duty.hpp
@@ -58,6 +58,8 @@
     void closed(connection_number number);
     void take(link_message&& message);
     void check_links();
+    /// Whether the link isn't worth keeping; pings it when it is quiet.
+    [[nodiscard]] bool is_lost(internal::peer_connection& where, instant now);
 
     link_wiring wiring;
     std::unique_ptr<QTcpServer> listener;
@@ -75,6 +77,9 @@
     std::uint64_t bytes_received{0};
     std::uint64_t links_refused{0};
     std::uint64_t links_lost{0};
+    std::uint64_t links_silent{0};
+    std::uint64_t members_gone{0};
+    std::uint64_t pings_sent{0};
     std::uint64_t late_answers{0};
 };
 
--- a/src/apricotstile/daemon/messages.hpp
+++ b/src/apricotstile/daemon/messages.hpp
@@ -95,6 +95,8 @@
 /// The link to `host` broke; what was in flight on it may have run.
 struct link_broken {
     host_id host;
+    /// Those that were in flight; others may wait on a newer link to `host`.
+    std::vector<request_id> unanswered;
 };
 
 /// A request that never left: the link could not be opened.
@@ -163,6 +165,11 @@
     std::string payload;
 };
 
+/// Answered at once by a `pong_frame`.
+struct ping_frame {};
+
+struct pong_frame {};
+
 template <class Archive>
 void serialize(Archive& archive, cancel_frame& value) {
     archive(value.id);
@@ -173,11 +180,19 @@
     archive(value.payload);
 }
 
+template <class Archive>
+void serialize(Archive&, ping_frame&) {}
+
+template <class Archive>
+void serialize(Archive&, pong_frame&) {}
+
 using frame = std::variant<
     request::routed_request,
     request::routed_response,
     cancel_frame,
-    control_frame>;
+    control_frame,
+    ping_frame,
+    pong_frame>;
 
 } // namespace apricotstile::daemon
 
