Stop waiting for releases when no member can take slices

Cause: draining waits up to 20 s for its slices to pass to others. When all daemons stop at once nobody takes them, so each waited the whole time.

Change: the wait ends once the view lists no other active member; leases run out instead.

--- a/src/apricotstile/daemon/daemon.cpp
+++ b/src/apricotstile/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include <apricotstile/daemon/control_duty.hpp>
 #include <apricotstile/daemon/dispatch_duty.hpp>
 #include <apricotstile/daemon/ingress_duty.hpp>
+#include <apricotstile/daemon/internal/peer_presence.hpp>
 #include <apricotstile/daemon/link_duty.hpp>
 #include <apricotstile/daemon/operators_duty.hpp>
 #include <apricotstile/daemon/store_duty.hpp>
@@ -24,6 +25,12 @@
 constexpr auto drain_poll_interval = 20ms;
 constexpr auto log_prefix = "daemon";
 
+/// Whether another member could take this daemon's slices.
+bool can_release(const published_state& state) {
+    const auto view = state.view.load();
+    return internal::others_active(view->members, view->self.host);
+}
+
 } // namespace
 
 struct daemon::parts {
@@ -110,14 +117,17 @@
     const instant release_end = boot_clock::now() + longest_release;
     this->self->control.messages.push(drain_order{});
     // Requests are still routed while slices pass to others.
-    while (boot_clock::now() < release_end && !this->self->control.has_left()) {
+    while (boot_clock::now() < release_end && !this->self->control.has_left() &&
+           can_release(this->self->state)) {
         std::this_thread::sleep_for(drain_poll_interval);
     }
     if (!this->self->control.has_left()) {
         log::write(
             log::level::warning,
             log_prefix,
-            "Slices were not released in time; leases run out instead."
+            can_release(this->self->state)
+                ? "Slices were not released in time; leases run out instead."
+                : "No active member is left to take slices; leases run out."
         );
     }
     this->self->ingress.drain();
