--- a/src/apricotstile/daemon/internal/peer_connection.hpp
+++ b/src/apricotstile/daemon/internal/peer_connection.hpp
@@ -4,7 +4,9 @@
 #define APRICOTSTILE_DAEMON_INTERNAL_PEER_CONNECTION_HPP
 
 #include <apricotstile/core/time.hpp>
+#include <apricotstile/daemon/internal/peer_presence.hpp>
 #include <apricotstile/link/session.hpp>
+#include <apricotstile/link/silence.hpp>
 
 #include <QTcpSocket>
 
@@ -31,6 +33,10 @@
     instant last_received;
     /// Requests sent on this connection that have no answer yet.
     std::unordered_set<request_id> unanswered;
+    /// Bulk control was sent and no byte has come since.
+    bool owes_pong{false};
+    link::silence silence;
+    peer_presence presence;
 };
 
 } // namespace apricotstile::daemon::internal
