Tick the plan desk and the shares

The desk and the ingress's shares were never ticked, so no daemon put a version in force: the demo found 360 of 360 lookups refused unknown_customer.

--- a/src/apricotstile/daemon/control_duty.cpp
+++ b/src/apricotstile/daemon/control_duty.cpp
@@ -96,6 +96,8 @@
         this->context(),
         [this] {
             this->feed(control::tick{});
+            this->feed_desk(control::desk_tick{});
+            this->feed_shares(share::ingress_tick{});
         }
     );
     this->timer->start();
