--- a/benchmarks/request_costs.cpp
+++ b/benchmarks/request_costs.cpp
@@ -94,6 +94,22 @@
     });
 }
 
+/// What `count` remembered keys take together.
+void measure_records(int count) {
+    const auto before = mallinfo2().uordblks;
+    request::owner_memory memory = open_memory();
+    for (int i = 0; i < count; ++i) {
+        run_keyed(memory, i, instant{1ms * i});
+    }
+    const auto after = mallinfo2().uordblks;
+    fmt::print(
+        "{{\"benchmark\":\"request_costs\",\"operation\":"
+        "\"owner_memory records\",\"records\":{},\"bytes\":{}}}\n",
+        count,
+        after - before
+    );
+}
+
 void measure_admission() {
     upstream::admission state =
         upstream::make_admission(upstream::admission_policy{}, instant{});
@@ -182,6 +198,9 @@
 
 int main() {
     measure_memory();
+    for (const int count : {16384, 65536, 131072}) {
+        measure_records(count);
+    }
     measure_admission();
     measure_ingress();
     constexpr std::uint32_t few = 6;
