Measure shares, lists and choice at three sizes

Shares stood on one size, lists and the choice on two. share_bench now runs one customer on 18, 100 and 740 daemons with its owner's bytes and time, plan_bench takes 100 daemons and lists of 25,000 and 50,000 customers too, and request_costs_bench chooses among 100 instances.

--- a/benchmarks/plan.cpp
+++ b/benchmarks/plan.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -293,7 +295,13 @@
     );
 }
 
+std::size_t bytes_in_use() {
+    const auto now = mallinfo2();
+    return now.uordblks + now.hblkhd;
+}
+
 void measure_memory(std::size_t customers) {
+    const std::size_t held_before = bytes_in_use();
     const std::size_t before = resident_kilobytes();
     const plan::version_body body{{1}, {1}, make_lists(customers)};
     plan::follower_state state;
@@ -303,12 +311,15 @@
     );
     const plan::plan_book book = plan::compile({1}, state.held->lists);
     const std::size_t after = resident_kilobytes();
+    const std::size_t held = bytes_in_use() - held_before;
     // The body that was applied is a third copy that a daemon drops.
     fmt::print(
         "{{\"point\":\"memory\",\"customers\":{},\"body_bytes\":{},"
+        "\"bytes_with_applied_copy\":{},"
         "\"resident_kilobytes_with_applied_copy\":{}}}\n",
         book.customers.size(),
         state.held->bytes.size(),
+        held,
         after - before
     );
 }
@@ -316,9 +327,11 @@
 } // namespace
 
 int main() {
-    measure_memory(100'000);
+    for (const std::size_t customers : {25'000U, 50'000U, 100'000U}) {
+        measure_memory(customers);
+    }
     measure_check(50'000);
-    for (const std::size_t daemons : {std::size_t{18}, std::size_t{740}}) {
+    for (const std::size_t daemons : {18U, 100U, 740U}) {
         measure_spread({"quiet", daemons, 0, 5ms, false});
         measure_spread({"loss_20_percent", daemons, 20, 5ms, false});
         measure_spread({"store_slow_4_s", daemons, 20, 4s, false});
--- a/benchmarks/request_costs.cpp
+++ b/benchmarks/request_costs.cpp
@@ -203,10 +203,9 @@
     }
     measure_admission();
     measure_ingress();
-    constexpr std::uint32_t few = 6;
-    constexpr std::uint32_t many = 740;
-    measure_chooser(few);
-    measure_chooser(many);
+    for (const std::uint32_t instances : {6U, 100U, 740U}) {
+        measure_chooser(instances);
+    }
     measure_quarantine();
     return 0;
 }
--- a/benchmarks/share.cpp
+++ b/benchmarks/share.cpp
@@ -57,6 +57,10 @@
     std::uint64_t offered{0};
     std::uint64_t bytes{0};
     std::uint64_t messages{0};
+    /// Those that the owner sent or received.
+    std::uint64_t owner_bytes{0};
+    /// Elapsed time in the owner's decisions.
+    duration owner_time{0};
 };
 
 const customer_id customer{"havengeld-portal"};
@@ -74,17 +78,17 @@
     return plan::compile({1}, lists);
 }
 
-world make_world() {
+world make_world(std::size_t count = host_count) {
     world w;
     w.book = make_book();
-    w.hosts.resize(host_count);
-    for (std::size_t at = 0; at < host_count; ++at) {
+    w.hosts.resize(count);
+    for (std::size_t at = 0; at < count; ++at) {
         w.hosts[at].ingress.self = {{at + 1}, {1}};
         w.hosts[at].equal.updated = w.now;
         share::reshape(
             w.hosts[at].equal,
-            plan_rate * share::units_per_request / host_count,
-            plan_rate / 10 * share::level_of_one_request / host_count
+            plan_rate * share::units_per_request / count,
+            plan_rate / 10 * share::level_of_one_request / count
         );
     }
     w.central.updated = w.now;
@@ -97,9 +101,12 @@
 }
 
 template <class Message>
-void send(world& w, std::size_t to, const Message& message) {
-    w.bytes += encode(share::share_message{message}).size();
+void send(world& w, std::size_t from, std::size_t to, const Message& message) {
+    const std::size_t size = encode(share::share_message{message}).size();
+    w.bytes += size;
     ++w.messages;
+    // All messages are to the owner or from it.
+    w.owner_bytes += from == to ? 0 : size;
     w.network.push_back({w.now + one_way, to, message});
 }
 
@@ -116,9 +123,12 @@
 
 void feed(world& w, std::size_t at, const share::lender_event& event) {
     const auto lookup = ownership(w, at);
-    for (const auto& one :
-         step(w.hosts[at].lender, event, {w.book, lookup}, w.now)) {
-        send(w, one.to.value - 1, one.grants);
+    const auto start = std::chrono::steady_clock::now();
+    const auto grants =
+        step(w.hosts[at].lender, event, {w.book, lookup}, w.now);
+    w.owner_time += at == 0 ? std::chrono::steady_clock::now() - start : 0ns;
+    for (const auto& one : grants) {
+        send(w, at, one.to.value - 1, one.grants);
     }
 }
 
@@ -133,7 +143,7 @@
     );
     for (const auto& action : actions) {
         if (const auto* claims = std::get_if<share::send_claims>(&action)) {
-            send(w, claims->to.value - 1, claims->claims);
+            send(w, at, claims->to.value - 1, claims->claims);
         }
     }
 }
@@ -205,7 +215,7 @@
     while (w.now < end) {
         w.now += world_step;
         deliver(w);
-        for (std::size_t at = 0; at < host_count; ++at) {
+        for (std::size_t at = 0; at < w.hosts.size(); ++at) {
             run_host(w, at);
         }
     }
@@ -214,13 +224,13 @@
 /// Demands by Zipf's law from `first` on, `total` requests a second together.
 void set_demand(world& w, std::size_t first, double total) {
     double sum = 0;
-    for (std::size_t at = 0; at < host_count; ++at) {
+    for (std::size_t at = 0; at < w.hosts.size(); ++at) {
         sum += 1 / std::pow(static_cast<double>(at + 1), 1.2);
     }
-    for (std::size_t at = 0; at < host_count; ++at) {
+    for (std::size_t at = 0; at < w.hosts.size(); ++at) {
         const double part =
             1 / std::pow(static_cast<double>(at + 1), 1.2) / sum;
-        w.hosts[(first + at) % host_count].demand = total * part;
+        w.hosts[(first + at) % w.hosts.size()].demand = total * part;
     }
 }
 
@@ -295,6 +305,33 @@
     }
 }
 
+/// One customer in use on all of `count` daemons, its owner among them.
+void measure_traffic(std::size_t count) {
+    constexpr double total = 800;
+    constexpr auto settled = 10s;
+    constexpr auto length = 20s;
+    world w = make_world(count);
+    set_demand(w, 1, total);
+    run(w, settled);
+    const std::uint64_t bytes = w.bytes;
+    const std::uint64_t owner_bytes = w.owner_bytes;
+    const duration owner_time = w.owner_time;
+    run(w, length);
+    const double seconds = std::chrono::duration<double>{length}.count();
+    const std::chrono::duration<double> busy = w.owner_time - owner_time;
+    fmt::print(
+        "{{\"point\":\"traffic of one customer\",\"hosts\":{},"
+        "\"offered\":{:.0f},\"bytes_per_second_per_host\":{:.0f},"
+        "\"owner_bytes_per_second\":{:.0f},\"owner_core_percent\":{:.3f}}}\n",
+        count,
+        total,
+        static_cast<double>(w.bytes - bytes) / seconds /
+            static_cast<double>(count),
+        static_cast<double>(w.owner_bytes - owner_bytes) / seconds,
+        busy.count() / seconds * 100
+    );
+}
+
 void measure_admission() {
     constexpr std::size_t customers = 100'000;
     constexpr std::size_t active = 2'000;
@@ -368,6 +405,9 @@
 } // namespace
 
 int main() {
+    for (const std::size_t count : {18U, 100U, 740U}) {
+        measure_traffic(count);
+    }
     measure_use();
     measure_admission();
     return 0;
