--- a/src/apricotstile/http/client_pool.hpp
+++ b/src/apricotstile/http/client_pool.hpp
@@ -34,9 +34,9 @@
     /// Exchanges that ended because their time was up.
     [[nodiscard]] std::uint64_t timed_out() const;
 
-    /// Starts an exchange, which ends as `timed_out` when `time_allowed` has passed
-    /// without a whole answer. `done` runs once, later, in this thread. Throws
-    /// `std::logic_error` without room.
+    /// Starts an exchange, which ends as `timed_out` when `time_allowed` has
+    /// passed without a whole answer. `done` runs once, later, in this thread.
+    /// Throws `std::logic_error` without room.
     client_exchange start(
         const http_request& request,
         duration time_allowed,
