Refuse non-idempotent requests right after a pause

A paused ingress woke, read what had waited in its sockets and forwarded it as fresh, while its callers had resent elsewhere.

--- a/src/apricotstile/daemon/ingress_duty.cpp
+++ b/src/apricotstile/daemon/ingress_duty.cpp
@@ -93,6 +93,12 @@
         this->refuse(exchange, parsed.refusal, duration{0});
         return;
     }
+    if (internal::refuses(this->pauses, parsed.request.idempotent, now)) {
+        this->refuse(
+            exchange, refusal::overloaded, internal::refusal_after_pause
+        );
+        return;
+    }
     this->admit({exchange, std::move(parsed.request), now, now});
 }
 
@@ -158,6 +164,7 @@
 }
 
 void ingress_duty::tick() {
+    internal::notice_time(this->pauses, boot_clock::now());
     this->follow_view();
     this->expire_waiting();
     if (next_wake_up(this->decisions) <= boot_clock::now()) {
--- a/src/apricotstile/daemon/ingress_duty.hpp
+++ b/src/apricotstile/daemon/ingress_duty.hpp
@@ -7,6 +7,7 @@
 #include <apricotstile/core/random.hpp>
 #include <apricotstile/daemon/duty.hpp>
 #include <apricotstile/daemon/inbox.hpp>
+#include <apricotstile/daemon/internal/pause_guard.hpp>
 #include <apricotstile/daemon/messages.hpp>
 #include <apricotstile/daemon/routing_view.hpp>
 #include <apricotstile/daemon/share_gate.hpp>
@@ -132,6 +133,7 @@
     std::unique_ptr<QTimer> timer;
     random_source random;
     request::ingress decisions;
+    internal::pause_guard pauses;
     upstream::chooser chooser;
     /// Has the same requests as `decisions` while no event is applied.
     std::unordered_map<request_id, open_request> requests;
