--- a/standins/caller/attempt.cpp
+++ b/standins/caller/attempt.cpp
@@ -37,6 +37,8 @@
     case http::exchange_failure::lost:
         return took >= time_allowed ? attempt_result::timed_out
                                     : attempt_result::connection_lost;
+    case http::exchange_failure::timed_out:
+        return attempt_result::timed_out;
     default:
         return attempt_result::malformed;
     }
