Send a released slice's memory once the map shows the release

The memory now waits for the map, and a new owner holds non-idempotent requests up to a second for a memory that is on its way.

--- a/src/apricotstile/daemon/dispatch_duty.cpp
+++ b/src/apricotstile/daemon/dispatch_duty.cpp
@@ -70,7 +70,7 @@
 std::size_t dispatch_duty::unfinished() {
     std::size_t count = 0;
     this->run([&] {
-        count = this->held.size() + this->works.size();
+        count = this->held.size() + this->works.size() + this->released.size();
     });
     return count;
 }
@@ -102,7 +102,9 @@
         }
         this->retry_held();
     } else if (auto* released = std::get_if<assignment::range_released>(&message)) {
-        this->hand_over(*released, boot_clock::now());
+        const instant now = boot_clock::now();
+        this->released.emplace_back(now, std::move(*released));
+        this->hand_over_released(now);
     } else if (auto* memory = std::get_if<request::slice_handover>(&message)) {
         if (this->handovers.size() < max_handovers) {
             this->handovers.emplace_back(boot_clock::now(), std::move(*memory));
@@ -353,6 +355,7 @@
 nlohmann::json dispatch_duty::description() const {
     nlohmann::json result;
     result["held"] = this->held.size();
+    result["releases_to_hand_over"] = this->released.size();
     result["works"] = this->works.size();
     result["ranges_draining"] = this->draining.size();
     result["dispatched"] = this->dispatched;
--- a/src/apricotstile/daemon/dispatch_duty.hpp
+++ b/src/apricotstile/daemon/dispatch_duty.hpp
@@ -42,7 +42,7 @@
 
     inbox<dispatch_message> messages;
 
-    /// Requests that wait or run.
+    /// Requests that wait or run, and memories that are still to be sent on.
     [[nodiscard]] std::size_t unfinished();
 
 protected:
@@ -129,7 +129,23 @@
         bool accepted
     );
     void open_owned_slices(instant now);
-    void hand_over(const assignment::range_released& what, instant now);
+    /// Sends the slice's memory on. False while the map doesn't show the
+    /// release, and so not the token that the next owner holds.
+    bool hand_over(const assignment::range_released& what, instant now);
+    void hand_over_released(instant now);
+    /// Notes the slices that `view` shows to be this member's since `before`
+    /// by a release, whose memory is on its way.
+    void expect_handovers(
+        const assignment::assignment_map* before,
+        const routing_view& view,
+        instant now
+    );
+    /// Whether the memory that is on its way may know `request`.
+    bool awaits_handover(
+        const request::routed_request& request,
+        const assignment::dispatch_decision& decision,
+        instant now
+    );
     void take_handovers(instant now);
 
     dispatch_wiring wiring;
@@ -148,6 +164,10 @@
     std::map<upstream::work_id, known_work> works;
     std::map<work_key, upstream::work_id> work_of;
     upstream::work_id last_work;
+    /// Released ranges whose memories wait for the map to show the release.
+    std::deque<std::pair<instant, assignment::range_released>> released;
+    /// Until when non-idempotent requests wait for a slice's memory.
+    std::map<request::slice_ref, instant> expected;
     /// Memories handed over that wait for the map; bounded.
     std::deque<std::pair<instant, request::slice_handover>> handovers;
     /// Requests dispatched since the last load report, by range.
--- a/src/apricotstile/daemon/dispatch_upstreams.cpp
+++ b/src/apricotstile/daemon/dispatch_upstreams.cpp
@@ -4,10 +4,12 @@
 #include <apricotstile/daemon/dispatch_duty.hpp>
 
 #include <apricotstile/assignment/load_meter.hpp>
+#include <apricotstile/assignment/owner_lookup.hpp>
 #include <apricotstile/daemon/internal/local_upstream.hpp>
 #include <apricotstile/log/logger.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace apricotstile::daemon {
 
@@ -20,6 +22,8 @@
 constexpr duration announcement_timeout = 2s;
 constexpr duration probe_timeout = 300ms;
 constexpr duration handover_patience = 5s;
+/// How long a request waits for the memory of the owner before.
+constexpr duration handover_wait = 1s;
 constexpr auto log_prefix = "upstream";
 constexpr fencing_token first_token{1};
 constexpr std::uint16_t status_malformed = 400;
@@ -198,6 +202,7 @@
     }
     this->open_owned_slices(now);
     this->take_handovers(now);
+    this->hand_over_released(now);
     for (auto& [where, upstream] : this->upstreams) {
         upstream.dispatcher.quarantine.self =
             this->wiring.state.view.load()->self;
@@ -214,7 +219,8 @@
     if (view->map == nullptr || view->map == this->opened) {
         return;
     }
-    this->opened = view->map;
+    const auto before = std::exchange(this->opened, view->map);
+    this->expect_handovers(before.get(), *view, now);
     for (auto& [where, upstream] : this->upstreams) {
         for (const member::served_service& served : upstream.said.services) {
             const auto found = view->map->services.find(served.service);
@@ -241,24 +247,67 @@
     }
 }
 
-void dispatch_duty::hand_over(
-    const assignment::range_released& what, instant now
+void dispatch_duty::expect_handovers(
+    const assignment::assignment_map* before,
+    const routing_view& view,
+    instant now
 ) {
-    const auto view = this->wiring.state.view.load();
-    const auto service = view->map->services.find(what.range.service);
-    if (service == view->map->services.end()) {
+    if (before == nullptr) {
         return;
     }
-    const assignment::slice_assignment& slice =
-        service->second.slices.at(what.range.slice.value);
-    if (slice.owner != what.to) {
-        return;
+    for (const auto& [service, assigned] : view.map->services) {
+        const auto known = before->services.find(service);
+        if (known == before->services.end()) {
+            continue;
+        }
+        const auto& old_slices = known->second.slices;
+        for (std::uint32_t index = 0; index < assigned.slices.size(); ++index) {
+            const member::member_ref old_owner = old_slices.at(index).owner;
+            const auto record = view.members.find(old_owner.host);
+            const bool released = record != view.members.end() &&
+                                  record->second.self == old_owner &&
+                                  member::owns_slices(record->second.state);
+            const bool gained = assigned.slices[index].owner == view.self &&
+                                old_owner != view.self;
+            if (gained && released) {
+                this->expected[{service, {index}}] = now + handover_wait;
+            }
+        }
+    }
+}
+
+bool dispatch_duty::awaits_handover(
+    const request::routed_request& request,
+    const assignment::dispatch_decision& decision,
+    instant now
+) {
+    const auto found =
+        this->expected.find({request.service, decision.range.slice});
+    if (request.idempotent || found == this->expected.end()) {
+        return false;
+    }
+    if (now >= found->second) {
+        this->expected.erase(found);
+        return false;
+    }
+    const auto ticket = request::parse_ticket(request.ticket);
+    return !ticket || ticket->token != decision.token;
+}
+
+bool dispatch_duty::hand_over(
+    const assignment::range_released& what, instant now
+) {
+    const auto view = this->wiring.state.view.load();
+    const assignment::slice_assignment* const slice =
+        assignment::find_range(*view->map, what.range);
+    if (slice == nullptr || slice->owner != what.to) {
+        return false;
     }
     for (auto& [where, upstream] : this->upstreams) {
         auto memory = request::hand_over(
             upstream.dispatcher.memory,
             {what.range.service, what.range.slice},
-            slice.token,
+            slice->token,
             now
         );
         if (memory) {
@@ -267,6 +316,17 @@
                 what.to.host, std::move(*memory)});
         }
     }
+    return true;
+}
+
+void dispatch_duty::hand_over_released(instant now) {
+    std::deque<std::pair<instant, assignment::range_released>> waiting;
+    waiting.swap(this->released);
+    for (auto& [since, range] : waiting) {
+        if (!this->hand_over(range, now) && now - since < handover_patience) {
+            this->released.emplace_back(since, std::move(range));
+        }
+    }
 }
 
 void dispatch_duty::take_handovers(instant now) {
@@ -281,6 +341,7 @@
         }
         if (taken) {
             ++this->taken_over;
+            this->expected.erase({memory.service, memory.slice});
         } else if (now - arrived < handover_patience) {
             this->handovers.emplace_back(arrived, std::move(memory));
         }
