Drop messages that reach a duty after its tear-down

Cause: a message that came between a duty's tear_down and the end of its thread was still consumed. The trace of a demo's daemon that ended with SIGSEGV at its stop shows control_duty::send writing to a socket that is gone, called from the inbox. Each duty now closes its inbox first.

--- a/src/apricotstile/control/controller.cpp
+++ b/src/apricotstile/control/controller.cpp
@@ -2,113 +2,21 @@
 
 #include <apricotstile/control/controller.hpp>
 
+#include <apricotstile/control/internal/round.hpp>
+
 #include <chrono>
 
 namespace apricotstile::control {
 
+namespace internal {
+
 namespace {
 
 using namespace std::chrono_literals;
 
 constexpr duration assignment_tick_interval = 50ms;
 
-/// One call of `step`: the state, the time and what is asked for so far.
-class round {
-public:
-    round(controller& state, instant at, random_source& source, actions& result)
-        : self(state), now(at), random(source), out(result) {}
-
-    void take(const tick& /*what*/);
-    void take(const envelope& what);
-    void take(const platform::transaction_done& what);
-    void take(const platform::rows_read& what);
-    void take(const services_announced& what);
-    void take(const load_measured& what);
-    void take(const assignment::range_drained& what);
-    void take(const memory_to_send& what);
-    void take(const upstream::suspicion_report& what);
-    void take(const drain_requested& what);
-
-    /// Tells the other parts of members that they don't know yet.
-    void tell_members();
-    void tell_digest();
-
-private:
-    void to_participant(const lease::event& what);
-    void to_follower(const assignment::follower_event& what);
-    void to_owner(const assignment::owner_event& what);
-    void to_planner(const assignment::planner_event& what);
-
-    // Actions of the participant.
-    void perform(const lease::send_message& what);
-    void perform(const lease::members_seen& what);
-    void perform(const lease::joined& what);
-    void perform(const lease::membership_lost& what);
-    void perform(const lease::members_deposed& what);
-    void perform(const lease::left& what);
-    // Actions of the assignment's parts.
-    void perform(const assignment::send_map_message& what);
-    void perform(const assignment::publish_map& what);
-    void perform(const assignment::share_change& what);
-    void perform(const assignment::share_map& what);
-    void perform(const assignment::announce_planner& what);
-    void perform(const assignment::all_released& what);
-    void perform(const assignment::stop_dispatching& what);
-    void perform(const assignment::resume_dispatching& what);
-    void perform(const assignment::hand_over_range& what);
-    void perform(const assignment::range_released& what);
-
-    template <class Actions>
-    void perform_all(part by, const Actions& all);
-    template <class Call>
-    void ask(part by, Call call);
-    template <class Result>
-    void give_result(const Result& result);
-
-    void send(host_id to, message body);
-    void gossip(const member::gossip_actions& all);
-    void take_message(host_id from, const lease::message& body);
-    void take_message(host_id from, const assignment::map_message& body);
-    void take_message(host_id from, const member::gossip_message& body);
-    void take_message(host_id from, const request::slice_handover& body);
-    void take_message(host_id from, const upstream::suspicion_report& body);
-    void take_message(host_id from, const plan::plan_message& body);
-    void take_message(host_id from, const share::share_message& body);
-    void become(const member::member_ref& ref);
-
-    controller& self;
-    instant now;
-    random_source& random;
-    actions& out;
-};
-
-template <class Call>
-void round::ask(part by, Call call) {
-    this->self.last_operation = next(this->self.last_operation);
-    this->self.operations[this->self.last_operation] = {by, call.id};
-    call.id = this->self.last_operation;
-    this->out.emplace_back(std::move(call));
-}
-
-template <class Actions>
-void round::perform_all(part by, const Actions& all) {
-    for (const auto& one : all) {
-        std::visit(
-            [&](const auto& what) {
-                using type = std::decay_t<decltype(what)>;
-                constexpr bool is_call =
-                    std::is_same_v<type, platform::submit_transaction> ||
-                    std::is_same_v<type, platform::read_rows>;
-                if constexpr (is_call) {
-                    this->ask(by, what);
-                } else {
-                    this->perform(what);
-                }
-            },
-            one
-        );
-    }
-}
+} // namespace
 
 void round::to_participant(const lease::event& what) {
     this->perform_all(
@@ -173,84 +81,6 @@
     this->out.emplace_back(publish_view{});
 }
 
-void round::perform(const lease::send_message& what) {
-    this->send(what.to, what.body);
-}
-
-void round::perform(const lease::members_seen& what) {
-    this->to_participant(lease::members_changed{what.rows});
-    this->gossip(member::spread(
-        this->self.gossip,
-        this->self.participant.members,
-        what.rows,
-        this->random
-    ));
-}
-
-void round::perform(const lease::joined& what) {
-    this->become(what.self);
-    // The new incarnation knows what the last one knew.
-    this->self.members_told = {};
-}
-
-void round::perform(const lease::membership_lost& /*what*/) {
-    this->become({});
-}
-
-void round::perform(const lease::members_deposed& /*what*/) {
-    // The rows come with `members_seen`.
-}
-
-void round::perform(const lease::left& /*what*/) {
-    this->self.has_left = true;
-    this->become({});
-    this->out.emplace_back(left{});
-}
-
-void round::perform(const assignment::send_map_message& what) {
-    this->send(what.to, what.message);
-}
-
-void round::perform(const assignment::publish_map& what) {
-    this->out.emplace_back(publish_view{});
-    this->to_owner(assignment::owner_map_changed{what.changes});
-}
-
-void round::perform(const assignment::share_change& what) {
-    this->to_follower(assignment::change_committed{what.change});
-}
-
-void round::perform(const assignment::share_map& what) {
-    this->to_follower(assignment::map_was_read{what.rows});
-}
-
-void round::perform(const assignment::announce_planner& what) {
-    this->to_follower(assignment::planner_seen{what.beat, what.planner});
-}
-
-void round::perform(const assignment::all_released& /*what*/) {
-    this->to_participant(lease::leave_requested{});
-}
-
-void round::perform(const assignment::stop_dispatching& what) {
-    this->out.emplace_back(publish_owner{});
-    this->out.emplace_back(what);
-}
-
-void round::perform(const assignment::resume_dispatching& what) {
-    this->out.emplace_back(publish_owner{});
-    this->out.emplace_back(what);
-}
-
-void round::perform(const assignment::hand_over_range& what) {
-    this->out.emplace_back(what);
-}
-
-void round::perform(const assignment::range_released& what) {
-    this->out.emplace_back(publish_owner{});
-    this->out.emplace_back(what);
-}
-
 void round::tell_members() {
     const member::members_hash present =
         member::hash_of(this->self.participant.members);
@@ -375,36 +205,6 @@
     this->out.emplace_back(share_arrived{from, body});
 }
 
-template <class Result>
-void round::give_result(const Result& result) {
-    const auto found = this->self.operations.find(result.id);
-    if (found == this->self.operations.end()) {
-        return;
-    }
-    const asked_operation asked = found->second;
-    this->self.operations.erase(found);
-    Result own = result;
-    own.id = asked.id;
-    switch (asked.by) {
-    case part::participant:
-        this->to_participant(own);
-        break;
-    case part::follower:
-        if constexpr (std::is_same_v<Result, platform::rows_read>) {
-            this->to_follower(own);
-        }
-        break;
-    case part::owner:
-        this->to_owner(own);
-        break;
-    case part::planner:
-        this->to_planner(own);
-        break;
-    }
-    this->tell_members();
-    this->tell_digest();
-}
-
 void round::take(const platform::transaction_done& what) {
     this->give_result(what);
 }
@@ -455,7 +255,7 @@
     this->out.emplace_back(publish_owner{});
 }
 
-} // namespace
+} // namespace internal
 
 controller make_controller(const controller_settings& settings) {
     controller self;
@@ -470,7 +270,7 @@
 actions
 step(controller& self, const event& what, instant now, random_source& random) {
     actions out;
-    round present{self, now, random, out};
+    internal::round present{self, now, random, out};
     std::visit(
         [&](const auto& one) {
             present.take(one);
--- /dev/null
+++ b/src/apricotstile/control/internal/round.hpp
@@ -0,0 +1,143 @@
+// One call of the controller's `step`: how its parts' actions become events of
+// the other parts and actions of the controller.
+
+#ifndef APRICOTSTILE_CONTROL_INTERNAL_ROUND_HPP
+#define APRICOTSTILE_CONTROL_INTERNAL_ROUND_HPP
+
+#include <apricotstile/control/controller.hpp>
+
+#include <type_traits>
+
+namespace apricotstile::control::internal {
+
+/// One call of `step`: the state, the time and what is asked for so far.
+class round {
+public:
+    round(controller& state, instant at, random_source& source, actions& result)
+        : self(state), now(at), random(source), out(result) {}
+
+    void take(const tick& /*what*/);
+    void take(const envelope& what);
+    void take(const platform::transaction_done& what);
+    void take(const platform::rows_read& what);
+    void take(const services_announced& what);
+    void take(const load_measured& what);
+    void take(const assignment::range_drained& what);
+    void take(const memory_to_send& what);
+    void take(const upstream::suspicion_report& what);
+    void take(const drain_requested& what);
+
+    /// Tells the other parts of members that they don't know yet.
+    void tell_members();
+    void tell_digest();
+
+private:
+    void to_participant(const lease::event& what);
+    void to_follower(const assignment::follower_event& what);
+    void to_owner(const assignment::owner_event& what);
+    void to_planner(const assignment::planner_event& what);
+
+    // Actions of the participant.
+    void perform(const lease::send_message& what);
+    void perform(const lease::members_seen& what);
+    void perform(const lease::joined& what);
+    void perform(const lease::membership_lost& what);
+    void perform(const lease::members_deposed& what);
+    void perform(const lease::left& what);
+    // Actions of the assignment's parts.
+    void perform(const assignment::send_map_message& what);
+    void perform(const assignment::publish_map& what);
+    void perform(const assignment::share_change& what);
+    void perform(const assignment::share_map& what);
+    void perform(const assignment::announce_planner& what);
+    void perform(const assignment::all_released& what);
+    void perform(const assignment::stop_dispatching& what);
+    void perform(const assignment::resume_dispatching& what);
+    void perform(const assignment::hand_over_range& what);
+    void perform(const assignment::range_released& what);
+
+    template <class Actions>
+    void perform_all(part by, const Actions& all);
+    template <class Call>
+    void ask(part by, Call call);
+    template <class Result>
+    void give_result(const Result& result);
+
+    void send(host_id to, message body);
+    void gossip(const member::gossip_actions& all);
+    void take_message(host_id from, const lease::message& body);
+    void take_message(host_id from, const assignment::map_message& body);
+    void take_message(host_id from, const member::gossip_message& body);
+    void take_message(host_id from, const request::slice_handover& body);
+    void take_message(host_id from, const upstream::suspicion_report& body);
+    void take_message(host_id from, const plan::plan_message& body);
+    void take_message(host_id from, const share::share_message& body);
+    void become(const member::member_ref& ref);
+
+    controller& self;
+    instant now;
+    random_source& random;
+    actions& out;
+};
+
+template <class Call>
+void round::ask(part by, Call call) {
+    this->self.last_operation = next(this->self.last_operation);
+    this->self.operations[this->self.last_operation] = {by, call.id};
+    call.id = this->self.last_operation;
+    this->out.emplace_back(std::move(call));
+}
+
+template <class Actions>
+void round::perform_all(part by, const Actions& all) {
+    for (const auto& one : all) {
+        std::visit(
+            [&](const auto& what) {
+                using type = std::decay_t<decltype(what)>;
+                constexpr bool is_call =
+                    std::is_same_v<type, platform::submit_transaction> ||
+                    std::is_same_v<type, platform::read_rows>;
+                if constexpr (is_call) {
+                    this->ask(by, what);
+                } else {
+                    this->perform(what);
+                }
+            },
+            one
+        );
+    }
+}
+
+template <class Result>
+void round::give_result(const Result& result) {
+    const auto found = this->self.operations.find(result.id);
+    if (found == this->self.operations.end()) {
+        return;
+    }
+    const asked_operation asked = found->second;
+    this->self.operations.erase(found);
+    Result own = result;
+    own.id = asked.id;
+    switch (asked.by) {
+    case part::participant:
+        this->to_participant(own);
+        break;
+    case part::follower:
+        if constexpr (std::is_same_v<Result, platform::rows_read>) {
+            this->to_follower(own);
+        }
+        break;
+    case part::owner:
+        this->to_owner(own);
+        break;
+    case part::planner:
+        this->to_planner(own);
+        break;
+    }
+    this->tell_members();
+    this->tell_digest();
+}
+
+} // namespace apricotstile::control::internal
+
+#endif
--- /dev/null
+++ b/src/apricotstile/control/internal/round_actions.cpp
@@ -0,0 +1,85 @@
+// What the parts of a controller ask for.
+
+#include <apricotstile/control/internal/round.hpp>
+
+namespace apricotstile::control::internal {
+
+void round::perform(const lease::send_message& what) {
+    this->send(what.to, what.body);
+}
+
+void round::perform(const lease::members_seen& what) {
+    this->to_participant(lease::members_changed{what.rows});
+    this->gossip(member::spread(
+        this->self.gossip,
+        this->self.participant.members,
+        what.rows,
+        this->random
+    ));
+}
+
+void round::perform(const lease::joined& what) {
+    this->become(what.self);
+    // The new incarnation knows what the last one knew.
+    this->self.members_told = {};
+}
+
+void round::perform(const lease::membership_lost& /*what*/) {
+    this->become({});
+}
+
+void round::perform(const lease::members_deposed& /*what*/) {
+    // The rows come with `members_seen`.
+}
+
+void round::perform(const lease::left& /*what*/) {
+    this->self.has_left = true;
+    this->become({});
+    this->out.emplace_back(left{});
+}
+
+void round::perform(const assignment::send_map_message& what) {
+    this->send(what.to, what.message);
+}
+
+void round::perform(const assignment::publish_map& what) {
+    this->out.emplace_back(publish_view{});
+    this->to_owner(assignment::owner_map_changed{what.changes});
+}
+
+void round::perform(const assignment::share_change& what) {
+    this->to_follower(assignment::change_committed{what.change});
+}
+
+void round::perform(const assignment::share_map& what) {
+    this->to_follower(assignment::map_was_read{what.rows});
+}
+
+void round::perform(const assignment::announce_planner& what) {
+    this->to_follower(assignment::planner_seen{what.beat, what.planner});
+}
+
+void round::perform(const assignment::all_released& /*what*/) {
+    this->to_participant(lease::leave_requested{});
+}
+
+void round::perform(const assignment::stop_dispatching& what) {
+    this->out.emplace_back(publish_owner{});
+    this->out.emplace_back(what);
+}
+
+void round::perform(const assignment::resume_dispatching& what) {
+    this->out.emplace_back(publish_owner{});
+    this->out.emplace_back(what);
+}
+
+void round::perform(const assignment::hand_over_range& what) {
+    this->out.emplace_back(what);
+}
+
+void round::perform(const assignment::range_released& what) {
+    this->out.emplace_back(publish_owner{});
+    this->out.emplace_back(what);
+}
+
+} // namespace apricotstile::control::internal
--- a/src/apricotstile/daemon/control_duty.cpp
+++ b/src/apricotstile/daemon/control_duty.cpp
@@ -104,6 +104,7 @@
 }
 
 void control_duty::tear_down() {
+    this->messages.close();
     this->timer.reset();
     this->socket.reset();
 }
--- a/src/apricotstile/daemon/dispatch_duty.cpp
+++ b/src/apricotstile/daemon/dispatch_duty.cpp
@@ -62,6 +62,7 @@
 }
 
 void dispatch_duty::tear_down() {
+    this->messages.close();
     this->timer.reset();
     this->announcements.reset();
     this->upstreams.clear();
@@ -70,7 +71,8 @@
 std::size_t dispatch_duty::unfinished() {
     std::size_t count = 0;
     this->run([&] {
-        count = this->held.size() + this->works.size() + this->released.size();
+        count = this->held.size() + this->works.size() +
+                this->unsent_memories.size();
     });
     return count;
 }
@@ -103,7 +105,7 @@
         this->retry_held();
     } else if (auto* released = std::get_if<assignment::range_released>(&message)) {
         const instant now = boot_clock::now();
-        this->released.emplace_back(now, std::move(*released));
+        this->unsent_memories.emplace_back(now, std::move(*released));
         this->hand_over_released(now);
     } else if (auto* memory = std::get_if<request::slice_handover>(&message)) {
         if (this->handovers.size() < max_handovers) {
@@ -355,7 +357,7 @@
 nlohmann::json dispatch_duty::description() const {
     nlohmann::json result;
     result["held"] = this->held.size();
-    result["releases_to_hand_over"] = this->released.size();
+    result["unsent_memories"] = this->unsent_memories.size();
     result["works"] = this->works.size();
     result["ranges_draining"] = this->draining.size();
     result["dispatched"] = this->dispatched;
--- a/src/apricotstile/daemon/dispatch_duty.hpp
+++ b/src/apricotstile/daemon/dispatch_duty.hpp
@@ -165,7 +165,7 @@
     std::map<work_key, upstream::work_id> work_of;
     upstream::work_id last_work;
     /// Released ranges whose memories wait for the map to show the release.
-    std::deque<std::pair<instant, assignment::range_released>> released;
+    std::deque<std::pair<instant, assignment::range_released>> unsent_memories;
     /// Until when non-idempotent requests wait for a slice's memory.
     std::map<request::slice_ref, instant> expected;
     /// Memories handed over that wait for the map; bounded.
--- a/src/apricotstile/daemon/dispatch_upstreams.cpp
+++ b/src/apricotstile/daemon/dispatch_upstreams.cpp
@@ -321,10 +321,10 @@
 
 void dispatch_duty::hand_over_released(instant now) {
     std::deque<std::pair<instant, assignment::range_released>> waiting;
-    waiting.swap(this->released);
+    waiting.swap(this->unsent_memories);
     for (auto& [since, range] : waiting) {
         if (!this->hand_over(range, now) && now - since < handover_patience) {
-            this->released.emplace_back(since, std::move(range));
+            this->unsent_memories.emplace_back(since, std::move(range));
         }
     }
 }
--- a/src/apricotstile/daemon/inbox.hpp
+++ b/src/apricotstile/daemon/inbox.hpp
@@ -26,6 +26,12 @@
         this->consume = std::move(consumer);
     }
 
+    /// Drops what waits and whatever comes later: its consumer is being torn
+    /// down. Must be called in the consumer's thread.
+    void close() {
+        this->consume = nullptr;
+    }
+
     /// Returns false and leaves `message` as it is when the ring is full.
     bool push(Message& message) {
         const auto result = this->ring.try_push(message);
@@ -56,7 +62,9 @@
 private:
     void drain() {
         for (Message& message : this->ring.take_all()) {
-            this->consume(std::move(message));
+            if (this->consume) {
+                this->consume(std::move(message));
+            }
         }
     }
 
--- a/src/apricotstile/daemon/ingress_duty.cpp
+++ b/src/apricotstile/daemon/ingress_duty.cpp
@@ -64,6 +64,7 @@
 }
 
 void ingress_duty::tear_down() {
+    this->messages.close();
     this->timer.reset();
     this->server.reset();
 }
--- a/src/apricotstile/daemon/link_duty.cpp
+++ b/src/apricotstile/daemon/link_duty.cpp
@@ -83,6 +83,7 @@
 }
 
 void link_duty::tear_down() {
+    this->messages.close();
     this->timer.reset();
     this->listener.reset();
     for (auto& [number, connection] : this->connections) {
--- a/src/apricotstile/daemon/store_duty.cpp
+++ b/src/apricotstile/daemon/store_duty.cpp
@@ -63,6 +63,7 @@
 }
 
 void store_duty::tear_down() {
+    this->messages.close();
     this->table.reset();
     this->objects.reset();
 }
