Name HTTP methods in one place

The server and the stand-ins' HTTP service each had the table of Qt's method names. Both call http::method_name now; an unlisted method reads UNKNOWN in the stand-ins too, where nothing compared it with OTHER. The http, standins, daemon and core tests, lint of the four files and a 3 s demo pass.

--- a/src/apricotstile/http/server.cpp
+++ b/src/apricotstile/http/server.cpp
@@ -3,6 +3,7 @@
 #include <apricotstile/http/server.hpp>
 
 #include <apricotstile/http/internal/guarded_listener.hpp>
+#include <apricotstile/http/method_name.hpp>
 
 #include <QHostAddress>
 #include <QHttpServerRequest>
@@ -29,27 +30,6 @@
 constexpr std::uint16_t status_too_large = 413;
 constexpr std::uint16_t status_unavailable = 503;
 
-std::string method_name(QHttpServerRequest::Method method) {
-    switch (method) {
-    case QHttpServerRequest::Method::Get:
-        return "GET";
-    case QHttpServerRequest::Method::Put:
-        return "PUT";
-    case QHttpServerRequest::Method::Delete:
-        return "DELETE";
-    case QHttpServerRequest::Method::Post:
-        return "POST";
-    case QHttpServerRequest::Method::Head:
-        return "HEAD";
-    case QHttpServerRequest::Method::Options:
-        return "OPTIONS";
-    case QHttpServerRequest::Method::Patch:
-        return "PATCH";
-    default:
-        return "UNKNOWN";
-    }
-}
-
 http_request copied(const QHttpServerRequest& request) {
     http_request result;
     result.method = method_name(request.method());
--- a/standins/support/http_service.cpp
+++ b/standins/support/http_service.cpp
@@ -3,6 +3,7 @@
 #include <standins/support/http_service.hpp>
 
 #include <apricotstile/host/address.hpp>
+#include <apricotstile/http/method_name.hpp>
 
 #include <QHostAddress>
 #include <QHttpServerRequest>
@@ -15,28 +16,9 @@
 
 namespace {
 
-std::string method_name(QHttpServerRequest::Method method) {
-    switch (method) {
-    case QHttpServerRequest::Method::Get:
-        return "GET";
-    case QHttpServerRequest::Method::Put:
-        return "PUT";
-    case QHttpServerRequest::Method::Delete:
-        return "DELETE";
-    case QHttpServerRequest::Method::Post:
-        return "POST";
-    case QHttpServerRequest::Method::Head:
-        return "HEAD";
-    case QHttpServerRequest::Method::Patch:
-        return "PATCH";
-    default:
-        return "OTHER";
-    }
-}
-
 http_request to_plain(const QHttpServerRequest& request) {
     http_request plain;
-    plain.method = method_name(request.method());
+    plain.method = http::method_name(request.method());
     plain.path = request.url().path(QUrl::FullyEncoded).toStdString();
     const auto parameters =
         QUrlQuery{request.url()}.queryItems(QUrl::FullyDecoded);
