--- /dev/null
+++ b/src/apricotstile/directory/directory.cpp
@@ -0,0 +1,41 @@
+// Merging of entries.
+
+#include <apricotstile/directory/directory.hpp>
+
+#include <tuple>
+
+namespace apricotstile::directory {
+
+bool is_newer(const entry& left, const entry& right) {
+    return std::tie(left.run, left.change) > std::tie(right.run, right.change);
+}
+
+bool apply(directory& known, const entry& told) {
+    const auto found = known.entries.find(told.host);
+    if (found == known.entries.end()) {
+        known.entries.emplace(told.host, told);
+        return true;
+    }
+    if (!is_newer(told, found->second)) {
+        return false;
+    }
+    found->second = told;
+    return true;
+}
+
+void forget(directory& known, host_id host) {
+    known.entries.erase(host);
+}
+
+std::vector<const entry*>
+ready_instances(const directory& known, const service_id& service) {
+    std::vector<const entry*> result;
+    for (const auto& [host, one] : known.entries) {
+        if (one.service == service && one.state == instance_state::ready) {
+            result.push_back(&one);
+        }
+    }
+    return result;
+}
+
+} // namespace apricotstile::directory
--- /dev/null
+++ b/src/apricotstile/http/message_reader.cpp
@@ -0,0 +1,358 @@
+// Boost.Beast's parsers fed from a buffer.
+
+#include <apricotstile/http/message_reader.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <iterator>
+
+namespace apricotstile::http {
+
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+using request_parser = beast_http::request_parser<beast_http::string_body>;
+using response_parser = beast_http::response_parser<beast_http::string_body>;
+
+constexpr std::uint16_t status_bad_request = 400;
+constexpr std::uint16_t status_body_too_large = 413;
+constexpr std::uint16_t status_headers_too_large = 431;
+constexpr std::uint16_t status_not_implemented = 501;
+constexpr std::uint32_t max_response_header_bytes = 64U << 10U;
+constexpr unsigned first_final_status = 200;
+
+std::string_view view_of(boost::beast::string_view text) {
+    return {text.data(), text.size()};
+}
+
+/// Headers that concern one connection, or that are sent anew.
+bool is_hop_by_hop(std::string_view name) {
+    constexpr std::array<std::string_view, 9> names{
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade"};
+    return std::any_of(names.begin(), names.end(), [&](std::string_view one) {
+        return same_name(one, name);
+    });
+}
+
+template <class Fields>
+std::vector<header> end_to_end_headers(const Fields& fields) {
+    std::vector<header> result;
+    for (const auto& field : fields) {
+        const std::string_view name = view_of(field.name_string());
+        if (!is_hop_by_hop(name)) {
+            result.push_back(
+                {std::string{name}, std::string{view_of(field.value())}}
+            );
+        }
+    }
+    return result;
+}
+
+std::uint16_t status_for(const boost::system::error_code& error) {
+    if (error == beast_http::error::header_limit) {
+        return status_headers_too_large;
+    }
+    if (error == beast_http::error::body_limit) {
+        return status_body_too_large;
+    }
+    if (error == beast_http::error::bad_transfer_encoding) {
+        return status_not_implemented;
+    }
+    return status_bad_request;
+}
+
+std::optional<unsigned> idle_timeout_in(std::string_view keep_alive) {
+    constexpr std::string_view name{"timeout="};
+    const std::size_t at = keep_alive.find(name);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    keep_alive.remove_prefix(at + name.size());
+    unsigned seconds = 0;
+    const auto read = std::from_chars(
+        keep_alive.data(), keep_alive.data() + keep_alive.size(), seconds
+    );
+    if (read.ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return seconds;
+}
+
+/// Feeds `received` to `parser` and drops what it took.
+template <class Parser>
+boost::system::error_code feed(Parser& parser, std::string& received) {
+    boost::system::error_code error;
+    while (!received.empty() && !parser.is_done()) {
+        const std::size_t used =
+            parser.put(boost::asio::buffer(received), error);
+        received.erase(0, used);
+        if (error || used == 0) {
+            break;
+        }
+    }
+    if (error == beast_http::error::need_more) {
+        error = {};
+    }
+    return error;
+}
+
+} // namespace
+
+bool same_name(std::string_view left, std::string_view right) {
+    return boost::beast::iequals(
+        {left.data(), left.size()}, {right.data(), right.size()}
+    );
+}
+
+struct request_reader::state {
+    request_limits limits;
+    std::optional<request_parser> parser;
+    /// Received bytes that the parser hasn't taken yet.
+    std::string received;
+    read_progress progress{read_progress::incomplete};
+    std::uint16_t refusal{status_bad_request};
+
+    void restart() {
+        this->parser.emplace();
+        this->parser->header_limit(this->limits.header_bytes);
+        this->parser->body_limit(this->limits.body_bytes);
+        this->parser->eager(true);
+        this->progress = read_progress::incomplete;
+    }
+
+    void read_on() {
+        if (this->progress != read_progress::incomplete) {
+            return;
+        }
+        const boost::system::error_code error =
+            feed(*this->parser, this->received);
+        if (error) {
+            this->refusal = status_for(error);
+            this->progress = read_progress::malformed;
+        } else if (this->parser->is_done()) {
+            this->progress = read_progress::complete;
+        }
+    }
+};
+
+request_reader::request_reader(request_limits limits)
+    : self(std::make_unique<state>()) {
+    this->self->limits = limits;
+    this->self->restart();
+}
+
+request_reader::~request_reader() = default;
+
+read_progress request_reader::put(std::string_view bytes) {
+    this->self->received += bytes;
+    this->self->read_on();
+    return this->self->progress;
+}
+
+received_request request_reader::take() {
+    const bool keep_alive = this->self->parser->keep_alive();
+    auto message = this->self->parser->release();
+    received_request result;
+    result.method = view_of(message.method_string());
+    result.target = view_of(message.target());
+    result.headers = end_to_end_headers(message);
+    result.body = std::move(message.body());
+    result.keep_alive = keep_alive;
+    this->self->restart();
+    this->self->read_on();
+    return result;
+}
+
+read_progress request_reader::progress() const {
+    return this->self->progress;
+}
+
+std::uint16_t request_reader::refusal_status() const {
+    return this->self->refusal;
+}
+
+bool request_reader::has_begun() const {
+    return this->self->progress == read_progress::incomplete &&
+           (this->self->parser->got_some() || !this->self->received.empty());
+}
+
+bool request_reader::in_body() const {
+    return this->self->progress == read_progress::incomplete &&
+           this->self->parser->is_header_done();
+}
+
+bool request_reader::expects_continue() const {
+    if (!this->in_body()) {
+        return false;
+    }
+    const auto& message = this->self->parser->get();
+    return boost::beast::iequals(
+        message[beast_http::field::expect], "100-continue"
+    );
+}
+
+void request_reader::set_limits(request_limits limits) {
+    this->self->limits = limits;
+    if (!this->has_begun() &&
+        this->self->progress == read_progress::incomplete) {
+        this->self->restart();
+    }
+}
+
+struct response_reader::state {
+    std::uint64_t body_limit{0};
+    bool head{false};
+    std::optional<response_parser> parser;
+    std::string received;
+    read_progress progress{read_progress::incomplete};
+
+    void restart() {
+        this->parser.emplace();
+        this->parser->header_limit(max_response_header_bytes);
+        this->parser->body_limit(this->body_limit);
+        this->parser->eager(true);
+        this->parser->skip(this->head);
+        this->progress = read_progress::incomplete;
+    }
+
+    void read_on() {
+        while (this->progress == read_progress::incomplete) {
+            if (feed(*this->parser, this->received)) {
+                this->progress = read_progress::malformed;
+                return;
+            }
+            if (!this->parser->is_done()) {
+                return;
+            }
+            // Interim responses come before the final one.
+            if (this->parser->get().result_int() < first_final_status) {
+                this->restart();
+                continue;
+            }
+            this->progress = read_progress::complete;
+        }
+    }
+};
+
+response_reader::response_reader(std::uint64_t body_limit)
+    : self(std::make_unique<state>()) {
+    this->self->body_limit = body_limit;
+    this->self->restart();
+}
+
+response_reader::~response_reader() = default;
+
+void response_reader::expect(std::string_view method) {
+    this->self->head = method == "HEAD";
+    this->self->restart();
+}
+
+read_progress response_reader::put(std::string_view bytes) {
+    this->self->received += bytes;
+    this->self->read_on();
+    return this->self->progress;
+}
+
+read_progress response_reader::put_end() {
+    if (this->self->progress != read_progress::incomplete) {
+        return this->self->progress;
+    }
+    boost::system::error_code error;
+    if (this->self->parser->got_some()) {
+        this->self->parser->put_eof(error);
+    }
+    const bool whole = !error && this->self->parser->is_done();
+    this->self->progress =
+        whole ? read_progress::complete : read_progress::malformed;
+    return this->self->progress;
+}
+
+received_response response_reader::take() {
+    received_response result;
+    result.keep_alive = this->self->parser->keep_alive();
+    auto message = this->self->parser->release();
+    result.status = static_cast<std::uint16_t>(message.result_int());
+    result.headers = end_to_end_headers(message);
+    result.idle_timeout_s =
+        idle_timeout_in(view_of(message[beast_http::field::keep_alive]));
+    result.body = std::move(message.body());
+    this->self->restart();
+    return result;
+}
+
+bool response_reader::has_left_bytes() const {
+    return !this->self->received.empty();
+}
+
+bool response_reader::has_begun() const {
+    return this->self->parser->got_some();
+}
+
+std::string request_bytes(
+    std::string_view method,
+    std::string_view target,
+    const std::vector<header>& headers,
+    std::string_view body
+) {
+    std::string result = fmt::format("{} {} HTTP/1.1\r\n", method, target);
+    for (const header& one : headers) {
+        fmt::format_to(
+            std::back_inserter(result), "{}: {}\r\n", one.name, one.value
+        );
+    }
+    if (!body.empty() || method == "POST" || method == "PUT" ||
+        method == "PATCH") {
+        fmt::format_to(
+            std::back_inserter(result), "Content-Length: {}\r\n", body.size()
+        );
+    }
+    result += "\r\n";
+    result += body;
+    return result;
+}
+
+std::string response_bytes(
+    std::uint16_t status,
+    const std::vector<header>& headers,
+    std::string_view body,
+    bool close,
+    bool head_only
+) {
+    const auto reason =
+        view_of(beast_http::obsolete_reason(static_cast<beast_http::status>(
+            status
+        )));
+    std::string result = fmt::format("HTTP/1.1 {} {}\r\n", status, reason);
+    for (const header& one : headers) {
+        fmt::format_to(
+            std::back_inserter(result), "{}: {}\r\n", one.name, one.value
+        );
+    }
+    if (close) {
+        result += "Connection: close\r\n";
+    }
+    fmt::format_to(
+        std::back_inserter(result), "Content-Length: {}\r\n\r\n", body.size()
+    );
+    if (!head_only) {
+        result += body;
+    }
+    return result;
+}
+
+} // namespace apricotstile::http
--- /dev/null
+++ b/src/apricotstile/keys/keeper_beats.cpp
@@ -0,0 +1,144 @@
+// Heartbeats: which ranges the instance may hold, and what it gave up.
+
+#include <apricotstile/keys/keeper.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::keys {
+
+namespace {
+
+duration scaled(duration value, double factor) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(value) * factor
+    );
+}
+
+/// The instance beside this daemon is another one than before, so that the
+/// last one holds nothing any more.
+void start_life(keeper& state, const directory::instance_life& life) {
+    state.life = life;
+    state.granted.clear();
+    for (release& one : state.releases) {
+        one.is_free = true;
+    }
+}
+
+/// Notes hand-overs. A release is split where only a part was released.
+void take_released(keeper& state, const released_range& released) {
+    std::vector<release> result;
+    for (release& one : state.releases) {
+        if (!overlap(one.keys, released.keys)) {
+            result.push_back(one);
+            continue;
+        }
+        const key_range common{
+            std::max(one.keys.first, released.keys.first),
+            std::min(one.keys.last, released.keys.last)};
+        if (one.keys.first < common.first) {
+            release left = one;
+            left.keys.last = common.first - 1;
+            result.push_back(left);
+        }
+        release middle = one;
+        middle.keys = common;
+        middle.handover = released.handover;
+        result.push_back(middle);
+        if (one.keys.last > common.last) {
+            release right = one;
+            right.keys.first = common.last + 1;
+            result.push_back(right);
+        }
+    }
+    state.releases = std::move(result);
+}
+
+bool is_held(const heartbeat& beat, const key_range& keys) {
+    return std::any_of(
+        beat.holds.begin(),
+        beat.holds.end(),
+        [&](const held_range& held) {
+            return overlap(held.keys, keys);
+        }
+    );
+}
+
+/// The hold that ends before the lease on a slow clock.
+duration hold_within_lease(const keeper& state, instant now) {
+    const duration left = state.lease_end - now - state.policy.margin;
+    return std::min(
+        state.policy.longest_hold,
+        scaled(left, 1.0 / (1.0 + state.policy.clock_drift))
+    );
+}
+
+} // namespace
+
+heartbeat_answer
+take_heartbeat(keeper& state, const heartbeat& beat, instant now) {
+    if (state.life != beat.life) {
+        start_life(state, beat.life);
+    }
+    for (const released_range& released : beat.released) {
+        take_released(state, released);
+    }
+    for (release& one : state.releases) {
+        if ((one.omitted || now >= state.held_until) &&
+            !is_held(beat, one.keys)) {
+            one.is_free = true;
+        }
+    }
+    heartbeat_answer answer;
+    const duration hold = hold_within_lease(state, now);
+    if (!state.rows_known || hold < state.policy.shortest_hold) {
+        return answer;
+    }
+    answer.grants = true;
+    answer.hold = hold;
+    state.granted.clear();
+    for (owned_range& one : kept_ranges(state)) {
+        if (one.life != beat.life ||
+            answer.keys.size() >= state.policy.max_grants) {
+            continue;
+        }
+        state.granted.push_back(one.keys);
+        answer.keys.push_back({one.keys, one.fence, std::move(one.handover)});
+    }
+    for (release& one : state.releases) {
+        one.omitted = true;
+    }
+    state.held_until = std::max(
+        state.held_until,
+        now + scaled(hold, 1.0 + state.policy.clock_drift) + state.policy.margin
+    );
+    return answer;
+}
+
+void instance_left(keeper& state) {
+    state.life.reset();
+    state.granted.clear();
+}
+
+void start_release(keeper& state, const key_range& keys, host_id target) {
+    release added;
+    added.keys = keys;
+    added.target = target;
+    state.releases.push_back(added);
+    // Nothing goes to the instance for these keys from now on.
+    std::vector<key_range> granted;
+    for (const key_range& one : state.granted) {
+        if (!overlap(one, keys)) {
+            granted.push_back(one);
+            continue;
+        }
+        if (one.first < keys.first) {
+            granted.push_back({one.first, keys.first - 1});
+        }
+        if (one.last > keys.last) {
+            granted.push_back({keys.last + 1, one.last});
+        }
+    }
+    state.granted = std::move(granted);
+}
+
+} // namespace apricotstile::keys
--- /dev/null
+++ b/src/apricotstile/keys/keeper_store.cpp
@@ -0,0 +1,256 @@
+// The keeper's transactions and their results.
+
+#include <apricotstile/keys/keeper.hpp>
+
+#include <apricotstile/core/codec.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::keys {
+
+namespace {
+
+/// Value of a lease's row.
+struct lease_record {
+    /// Zero in a lease that others have ended.
+    incarnation run;
+    std::uint64_t renewals{0};
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(this->run, this->renewals);
+    }
+};
+
+std::optional<directory::instance_life>
+life_at(const known_lives& lives, host_id host) {
+    const auto found = lives.find(host);
+    if (found == lives.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+/// Ranges of an earlier life of this daemon's instance go to the present one.
+std::vector<transfer> renewed_lives(const keeper& state) {
+    std::vector<transfer> result;
+    if (!state.life) {
+        return result;
+    }
+    for (const owned_range& one : kept_ranges(state)) {
+        if (one.life != *state.life) {
+            result.push_back({one.keys, state.self, *state.life, {}});
+        }
+    }
+    return result;
+}
+
+void add_renewal(
+    keeper& state,
+    platform::transaction& work,
+    keeper::pending& pending,
+    instant now
+) {
+    pending.renews = true;
+    work.conditions.push_back(
+        {lease_row(state.service, state.self), state.lease_version}
+    );
+    work.mutations.push_back(
+        {lease_row(state.service, state.self),
+         encode(lease_record{state.run, ++state.renewals})}
+    );
+    // See the head of keeper.hpp: a lease isn't acquired on an old map.
+    if (!has_lease(state, now)) {
+        work.conditions.push_back({map_row(state.service), state.map_version});
+    }
+}
+
+bool has_condition(
+    const platform::transaction& work, const platform::row_key& key
+) {
+    return std::any_of(
+        work.conditions.begin(),
+        work.conditions.end(),
+        [&](const platform::condition& one) {
+            return one.key == key;
+        }
+    );
+}
+
+/// The changes of the map that are due.
+std::vector<transfer> due_transfers(
+    const keeper& state,
+    const wanted_changes& wanted,
+    const known_lives& lives,
+    instant now
+) {
+    std::vector<transfer> result = renewed_lives(state);
+    for (const release& one : state.releases) {
+        const auto life = life_at(lives, one.target);
+        if (life && (one.is_free || now >= state.held_until)) {
+            result.push_back({one.keys, one.target, *life, one.handover});
+        }
+    }
+    result.insert(
+        result.end(), wanted.transfers.begin(), wanted.transfers.end()
+    );
+    return result;
+}
+
+void add_map_change(
+    const keeper& state,
+    const std::vector<transfer>& transfers,
+    const wanted_changes& wanted,
+    platform::transaction& work,
+    keeper::pending& pending
+) {
+    const platform::row_key row = map_row(state.service);
+    if (!has_condition(work, row)) {
+        work.conditions.push_back({row, state.map_version});
+    }
+    for (const host_id host : wanted.voided) {
+        const auto watched = state.watched.find(host);
+        const platform::row_version version =
+            watched == state.watched.end() ? platform::row_version{}
+                                           : watched->second.version;
+        work.conditions.push_back({lease_row(state.service, host), version});
+        work.mutations.push_back(
+            {lease_row(state.service, host), encode(lease_record{})}
+        );
+    }
+    key_map changed = state.map;
+    apply_transfers(changed, transfers);
+    work.mutations.push_back({row, encode(changed)});
+    pending.new_map = std::move(changed);
+}
+
+/// Forgets releases of ranges that belong to others by now.
+void drop_settled_releases(keeper& state) {
+    const auto is_settled = [&](const release& one) {
+        return std::none_of(
+            state.map.ranges.begin(),
+            state.map.ranges.end(),
+            [&](const owned_range& other) {
+                return other.owner == state.self &&
+                       overlap(other.keys, one.keys);
+            }
+        );
+    };
+    state.releases.erase(
+        std::remove_if(
+            state.releases.begin(), state.releases.end(), is_settled
+        ),
+        state.releases.end()
+    );
+}
+
+} // namespace
+
+std::optional<platform::transaction> next_transaction(
+    keeper& state,
+    const wanted_changes& wanted,
+    const known_lives& lives,
+    instant now
+) {
+    if (state.in_flight || state.needs_read || !state.rows_known) {
+        return std::nullopt;
+    }
+    platform::transaction work;
+    keeper::pending pending;
+    pending.sent = now;
+    const bool wants_lease = state.life.has_value();
+    if (wants_lease && now >= state.renew_at) {
+        add_renewal(state, work, pending, now);
+    }
+    const std::vector<transfer> transfers =
+        due_transfers(state, wanted, lives, now);
+    if (!transfers.empty()) {
+        add_map_change(state, transfers, wanted, work, pending);
+    }
+    if (work.mutations.empty()) {
+        return std::nullopt;
+    }
+    state.in_flight = std::move(pending);
+    return work;
+}
+
+void take_result(keeper& state, const platform::commit_result& result) {
+    if (!state.in_flight) {
+        return;
+    }
+    const keeper::pending done = std::move(*state.in_flight);
+    state.in_flight.reset();
+    if (result.status == platform::commit_status::unavailable) {
+        return;
+    }
+    if (result.status != platform::commit_status::committed) {
+        state.needs_read = true;
+        return;
+    }
+    if (done.renews) {
+        state.lease_version = result.versions.front();
+        state.lease_end = done.sent + state.policy.lease_length;
+        state.renew_at = done.sent + state.policy.renewal_interval;
+    }
+    if (done.new_map && result.versions.back() > state.map_version) {
+        state.map = *done.new_map;
+        state.map_version = result.versions.back();
+    }
+    drop_settled_releases(state);
+}
+
+bool take_map(keeper& state, const platform::row& row) {
+    if (row.version <= state.map_version) {
+        return false;
+    }
+    state.map = decode_map(row.value);
+    state.map_version = row.version;
+    drop_settled_releases(state);
+    return true;
+}
+
+void take_rows(
+    keeper& state,
+    const std::vector<platform::row>& rows,
+    instant asked,
+    instant now
+) {
+    const platform::row_key own = lease_row(state.service, state.self);
+    const platform::row_key map = map_row(state.service);
+    const std::string lease_prefix = "leases/" + state.service.value + "/";
+    bool own_seen = false;
+    for (const platform::row& row : rows) {
+        if (row.key == map) {
+            take_map(state, row);
+        } else if (row.key == own) {
+            own_seen = true;
+            if (row.version != state.lease_version) {
+                const auto record = decode<lease_record>(row.value);
+                // Another process or a voided lease: nothing is left of ours.
+                if (record.run != state.run) {
+                    state.lease_end = std::min(state.lease_end, asked);
+                }
+                state.lease_version = row.version;
+            }
+        } else if (row.key.value.starts_with(lease_prefix)) {
+            const host_id host{
+                std::stoull(row.key.value.substr(lease_prefix.size()))};
+            const auto known = state.watched.find(host);
+            if (known == state.watched.end() ||
+                known->second.version != row.version) {
+                // The renewal may have been sent until the rows came.
+                state.watched[host] = {row.version, now};
+            }
+        }
+    }
+    if (!own_seen) {
+        state.lease_version = {};
+    }
+    for (const owned_range& one : state.map.ranges) {
+        state.watched.try_emplace(one.owner, watched_lease{{}, now});
+    }
+    state.rows_known = true;
+    state.needs_read = false;
+}
+
+} // namespace apricotstile::keys
--- /dev/null
+++ b/src/apricotstile/keys/key_load.cpp
@@ -0,0 +1,65 @@
+// Counts by key and a sliding window over them.
+
+#include <apricotstile/keys/key_load.hpp>
+
+#include <numeric>
+
+namespace apricotstile::keys {
+
+namespace {
+
+constexpr float decay_factor = 0.5F;
+
+} // namespace
+
+void count_key(key_load& load, key_number key) {
+    if (load.by_key.empty()) {
+        load.by_key.resize(key_count);
+    }
+    load.by_key[key] += 1;
+}
+
+void decay(key_load& load) {
+    for (float& count : load.by_key) {
+        count *= decay_factor;
+    }
+}
+
+double load_of(const key_load& load, const key_range& keys) {
+    if (load.by_key.empty()) {
+        return 0;
+    }
+    const auto begin = load.by_key.begin();
+    return std::accumulate(begin + keys.first, begin + keys.last + 1, 0.0);
+}
+
+std::optional<key_range> keys_with_load(
+    const key_load& load,
+    const std::vector<key_range>& ranges,
+    double wanted,
+    double most
+) {
+    if (load.by_key.empty()) {
+        return std::nullopt;
+    }
+    std::optional<key_range> best;
+    for (const key_range& range : ranges) {
+        double sum = 0;
+        key_number first = range.first;
+        for (key_number last = range.first; last <= range.last; ++last) {
+            sum += load.by_key[last];
+            while (first < last && sum - load.by_key[first] >= wanted) {
+                sum -= load.by_key[first];
+                ++first;
+            }
+            const key_range window{first, last};
+            if (sum >= wanted && sum <= most &&
+                (!best || size_of(window) < size_of(*best))) {
+                best = window;
+            }
+        }
+    }
+    return best;
+}
+
+} // namespace apricotstile::keys
--- /dev/null
+++ b/src/apricotstile/keys/key_map.cpp
@@ -0,0 +1,93 @@
+// Lookup and changes of a key map.
+
+#include <apricotstile/keys/key_map.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::keys {
+
+namespace {
+
+/// Removes `keys` from all ranges. What is left of them keeps its token; a
+/// hand-over stands for a whole range only.
+void cut(key_map& map, const key_range& keys) {
+    std::vector<owned_range> kept;
+    kept.reserve(map.ranges.size() + 1);
+    for (const owned_range& one : map.ranges) {
+        if (!overlap(one.keys, keys)) {
+            kept.push_back(one);
+            continue;
+        }
+        if (one.keys.first < keys.first) {
+            owned_range left = one;
+            left.keys.last = keys.first - 1;
+            left.handover.clear();
+            kept.push_back(std::move(left));
+        }
+        if (one.keys.last > keys.last) {
+            owned_range right = one;
+            right.keys.first = keys.last + 1;
+            right.handover.clear();
+            kept.push_back(std::move(right));
+        }
+    }
+    map.ranges = std::move(kept);
+}
+
+} // namespace
+
+const owned_range* find_owner(const key_map& map, key_number key) {
+    const auto after = std::upper_bound(
+        map.ranges.begin(),
+        map.ranges.end(),
+        key,
+        [](key_number wanted, const owned_range& one) {
+            return wanted < one.keys.first;
+        }
+    );
+    if (after == map.ranges.begin()) {
+        return nullptr;
+    }
+    const owned_range& candidate = *std::prev(after);
+    return contains(candidate.keys, key) ? &candidate : nullptr;
+}
+
+void apply_transfers(key_map& map, const std::vector<transfer>& transfers) {
+    for (const transfer& one : transfers) {
+        cut(map, one.keys);
+        map.last_fence = next(map.last_fence);
+        const owned_range added{
+            one.keys, one.owner, one.life, map.last_fence, one.handover};
+        const auto place = std::find_if(
+            map.ranges.begin(),
+            map.ranges.end(),
+            [&](const owned_range& other) {
+                return other.keys.first > one.keys.first;
+            }
+        );
+        map.ranges.insert(place, added);
+    }
+}
+
+std::vector<key_range> even_split(std::size_t count) {
+    std::vector<key_range> result;
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto first = static_cast<key_number>(key_count * index / count);
+        const auto end =
+            static_cast<key_number>(key_count * (index + 1) / count);
+        if (end > first) {
+            result.push_back({first, end - 1});
+        }
+    }
+    return result;
+}
+
+std::uint64_t keys_of(const key_map& map, host_id host) {
+    std::uint64_t total = 0;
+    for (const owned_range& one : map.ranges) {
+        total += one.owner == host ? size_of(one.keys) : 0;
+    }
+    return total;
+}
+
+} // namespace apricotstile::keys
--- /dev/null
+++ b/src/apricotstile/keys/key_map.hpp
@@ -0,0 +1,98 @@
+// Who holds which keys of a service: ranges of key numbers, each with its
+// owner, the owner's instance and a fencing token.
+
+#ifndef APRICOTSTILE_KEYS_KEY_MAP_HPP
+#define APRICOTSTILE_KEYS_KEY_MAP_HPP
+
+#include <apricotstile/core/ids.hpp>
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/directory/entry.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace apricotstile::keys {
+
+/// A key as the number that callers send.
+using key_number = std::uint32_t;
+
+inline constexpr key_number key_count = 65536;
+
+/// From `first` to `last`, both included.
+struct key_range {
+    key_number first{0};
+    key_number last{0};
+
+    friend bool operator==(const key_range&, const key_range&) = default;
+};
+
+[[nodiscard]] inline key_number size_of(const key_range& range) {
+    return range.last - range.first + 1;
+}
+
+[[nodiscard]] inline bool overlap(const key_range& a, const key_range& b) {
+    return a.first <= b.last && b.first <= a.last;
+}
+
+[[nodiscard]] inline bool contains(const key_range& range, key_number key) {
+    return range.first <= key && key <= range.last;
+}
+
+struct owned_range {
+    key_range keys;
+    host_id owner;
+    directory::instance_life life;
+    fencing_token fence;
+    /// The last holder's hand-over; empty where it gave none.
+    std::string handover;
+
+    friend bool operator==(const owned_range&, const owned_range&) = default;
+};
+
+struct key_map {
+    /// The highest token given so far.
+    fencing_token last_fence;
+    /// In key order, without overlap.
+    std::vector<owned_range> ranges;
+};
+
+template <class Archive>
+void serialize(Archive& archive, key_range& value) {
+    archive(value.first, value.last);
+}
+
+template <class Archive>
+void serialize(Archive& archive, owned_range& value) {
+    archive(value.keys, value.owner, value.life, value.fence, value.handover);
+}
+
+template <class Archive>
+void serialize(Archive& archive, key_map& value) {
+    archive(value.last_fence, value.ranges);
+}
+
+[[nodiscard]] const owned_range* find_owner(const key_map& map, key_number key);
+
+/// A range for its next holder.
+struct transfer {
+    key_range keys;
+    host_id owner;
+    directory::instance_life life;
+    std::string handover;
+};
+
+/// Gives ranges to their next holders, each under a new token. Cuts what
+/// overlaps them.
+void apply_transfers(key_map& map, const std::vector<transfer>& transfers);
+
+/// `count` ranges of nearly equal size over all keys.
+[[nodiscard]] std::vector<key_range> even_split(std::size_t count);
+
+/// Keys that `host` owns.
+[[nodiscard]] std::uint64_t keys_of(const key_map& map, host_id host);
+
+} // namespace apricotstile::keys
+
+#endif
--- /dev/null
+++ b/src/apricotstile/keys/takeover.cpp
@@ -0,0 +1,271 @@
+// Division of keys among members.
+
+#include <apricotstile/keys/takeover.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace apricotstile::keys {
+
+namespace {
+
+duration scaled(duration value, double factor) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(value) * factor
+    );
+}
+
+std::vector<transfer> first_division(const takeover_view& view) {
+    std::vector<transfer> result;
+    const std::vector<key_range> ranges = even_split(view.members.size());
+    for (std::size_t index = 0; index < ranges.size(); ++index) {
+        const member& one = view.members[index];
+        result.push_back({ranges[index], one.host, one.life, {}});
+    }
+    return result;
+}
+
+/// Owners whose leases have certainly run out.
+std::vector<host_id> expired_owners(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view,
+    instant now
+) {
+    const duration wait =
+        scaled(
+            state.policy.lease_length, 1.0 + state.policy.clock_drift
+        ) +
+        state.policy.margin +
+        policy.delay_by_rank * static_cast<duration::rep>(view.rank);
+    std::vector<host_id> result;
+    for (const auto& [host, lease] : state.watched) {
+        if (host != state.self && now - lease.since > wait &&
+            keys_of(state.map, host) > 0) {
+            result.push_back(host);
+        }
+    }
+    return result;
+}
+
+/// Gives each of `ranges` to the receiver with the fewest keys so far.
+class even_receivers {
+public:
+    even_receivers(const keeper& state, std::vector<member> receivers)
+        : receivers(std::move(receivers)) {
+        for (const member& one : this->receivers) {
+            this->keys[one.host] = keys_of(state.map, one.host);
+        }
+    }
+
+    [[nodiscard]] bool empty() const {
+        return this->receivers.empty();
+    }
+
+    const member& next(key_number size) {
+        const auto fewest = std::min_element(
+            this->receivers.begin(),
+            this->receivers.end(),
+            [&](const member& left, const member& right) {
+                return this->keys[left.host] < this->keys[right.host];
+            }
+        );
+        this->keys[fewest->host] += size;
+        return *fewest;
+    }
+
+    /// Pieces of `range` that spread over the receivers.
+    [[nodiscard]] std::vector<key_range> pieces(const key_range& range) const {
+        const auto share = static_cast<key_number>(
+            key_count / (2 * this->receivers.size() + 2)
+        );
+        std::vector<key_range> result;
+        for (key_number first = range.first; first <= range.last;) {
+            const key_number last = std::min(range.last, first + share - 1);
+            result.push_back({first, last});
+            first = last + 1;
+        }
+        return result;
+    }
+
+private:
+    std::vector<member> receivers;
+    std::map<host_id, std::uint64_t> keys;
+};
+
+std::vector<member>
+others(const takeover_view& view, const std::vector<host_id>& excluded) {
+    std::vector<member> result;
+    for (const member& one : view.members) {
+        if (std::find(excluded.begin(), excluded.end(), one.host) ==
+            excluded.end()) {
+            result.push_back(one);
+        }
+    }
+    return result;
+}
+
+/// A member that has joined and has less than half of an even share.
+const member* newcomer(const keeper& state, const takeover_view& view) {
+    const std::uint64_t even = key_count / view.members.size();
+    for (const member& one : view.members) {
+        if (one.host != state.self &&
+            keys_of(state.map, one.host) < even / 2) {
+            return &one;
+        }
+    }
+    return nullptr;
+}
+
+/// The end of this daemon's largest range, as its part for a newcomer.
+std::optional<key_range>
+part_for_newcomer(const keeper& state, std::size_t members) {
+    const std::vector<owned_range> kept = kept_ranges(state);
+    const auto largest = std::max_element(
+        kept.begin(),
+        kept.end(),
+        [](const owned_range& left, const owned_range& right) {
+            return size_of(left.keys) < size_of(right.keys);
+        }
+    );
+    if (largest == kept.end()) {
+        return std::nullopt;
+    }
+    std::uint64_t total = 0;
+    for (const owned_range& one : kept) {
+        total += size_of(one.keys);
+    }
+    const std::uint64_t even = key_count / members;
+    const auto part = static_cast<key_number>(total / members);
+    if (total < even * 2 / 3 || part == 0 || part >= size_of(largest->keys)) {
+        return std::nullopt;
+    }
+    return key_range{largest->keys.last - part + 1, largest->keys.last};
+}
+
+const member*
+least_pressed(const takeover_view& view, host_id self) {
+    const member* best = nullptr;
+    for (const member& one : view.members) {
+        if (one.host != self &&
+            (best == nullptr || one.pressure < best->pressure)) {
+            best = &one;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+wanted_changes plan_takeover(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view,
+    instant now
+) {
+    wanted_changes result;
+    if (!state.rows_known || view.members.empty()) {
+        return result;
+    }
+    if (state.map.ranges.empty()) {
+        const duration wait =
+            policy.settling_time +
+            policy.delay_by_rank * static_cast<duration::rep>(view.rank);
+        if (now - view.members_since >= wait) {
+            result.transfers = first_division(view);
+        }
+        return result;
+    }
+    const std::vector<host_id> expired =
+        expired_owners(state, policy, view, now);
+    even_receivers receivers{state, others(view, expired)};
+    if (expired.empty() || receivers.empty()) {
+        return result;
+    }
+    result.voided = expired;
+    for (const owned_range& one : state.map.ranges) {
+        if (std::find(expired.begin(), expired.end(), one.owner) ==
+            expired.end()) {
+            continue;
+        }
+        for (const key_range& piece : receivers.pieces(one.keys)) {
+            const member& receiver = receivers.next(size_of(piece));
+            result.transfers.push_back(
+                {piece, receiver.host, receiver.life, {}}
+            );
+        }
+    }
+    return result;
+}
+
+std::optional<move> plan_move(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view,
+    const key_load& load,
+    double pressure
+) {
+    if (!state.releases.empty() || view.members.size() < 2) {
+        return std::nullopt;
+    }
+    if (const member* const joined = newcomer(state, view)) {
+        const auto part = part_for_newcomer(state, view.members.size());
+        if (part) {
+            return move{*part, joined->host};
+        }
+    }
+    const member* const target = least_pressed(view, state.self);
+    if (pressure < policy.crowded_pressure ||
+        target->pressure > pressure * policy.relief) {
+        return std::nullopt;
+    }
+    std::vector<key_range> ranges;
+    double total = 0;
+    for (const owned_range& one : kept_ranges(state)) {
+        ranges.push_back(one.keys);
+        total += load_of(load, one.keys);
+    }
+    const double part = (pressure - target->pressure) / (2 * pressure);
+    const auto keys =
+        keys_with_load(load, ranges, total * part * 0.8, total * part * 1.3);
+    if (!keys) {
+        return std::nullopt;
+    }
+    return move{*keys, target->host};
+}
+
+std::vector<move>
+plan_departure(const keeper& state, const takeover_view& view) {
+    std::vector<move> result;
+    even_receivers receivers{state, others(view, {state.self})};
+    if (receivers.empty()) {
+        return result;
+    }
+    for (const owned_range& one : kept_ranges(state)) {
+        for (const key_range& piece : receivers.pieces(one.keys)) {
+            result.push_back({piece, receivers.next(size_of(piece)).host});
+        }
+    }
+    return result;
+}
+
+void retarget_releases(keeper& state, const takeover_view& view) {
+    even_receivers receivers{state, others(view, {state.self})};
+    if (receivers.empty()) {
+        return;
+    }
+    for (release& one : state.releases) {
+        const bool is_there = std::any_of(
+            view.members.begin(),
+            view.members.end(),
+            [&](const member& other) {
+                return other.host == one.target;
+            }
+        );
+        if (!is_there) {
+            one.target = receivers.next(size_of(one.keys)).host;
+        }
+    }
+}
+
+} // namespace apricotstile::keys
--- /dev/null
+++ b/src/apricotstile/keys/takeover.hpp
@@ -0,0 +1,74 @@
+// Which keys get which owner: the first division, keys of owners whose leases
+// have run out, and moves that even out load.
+
+#ifndef APRICOTSTILE_KEYS_TAKEOVER_HPP
+#define APRICOTSTILE_KEYS_TAKEOVER_HPP
+
+#include <apricotstile/keys/keeper.hpp>
+#include <apricotstile/keys/key_load.hpp>
+
+namespace apricotstile::keys {
+
+/// A daemon that may be given keys.
+struct member {
+    host_id host;
+    directory::instance_life life;
+    /// Work at its instance for each slot, as last told.
+    double pressure{0};
+};
+
+struct takeover_policy {
+    /// Members that come within this time share in the first division.
+    duration settling_time{std::chrono::milliseconds{900}};
+    /// A daemon acts this much later for each one before it, so that as a
+    /// rule only one acts.
+    duration delay_by_rank{std::chrono::milliseconds{1500}};
+    /// Keys move away from an instance with more work for each slot than this.
+    double crowded_pressure{0.9};
+    /// They move to one that has less than this part of it.
+    double relief{0.6};
+};
+
+/// Who takes part, as one daemon sees it.
+struct takeover_view {
+    /// By host; this daemon among them.
+    std::vector<member> members;
+    /// When `members` last changed.
+    instant members_since;
+    /// Members before this daemon that act first.
+    std::size_t rank{0};
+};
+
+/// Changes for owners that can't make them.
+[[nodiscard]] wanted_changes plan_takeover(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view,
+    instant now
+);
+
+struct move {
+    key_range keys;
+    host_id target;
+};
+
+/// The next move away from this daemon's instance, or nothing. `pressure` is
+/// its work for each slot.
+[[nodiscard]] std::optional<move> plan_move(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view,
+    const key_load& load,
+    double pressure
+);
+
+/// Moves for all keys of this daemon, whose instance leaves.
+[[nodiscard]] std::vector<move>
+plan_departure(const keeper& state, const takeover_view& view);
+
+/// Gives releases whose targets are gone to other members.
+void retarget_releases(keeper& state, const takeover_view& view);
+
+} // namespace apricotstile::keys
+
+#endif
--- /dev/null
+++ b/src/apricotstile/net/acceptor.cpp
@@ -0,0 +1,78 @@
+// Listening by socket calls and a socket notifier.
+
+#include <apricotstile/net/acceptor.hpp>
+
+#include <apricotstile/net/internal/socket_options.hpp>
+
+#include <QSocketNotifier>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace apricotstile::net {
+
+namespace {
+
+constexpr int backlog = 1024;
+
+} // namespace
+
+acceptor::acceptor(const address& where, accept_handler on_accept)
+    : on_accept(std::move(on_accept)) {
+    this->descriptor =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int reuse = 1;
+    setsockopt(
+        this->descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse
+    );
+    const sockaddr_in local = internal::to_socket_address(where);
+    const bool listens =
+        this->descriptor >= 0 &&
+        bind(
+            this->descriptor,
+            reinterpret_cast<const sockaddr*>(&local),
+            sizeof local
+        ) == 0 &&
+        listen(this->descriptor, backlog) == 0;
+    if (!listens) {
+        const std::string reason = std::strerror(errno);
+        if (this->descriptor >= 0) {
+            close(this->descriptor);
+        }
+        throw std::runtime_error{
+            "can't listen on " + to_string(where) + ": " + reason};
+    }
+    this->notifier = std::make_unique<QSocketNotifier>(
+        this->descriptor, QSocketNotifier::Read
+    );
+    QObject::connect(
+        this->notifier.get(),
+        &QSocketNotifier::activated,
+        this,
+        [this] {
+            this->accept_all();
+        }
+    );
+}
+
+acceptor::~acceptor() {
+    this->notifier.reset();
+    close(this->descriptor);
+}
+
+void acceptor::accept_all() {
+    while (true) {
+        const int accepted = accept4(
+            this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC
+        );
+        if (accepted < 0) {
+            return;
+        }
+        this->on_accept(accepted);
+    }
+}
+
+} // namespace apricotstile::net
--- /dev/null
+++ b/src/apricotstile/router/caller_connection.hpp
@@ -0,0 +1,83 @@
+// One connection of a caller: reads one request after the other and writes
+// their answers.
+
+#ifndef APRICOTSTILE_ROUTER_CALLER_CONNECTION_HPP
+#define APRICOTSTILE_ROUTER_CALLER_CONNECTION_HPP
+
+#include <apricotstile/core/strong_id.hpp>
+#include <apricotstile/core/time.hpp>
+#include <apricotstile/http/message_reader.hpp>
+
+#include <cstdint>
+#include <functional>
+
+namespace apricotstile::net {
+class stream;
+}
+
+namespace apricotstile::router {
+
+using caller_id = strong_id<struct caller_id_tag, std::uint64_t>;
+
+struct caller_events {
+    std::function<void(caller_id, http::received_request&&)> on_request;
+    /// The caller has gone; a request of its may still be in progress.
+    std::function<void(caller_id)> on_gone;
+};
+
+class caller_connection {
+public:
+    /// `events` outlives the connection.
+    caller_connection(
+        caller_id id,
+        int descriptor,
+        http::request_limits limits,
+        const caller_events& events
+    );
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
+    ~caller_connection();
+
+    /// Answers the present request and reads on, unless the connection is to
+    /// close.
+    void respond(
+        std::uint16_t status,
+        const std::vector<http::header>& headers,
+        std::string_view body,
+        bool close
+    );
+    /// Closes it while it is idle, or with its next answer.
+    void close_when_idle();
+    /// Closes it where a limit on time has passed.
+    void check_times(
+        instant now, duration header_timeout, duration idle_timeout
+    );
+    void set_limits(http::request_limits limits);
+
+    [[nodiscard]] bool is_idle() const;
+    [[nodiscard]] bool is_closed() const;
+
+private:
+    void data(std::string_view bytes);
+    void read_on();
+    void refuse_malformed();
+
+    caller_id id;
+    const caller_events& events;
+    net::stream* stream;
+    http::request_reader reader;
+    /// Whether a request waits for its answer.
+    bool answering{false};
+    /// Whether the present request allows another one behind it.
+    bool keep_alive{true};
+    bool head_only{false};
+    bool closing{false};
+    bool sent_continue{false};
+    /// The end of the last exchange, or the first byte of a request.
+    instant since;
+    bool began{false};
+};
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/router/compact_codec.hpp
@@ -0,0 +1,114 @@
+// Serialization of frames in few bytes, for links that are paid by volume:
+// cereal's plain binary archive with lengths of variable size.
+
+#ifndef APRICOTSTILE_ROUTER_COMPACT_CODEC_HPP
+#define APRICOTSTILE_ROUTER_COMPACT_CODEC_HPP
+
+#include <apricotstile/core/codec.hpp>
+
+#include <cereal/archives/binary.hpp>
+
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace apricotstile::router {
+
+/// No text or list of a frame is longer.
+inline constexpr std::uint64_t max_frame_length = 64U << 20U;
+
+/// An unsigned number in 7-bit groups, the lowest first.
+struct compact_number {
+    std::uint64_t value{0};
+
+    template <class Archive>
+    void save(Archive& archive) const {
+        std::uint64_t left = this->value;
+        while (left >= more) {
+            archive(static_cast<std::uint8_t>((left & (more - 1)) | more));
+            left >>= group_bits;
+        }
+        archive(static_cast<std::uint8_t>(left));
+    }
+
+    template <class Archive>
+    void load(Archive& archive) {
+        this->value = 0;
+        std::uint8_t group = 0;
+        unsigned shift = 0;
+        do {
+            archive(group);
+            this->value |= static_cast<std::uint64_t>(group & (more - 1))
+                           << shift;
+            shift += group_bits;
+        } while ((group & more) != 0 && shift < max_shift);
+    }
+
+private:
+    static constexpr unsigned group_bits = 7;
+    static constexpr std::uint64_t more = 128;
+    static constexpr unsigned max_shift = 64;
+};
+
+/// Serializes any unsigned number as a `compact_number`.
+template <class Archive, class Number>
+void serialize_number(Archive& archive, Number& number) {
+    compact_number compact{static_cast<std::uint64_t>(number)};
+    archive(compact);
+    number = static_cast<Number>(compact.value);
+}
+
+template <class Archive>
+void serialize_text(Archive& archive, std::string& text) {
+    compact_number length{text.size()};
+    archive(length);
+    if (length.value > max_frame_length) {
+        throw decode_error{"a text of a frame is too long"};
+    }
+    text.resize(length.value);
+    archive(cereal::binary_data(text.data(), text.size()));
+}
+
+template <class Archive, class Item, class SerializeItem>
+void serialize_list(
+    Archive& archive, std::vector<Item>& items, SerializeItem serialize_item
+) {
+    compact_number count{items.size()};
+    archive(count);
+    if (count.value > max_frame_length) {
+        throw decode_error{"a list of a frame is too long"};
+    }
+    items.resize(count.value);
+    for (Item& item : items) {
+        serialize_item(archive, item);
+    }
+}
+
+template <class Value>
+[[nodiscard]] std::string encode_compact(Value value) {
+    std::ostringstream stream{std::ios::binary};
+    {
+        cereal::BinaryOutputArchive archive{stream};
+        archive(value);
+    }
+    return std::move(stream).str();
+}
+
+/// Throws `decode_error` for bytes that don't hold a `Value`.
+template <class Value>
+[[nodiscard]] Value decode_compact(const std::string& bytes) {
+    std::istringstream stream{bytes, std::ios::binary};
+    Value value{};
+    try {
+        cereal::BinaryInputArchive archive{stream};
+        archive(value);
+    } catch (const std::exception& error) {
+        throw decode_error{error.what()};
+    }
+    return value;
+}
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/router/frames.cpp
@@ -0,0 +1,157 @@
+// Encoding of frames.
+
+#include <apricotstile/router/frames.hpp>
+
+#include <apricotstile/core/hashing.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::router {
+
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+constexpr unsigned byte_bits = 8;
+constexpr std::uint8_t nested_flag = 1;
+constexpr std::uint8_t key_flag = 2;
+
+template <class Archive>
+void serialize_millis(Archive& archive, duration& value) {
+    const auto whole =
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    auto millis = static_cast<std::uint64_t>(std::max<std::int64_t>(whole, 0));
+    serialize_number(archive, millis);
+    value = std::chrono::milliseconds{millis};
+}
+
+struct serialize_header {
+    template <class Archive>
+    void operator()(Archive& archive, http::header& one) const {
+        serialize_text(archive, one.name);
+        serialize_text(archive, one.value);
+    }
+};
+
+template <class Archive>
+void serialize_load(Archive& archive, serving::reported_load& load) {
+    serialize_number(archive, load.slots);
+    serialize_number(archive, load.running);
+    serialize_number(archive, load.waiting);
+    serialize_millis(archive, load.mean_service);
+}
+
+} // namespace
+
+template <class Archive>
+void serialize(Archive& archive, routed_request& value) {
+    archive(value.service, value.route);
+    auto flags = static_cast<std::uint8_t>(
+        (value.nested ? nested_flag : 0) | (value.key ? key_flag : 0)
+    );
+    archive(flags);
+    value.nested = (flags & nested_flag) != 0;
+    if ((flags & key_flag) != 0) {
+        keys::key_number key = value.key.value_or(0);
+        serialize_number(archive, key);
+        value.key = key;
+    }
+    serialize_text(archive, value.method);
+    serialize_text(archive, value.target);
+    serialize_list(archive, value.headers, serialize_header{});
+    serialize_text(archive, value.body);
+    serialize_number(archive, value.priority);
+    serialize_millis(archive, value.to_target);
+    serialize_millis(archive, value.to_deadline);
+}
+
+template <class Archive>
+void serialize(Archive& archive, routed_response& value) {
+    archive(value.outcome);
+    serialize_number(archive, value.status);
+    serialize_list(archive, value.headers, serialize_header{});
+    serialize_text(archive, value.body);
+    serialize_millis(archive, value.retry_after);
+}
+
+template <class Archive>
+void serialize(Archive& archive, request_frame& value) {
+    serialize_number(archive, value.stream.value);
+    archive(value.request);
+}
+
+template <class Archive>
+void serialize(Archive& archive, response_frame& value) {
+    serialize_number(archive, value.stream.value);
+    archive(value.response);
+    serialize_load(archive, value.load);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cancel_frame& value) {
+    serialize_number(archive, value.stream.value);
+}
+
+template <class Archive>
+void serialize(Archive& archive, entry_frame& value) {
+    archive(value.entry);
+    serialize_load(archive, value.load);
+}
+
+std::string to_bytes(const frame& value) {
+    const std::string payload = std::visit(
+        [](const auto& one) {
+            return encode_compact(one);
+        },
+        value
+    );
+    std::string bytes;
+    bytes.reserve(length_bytes + 1 + payload.size());
+    const std::size_t length = payload.size() + 1;
+    for (std::size_t index = 0; index < length_bytes; ++index) {
+        bytes += static_cast<char>((length >> (index * byte_bits)) & 0xFFU);
+    }
+    bytes += static_cast<char>(value.index());
+    bytes += payload;
+    return bytes;
+}
+
+std::optional<frame> take_frame(std::string& received) {
+    if (received.size() < length_bytes) {
+        return std::nullopt;
+    }
+    std::size_t length = 0;
+    for (std::size_t index = 0; index < length_bytes; ++index) {
+        length |= static_cast<std::size_t>(
+                      static_cast<unsigned char>(received[index])
+                  )
+                  << (index * byte_bits);
+    }
+    if (length == 0 || length > max_frame_length) {
+        throw decode_error{"a frame has an invalid length"};
+    }
+    if (received.size() < length_bytes + length) {
+        return std::nullopt;
+    }
+    const auto kind = static_cast<unsigned char>(received[length_bytes]);
+    const std::string payload =
+        received.substr(length_bytes + 1, length - 1);
+    received.erase(0, length_bytes + length);
+    switch (kind) {
+    case 0:
+        return decode_compact<request_frame>(payload);
+    case 1:
+        return decode_compact<response_frame>(payload);
+    case 2:
+        return decode_compact<cancel_frame>(payload);
+    case 3:
+        return decode_compact<entry_frame>(payload);
+    default:
+        throw decode_error{"a frame has an unknown kind"};
+    }
+}
+
+std::uint32_t name_hash(const std::string& name) {
+    return static_cast<std::uint32_t>(stable_hash(name));
+}
+
+} // namespace apricotstile::router
--- /dev/null
+++ b/src/apricotstile/router/frames.hpp
@@ -0,0 +1,84 @@
+// What daemons tell each other over their links.
+
+#ifndef APRICOTSTILE_ROUTER_FRAMES_HPP
+#define APRICOTSTILE_ROUTER_FRAMES_HPP
+
+#include <apricotstile/directory/entry.hpp>
+#include <apricotstile/http/message.hpp>
+#include <apricotstile/keys/key_map.hpp>
+#include <apricotstile/router/compact_codec.hpp>
+#include <apricotstile/serving/instance_choice.hpp>
+#include <apricotstile/serving/request_progress.hpp>
+
+#include <optional>
+#include <variant>
+
+namespace apricotstile::router {
+
+/// Numbers the requests of one link connection; never reused on it.
+using stream_id = strong_id<struct stream_id_tag, std::uint64_t>;
+
+/// A request for the instance beside the receiving daemon.
+struct routed_request {
+    /// Hash of the service's name: the receiver checks that it still is the
+    /// service beside it.
+    std::uint32_t service{0};
+    /// Hash of the route's name, for the receiver's service times.
+    std::uint32_t route{0};
+    std::string method;
+    std::string target;
+    std::vector<http::header> headers;
+    std::string body;
+    std::optional<keys::key_number> key;
+    /// Whether another request waits for this one.
+    bool nested{false};
+    std::uint32_t priority{0};
+    /// Until the answer is late, and until the caller leaves.
+    duration to_target{0};
+    duration to_deadline{0};
+};
+
+struct routed_response {
+    serving::attempt_outcome outcome{serving::attempt_outcome::lost};
+    std::uint16_t status{0};
+    std::vector<http::header> headers;
+    std::string body;
+    duration retry_after{0};
+};
+
+struct request_frame {
+    stream_id stream;
+    routed_request request;
+};
+
+struct response_frame {
+    stream_id stream;
+    routed_response response;
+    serving::reported_load load;
+};
+
+struct cancel_frame {
+    stream_id stream;
+};
+
+/// The first frame of each side, and again whenever the entry changes.
+struct entry_frame {
+    directory::entry entry;
+    serving::reported_load load;
+};
+
+using frame =
+    std::variant<request_frame, response_frame, cancel_frame, entry_frame>;
+
+/// The bytes of a frame with its length before it.
+[[nodiscard]] std::string to_bytes(const frame& value);
+
+/// Takes the first whole frame off `received`, or nothing while it isn't
+/// whole. Throws `decode_error`.
+[[nodiscard]] std::optional<frame> take_frame(std::string& received);
+
+[[nodiscard]] std::uint32_t name_hash(const std::string& name);
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/router/ingress.hpp
@@ -0,0 +1,146 @@
+// Callers' requests: reads them, finds an instance for each and answers.
+
+#ifndef APRICOTSTILE_ROUTER_INGRESS_HPP
+#define APRICOTSTILE_ROUTER_INGRESS_HPP
+
+#include <apricotstile/directory/directory.hpp>
+#include <apricotstile/host/address.hpp>
+#include <apricotstile/net/timer_queue.hpp>
+#include <apricotstile/router/caller_connection.hpp>
+#include <apricotstile/router/frames.hpp>
+#include <apricotstile/router/wire_names.hpp>
+#include <apricotstile/routing/route_table.hpp>
+#include <apricotstile/serving/instance_choice.hpp>
+#include <apricotstile/serving/request_progress.hpp>
+#include <apricotstile/serving/retry_budget.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace apricotstile::net {
+class acceptor;
+}
+
+namespace apricotstile::router {
+
+/// An attempt that is in progress somewhere.
+using attempt_id = strong_id<struct attempt_id_tag, std::uint64_t>;
+
+/// What the ingress needs of the rest of the daemon.
+struct ingress_surroundings {
+    host_id self;
+    location where;
+    service_id local_service;
+    wire_names names;
+    serving::retry_budget_policy retries;
+    const directory::directory* known{nullptr};
+    /// The owner of a service's key, or nothing while none is known.
+    std::function<std::optional<host_id>(const service_id&, keys::key_number)>
+        owner_of;
+    std::function<bool(host_id)> is_reachable;
+    using response_handler = std::function<void(routed_response&&)>;
+    /// Hands a request to the daemon of a host, this one included; returns
+    /// what cancels it.
+    std::function<std::function<
+        void()>(host_id, routed_request&&, response_handler)>
+        hand_over;
+};
+
+struct ingress_counters {
+    std::uint64_t requests{0};
+    std::uint64_t answered{0};
+    std::uint64_t refused{0};
+    std::uint64_t failed{0};
+    std::uint64_t no_route{0};
+    std::uint64_t left{0};
+    std::uint64_t repeats{0};
+};
+
+class ingress {
+public:
+    /// Throws `std::runtime_error` when it can't listen.
+    ingress(
+        const address& listen,
+        net::timer_queue& timers,
+        ingress_surroundings surroundings
+    );
+    ingress(const ingress&) = delete;
+    ingress& operator=(const ingress&) = delete;
+    ~ingress();
+
+    void set_config(std::shared_ptr<const routing::route_table> table);
+    /// Whether the configuration is followed, so that what it doesn't have
+    /// isn't there.
+    void set_config_current(bool current);
+    /// What a daemon told of its instance's load.
+    void take_load(host_id host, const serving::reported_load& load);
+    /// Tells callers to close their connections from now on.
+    void start_closing();
+    /// Takes no new connections, and closes idle ones.
+    void stop_accepting();
+
+    /// Requests without an answer.
+    [[nodiscard]] std::size_t waiting() const;
+    [[nodiscard]] std::size_t open_connections() const;
+    [[nodiscard]] const ingress_counters& counters() const;
+    /// The load that was last told for `host`.
+    [[nodiscard]] const serving::instance_view* view_of(host_id host) const;
+
+private:
+    struct pending;
+
+    void accepted(int descriptor);
+    void take_request(caller_id caller, http::received_request&& request);
+    void caller_gone(caller_id caller);
+    void attempt(pending& request);
+    std::optional<host_id> choose_host(pending& request);
+    serving::nearness distance_to(const location& where) const;
+    void attempt_ended(
+        caller_id caller,
+        std::uint64_t number,
+        host_id host,
+        routed_response&& response
+    );
+    void perform(
+        pending& request, serving::next_step step, routed_response&& response
+    );
+    void deadline_passed(caller_id caller);
+    void answer_own(
+        pending& request,
+        std::uint16_t status,
+        const char* reason,
+        duration retry_after
+    );
+    void deliver(pending& request, routed_response&& response);
+    void refuse_unrouted(
+        caller_id caller,
+        const http::received_request& request,
+        std::uint16_t status,
+        const char* reason
+    );
+    void finish(caller_id caller);
+    routed_request to_routed(const pending& request) const;
+    bool may_repeat(const service_id& service);
+
+    net::timer_queue& timers;
+    ingress_surroundings around;
+    std::shared_ptr<const routing::route_table> table;
+    bool config_current{false};
+    bool closing{false};
+    std::unique_ptr<net::acceptor> listener;
+    caller_events events;
+    caller_id last_caller;
+    std::unordered_map<caller_id, std::unique_ptr<caller_connection>> callers;
+    /// At most one for each connection.
+    std::unordered_map<caller_id, std::unique_ptr<pending>> requests;
+    std::unordered_map<host_id, serving::instance_view> views;
+    std::unordered_map<service_id, serving::retry_budget> budgets;
+    serving::choice_policy choice;
+    serving::progress_policy progress;
+    random_source random;
+    ingress_counters counted;
+};
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/router/key_desk.cpp
@@ -0,0 +1,285 @@
+// Transactions, readings and moves of one daemon's keys.
+
+#include <apricotstile/router/key_desk.hpp>
+
+#include <apricotstile/core/codec.hpp>
+#include <apricotstile/log/logger.hpp>
+
+namespace apricotstile::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_interval = 200ms;
+constexpr duration balance_interval = 1s;
+constexpr duration watch_interval = 1s;
+constexpr duration move_interval = 2s;
+constexpr duration failed_call_pause = 200ms;
+/// Daemons, by rank, that watch the others' leases.
+constexpr std::size_t watching_ranks = 2;
+constexpr double pressure_smoothing = 0.3;
+constexpr auto log_prefix = "keys";
+
+std::string text_of(const keys::key_range& range) {
+    return std::to_string(range.first) + "-" + std::to_string(range.last);
+}
+
+std::string text_of(host_id host) {
+    return to_string(peer_address(host));
+}
+
+keys::known_lives lives_of(const keys::takeover_view& view) {
+    keys::known_lives result;
+    for (const keys::member& one : view.members) {
+        result.emplace(one.host, one.life);
+    }
+    return result;
+}
+
+} // namespace
+
+key_desk::key_desk(
+    keys::keeper keeper,
+    platform::shared_table& table,
+    net::timer_queue& timers,
+    view_source view,
+    pressure_source pressure
+)
+    : keeper(std::move(keeper)), table(table), timers(timers),
+      view(std::move(view)), pressure(std::move(pressure)) {
+    this->timers.every(tick_interval, [this] {
+        this->pump();
+    });
+    this->timers.every(balance_interval, [this] {
+        this->balance();
+    });
+    this->read_rows();
+}
+
+keys::heartbeat_answer key_desk::take_heartbeat(const keys::heartbeat& beat) {
+    const instant now = boot_clock::now();
+    const bool new_life = this->keeper.life != beat.life;
+    const bool had_lease = keys::has_lease(this->keeper, now);
+    if (new_life) {
+        this->departing = false;
+    }
+    const keys::heartbeat_answer answer =
+        keys::take_heartbeat(this->keeper, beat, now);
+    if (!had_lease && keys::has_lease(this->keeper, now)) {
+        log::write(log::level::info, log_prefix, "Lease acquired.");
+    }
+    this->pump();
+    return answer;
+}
+
+void key_desk::start_departure() {
+    if (this->departing) {
+        return;
+    }
+    this->departing = true;
+    this->release(
+        keys::plan_departure(this->keeper, this->view()), "instance leaves"
+    );
+}
+
+void key_desk::instance_left() {
+    this->start_departure();
+    keys::instance_left(this->keeper);
+    this->pump();
+}
+
+bool key_desk::may_dispatch(keys::key_number key) const {
+    return keys::may_dispatch(this->keeper, key, boot_clock::now());
+}
+
+void key_desk::count_request(keys::key_number key) {
+    keys::count_key(this->load, key);
+}
+
+void key_desk::take_map(const platform::row& row) {
+    if (row.key != keys::map_row(this->keeper.service)) {
+        return;
+    }
+    keys::take_map(this->keeper, row);
+    this->pump();
+}
+
+const keys::keeper& key_desk::state() const {
+    return this->keeper;
+}
+
+void key_desk::pump() {
+    const instant now = boot_clock::now();
+    if (this->keeper.needs_read) {
+        if (now >= this->retry_at) {
+            this->read_rows();
+        }
+        return;
+    }
+    if (this->keeper.in_flight || now < this->retry_at) {
+        return;
+    }
+    this->watch();
+    const keys::takeover_view view = this->view();
+    // A departure waits until somebody can take the keys.
+    if (this->departing && this->keeper.releases.empty()) {
+        this->release(
+            keys::plan_departure(this->keeper, view), "instance leaves"
+        );
+    }
+    keys::retarget_releases(this->keeper, view);
+    const keys::wanted_changes wanted =
+        keys::plan_takeover(this->keeper, this->policy, view, now);
+    const auto work = keys::next_transaction(
+        this->keeper, wanted, lives_of(view), now
+    );
+    if (!work) {
+        return;
+    }
+    for (const host_id host : wanted.voided) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Owner's lease has run out; its keys go to others.",
+            {{"owner", text_of(host)}}
+        );
+    }
+    this->submit(*work);
+}
+
+void key_desk::submit(const platform::transaction& work) {
+    this->table.submit(work, [this](const platform::commit_result& result) {
+        const bool had_lease =
+            keys::has_lease(this->keeper, boot_clock::now());
+        keys::take_result(this->keeper, result);
+        if (result.status != platform::commit_status::committed) {
+            log::write(
+                log::level::warning,
+                log_prefix,
+                "Change of leases or owners was not committed.",
+                {{"status",
+                  std::to_string(static_cast<int>(result.status))}}
+            );
+            this->retry_at =
+                result.status == platform::commit_status::conflict
+                    ? instant{}
+                    : boot_clock::now() + failed_call_pause;
+        }
+        if (!had_lease && keys::has_lease(this->keeper, boot_clock::now())) {
+            log::write(log::level::info, log_prefix, "Lease acquired.");
+        }
+        this->pump();
+    });
+}
+
+void key_desk::read_rows() {
+    if (this->reading) {
+        return;
+    }
+    this->reading = true;
+    // Leases first: a lease seen later than the map can only be younger.
+    const instant asked = boot_clock::now();
+    this->last_read = asked;
+    const std::string& service = this->keeper.service.value;
+    this->table.read(
+        "leases/" + service,
+        [this, asked, service](const platform::read_result& leases) {
+            if (!leases.answered) {
+                this->reading = false;
+                this->retry_at = boot_clock::now() + failed_call_pause;
+                return;
+            }
+            this->table.read(
+                "keys/" + service,
+                [this, asked, rows = leases.rows](
+                    const platform::read_result& maps
+                ) {
+                    this->reading = false;
+                    if (!maps.answered) {
+                        this->retry_at = boot_clock::now() + failed_call_pause;
+                        return;
+                    }
+                    std::vector<platform::row> all = rows;
+                    all.insert(all.end(), maps.rows.begin(), maps.rows.end());
+                    try {
+                        keys::take_rows(
+                            this->keeper, all, asked, boot_clock::now()
+                        );
+                    } catch (const decode_error& error) {
+                        log::write(
+                            log::level::error,
+                            log_prefix,
+                            "Rows of leases or owners are malformed.",
+                            {{"reason", error.what()}}
+                        );
+                    }
+                    this->pump();
+                }
+            );
+        }
+    );
+}
+
+/// Reads the others' leases now and then where this daemon is among the first
+/// that would take over.
+void key_desk::watch() {
+    if (this->reading || boot_clock::now() < this->last_read + watch_interval) {
+        return;
+    }
+    if (this->view().rank < watching_ranks) {
+        this->last_read = boot_clock::now();
+        this->reading = true;
+        const instant asked = this->last_read;
+        this->table.read(
+            "leases/" + this->keeper.service.value,
+            [this, asked](const platform::read_result& leases) {
+                this->reading = false;
+                if (leases.answered && this->keeper.rows_known &&
+                    !this->keeper.in_flight && !this->keeper.needs_read) {
+                    keys::take_rows(
+                        this->keeper, leases.rows, asked, boot_clock::now()
+                    );
+                }
+            }
+        );
+    }
+}
+
+void key_desk::balance() {
+    keys::decay(this->load);
+    this->mean_pressure += pressure_smoothing *
+                           (this->pressure() - this->mean_pressure);
+    const instant now = boot_clock::now();
+    if (this->departing || !this->keeper.life ||
+        !keys::has_lease(this->keeper, now) ||
+        now < this->last_move + move_interval) {
+        return;
+    }
+    const auto next = keys::plan_move(
+        this->keeper, this->policy, this->view(), this->load,
+        this->mean_pressure
+    );
+    if (next) {
+        this->last_move = now;
+        this->release({*next}, "balance");
+    }
+}
+
+void key_desk::release(
+    const std::vector<keys::move>& moves, const char* why
+) {
+    for (const keys::move& one : moves) {
+        log::write(
+            log::level::info,
+            log_prefix,
+            "Releasing keys.",
+            {{"keys", text_of(one.keys)},
+             {"to", text_of(one.target)},
+             {"why", why}}
+        );
+        keys::start_release(this->keeper, one.keys, one.target);
+    }
+}
+
+} // namespace apricotstile::router
--- /dev/null
+++ b/src/apricotstile/router/local_instance.hpp
@@ -0,0 +1,98 @@
+// The upstream instance beside this daemon: its work queue, its connections
+// and the exchanges on them.
+
+#ifndef APRICOTSTILE_ROUTER_LOCAL_INSTANCE_HPP
+#define APRICOTSTILE_ROUTER_LOCAL_INSTANCE_HPP
+
+#include <apricotstile/directory/entry.hpp>
+#include <apricotstile/host/address.hpp>
+#include <apricotstile/net/timer_queue.hpp>
+#include <apricotstile/router/frames.hpp>
+#include <apricotstile/router/wire_names.hpp>
+#include <apricotstile/serving/service_times.hpp>
+#include <apricotstile/serving/work_queue.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace apricotstile::router {
+
+class local_instance {
+public:
+    using response_handler = std::function<void(routed_response&&)>;
+    /// Whether the instance holds `key` now.
+    using key_check = std::function<bool(keys::key_number)>;
+
+    local_instance(
+        const address& where,
+        const wire_names& names,
+        net::timer_queue& timers,
+        key_check holds_key
+    );
+    local_instance(const local_instance&) = delete;
+    local_instance& operator=(const local_instance&) = delete;
+    ~local_instance();
+
+    /// The instance that requests are for from now on. Requests that wait for
+    /// an earlier life are refused.
+    void set_instance(const directory::instance_life& life, std::uint32_t slots);
+    /// Whether new requests may go to the instance.
+    void set_open(bool open);
+    void set_max_connections(std::uint32_t connections);
+
+    /// Offers a request; `done` runs once, perhaps at once, unless it is
+    /// withdrawn.
+    serving::work_id submit(
+        routed_request&& request,
+        const service_id& caller_service,
+        response_handler done
+    );
+    /// Nobody waits for the request any more: it is dropped, and if it runs
+    /// its connection is closed so that the instance stops.
+    void withdraw(serving::work_id id);
+
+    [[nodiscard]] serving::reported_load load() const;
+    /// Requests that wait or run.
+    [[nodiscard]] std::size_t unfinished() const;
+    /// Work for each slot.
+    [[nodiscard]] double pressure() const;
+    /// When the instance last answered.
+    [[nodiscard]] instant last_answer() const;
+    [[nodiscard]] std::size_t open_connections() const;
+
+private:
+    struct work;
+    struct connection;
+
+    void perform(const std::vector<serving::work_action>& actions);
+    void start(work& item);
+    void send(work& item, connection& on);
+    connection* take_idle();
+    connection& open_connection();
+    void connection_data(connection& on, std::string_view bytes);
+    void connection_ended(connection& on, bool orderly, bool was_open);
+    void answer_complete(connection& on);
+    void drop(connection& on);
+    void finish(work& item, routed_response&& response);
+    void deadline_passed(serving::work_id id);
+    std::vector<http::header> headers_for(const work& item) const;
+
+    address where;
+    const wire_names& names;
+    net::timer_queue& timers;
+    key_check holds_key;
+    directory::instance_life life;
+    std::uint32_t max_connections;
+    serving::work_queue queue;
+    serving::service_times times;
+    std::unordered_map<serving::work_id, std::unique_ptr<work>> items;
+    std::vector<std::unique_ptr<connection>> connections;
+    serving::work_id last_id;
+    instant answered_at;
+};
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/router/peer_links.cpp
@@ -0,0 +1,342 @@
+// Frames over streams.
+
+#include <apricotstile/router/peer_links.hpp>
+
+#include <apricotstile/log/logger.hpp>
+#include <apricotstile/net/acceptor.hpp>
+#include <apricotstile/net/stream.hpp>
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace apricotstile::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration open_timeout = 300ms;
+constexpr duration first_reopen_pause = 200ms;
+constexpr duration longest_reopen_pause = 2s;
+/// Unsent bytes at which a link takes no more requests.
+constexpr std::size_t max_unsent_bytes = 4U << 20U;
+constexpr auto log_prefix = "links";
+
+std::string text_of(host_id host) {
+    return to_string(peer_address(host));
+}
+
+routed_response without_answer(serving::attempt_outcome outcome) {
+    routed_response response;
+    response.outcome = outcome;
+    return response;
+}
+
+} // namespace
+
+struct peer_links::outgoing {
+    host_id peer;
+    /// Null while the link is closed.
+    net::stream* stream{nullptr};
+    bool open{false};
+    std::string received;
+    stream_id last_stream;
+    std::unordered_map<stream_id, response_handler> waiting;
+    /// Not opened again before.
+    instant reopen_at;
+    duration reopen_pause{first_reopen_pause};
+};
+
+struct peer_links::incoming {
+    peer_connection connection;
+    net::stream* stream{nullptr};
+    std::string received;
+    /// Until the peer's entry has come, requests are refused.
+    bool is_known{false};
+    host_id peer;
+    service_id caller_service;
+    std::set<stream_id> unanswered;
+};
+
+peer_links::peer_links(
+    const address& listen, net::timer_queue& timers, peer_link_events events
+)
+    : timers(timers), events(std::move(events)) {
+    this->listener =
+        std::make_unique<net::acceptor>(listen, [this](int descriptor) {
+            this->accepted(descriptor);
+        });
+}
+
+peer_links::~peer_links() {
+    for (auto& [peer, link] : this->outgoing_links) {
+        if (link->stream != nullptr) {
+            link->stream->close();
+        }
+    }
+    for (auto& [connection, link] : this->incoming_links) {
+        if (link->stream != nullptr) {
+            link->stream->close();
+        }
+    }
+}
+
+peer_links::outgoing& peer_links::link_to(host_id peer) {
+    auto& link = this->outgoing_links[peer];
+    if (!link) {
+        link = std::make_unique<outgoing>();
+        link->peer = peer;
+    }
+    return *link;
+}
+
+void peer_links::connect(host_id peer) {
+    outgoing& link = this->link_to(peer);
+    if (link.stream == nullptr && boot_clock::now() >= link.reopen_at) {
+        this->open(link);
+    }
+}
+
+void peer_links::open(outgoing& link) {
+    link.open = false;
+    link.received.clear();
+    link.stream = new net::stream{peer_address(link.peer), open_timeout};
+    link.stream->on_open = [this, &link] {
+        link.open = true;
+        link.reopen_pause = first_reopen_pause;
+        log::write(
+            log::level::info,
+            log_prefix,
+            "Link opened.",
+            {{"peer", text_of(link.peer)}}
+        );
+    };
+    link.stream->on_data = [this, &link](std::string_view bytes) {
+        this->outgoing_data(link, bytes);
+    };
+    link.stream->on_end = [this, &link](net::stream_end how) {
+        this->outgoing_ended(link, how != net::stream_end::not_opened);
+    };
+    if (this->has_own) {
+        link.stream->write(to_bytes(this->own));
+    }
+}
+
+stream_id peer_links::send(
+    host_id peer, const routed_request& request, response_handler done
+) {
+    outgoing& link = this->link_to(peer);
+    link.last_stream = next(link.last_stream);
+    const stream_id stream = link.last_stream;
+    if (link.stream == nullptr && boot_clock::now() >= link.reopen_at) {
+        this->open(link);
+    }
+    link.waiting.emplace(stream, std::move(done));
+    if (link.stream == nullptr ||
+        link.stream->unsent_bytes() > max_unsent_bytes) {
+        // Later, so that the caller knows the stream's id first.
+        this->timers.after(0ms, [this, peer, stream] {
+            outgoing& failed = this->link_to(peer);
+            const auto found = failed.waiting.find(stream);
+            if (found != failed.waiting.end()) {
+                const response_handler handler = std::move(found->second);
+                failed.waiting.erase(found);
+                handler(without_answer(serving::attempt_outcome::refused_closed)
+                );
+            }
+        });
+        return stream;
+    }
+    link.stream->write(to_bytes(request_frame{stream, request}));
+    return stream;
+}
+
+void peer_links::cancel(host_id peer, stream_id stream) {
+    outgoing& link = this->link_to(peer);
+    if (link.waiting.erase(stream) > 0 && link.stream != nullptr) {
+        link.stream->write(to_bytes(cancel_frame{stream}));
+    }
+}
+
+void peer_links::outgoing_data(outgoing& link, std::string_view bytes) {
+    link.received += bytes;
+    try {
+        while (const std::optional<frame> one = take_frame(link.received)) {
+            if (const auto* const entry = std::get_if<entry_frame>(&*one)) {
+                this->events.on_entry(link.peer, *entry);
+                continue;
+            }
+            const auto* const response = std::get_if<response_frame>(&*one);
+            if (response == nullptr) {
+                throw decode_error{"a peer sent a request on our link"};
+            }
+            this->events.on_load(link.peer, response->load);
+            const auto found = link.waiting.find(response->stream);
+            if (found == link.waiting.end()) {
+                continue;
+            }
+            const response_handler handler = std::move(found->second);
+            link.waiting.erase(found);
+            handler(routed_response{response->response});
+        }
+    } catch (const decode_error& error) {
+        log::write(
+            log::level::error,
+            log_prefix,
+            "Link closed after a malformed frame.",
+            {{"peer", text_of(link.peer)}, {"reason", error.what()}}
+        );
+        link.stream->abort();
+        this->outgoing_ended(link, true);
+    }
+}
+
+void peer_links::outgoing_ended(outgoing& link, bool was_open) {
+    link.stream = nullptr;
+    link.open = false;
+    link.received.clear();
+    link.reopen_at = boot_clock::now() + link.reopen_pause;
+    link.reopen_pause = std::min(longest_reopen_pause, link.reopen_pause * 2);
+    log::write(
+        log::level::warning,
+        log_prefix,
+        was_open ? "Link lost." : "Link could not be opened.",
+        {{"peer", text_of(link.peer)},
+         {"unanswered", std::to_string(link.waiting.size())}}
+    );
+    const auto outcome = was_open ? serving::attempt_outcome::lost
+                                  : serving::attempt_outcome::refused_closed;
+    std::vector<response_handler> handlers;
+    for (auto& [stream, handler] : link.waiting) {
+        handlers.push_back(std::move(handler));
+    }
+    link.waiting.clear();
+    for (const response_handler& handler : handlers) {
+        handler(without_answer(outcome));
+    }
+}
+
+void peer_links::accepted(int descriptor) {
+    this->last_connection = next(this->last_connection);
+    auto link = std::make_unique<incoming>();
+    incoming& added = *link;
+    added.connection = this->last_connection;
+    added.stream = new net::stream{descriptor};
+    this->incoming_links.emplace(added.connection, std::move(link));
+    added.stream->on_data = [this, &added](std::string_view bytes) {
+        this->incoming_data(added, bytes);
+    };
+    added.stream->on_end = [this,
+                            connection = added.connection](net::stream_end) {
+        this->incoming_ended(connection);
+    };
+    if (this->has_own) {
+        added.stream->write(to_bytes(this->own));
+    }
+}
+
+void peer_links::incoming_data(incoming& link, std::string_view bytes) {
+    link.received += bytes;
+    try {
+        while (std::optional<frame> one = take_frame(link.received)) {
+            if (const auto* const entry = std::get_if<entry_frame>(&*one)) {
+                link.is_known = true;
+                link.peer = entry->entry.host;
+                link.caller_service = entry->entry.service;
+                this->events.on_entry(link.peer, *entry);
+            } else if (auto* const request = std::get_if<request_frame>(&*one);
+                       request != nullptr && link.is_known) {
+                link.unanswered.insert(request->stream);
+                this->events.on_request(
+                    {link.connection, request->stream},
+                    std::move(request->request),
+                    link.caller_service
+                );
+            } else if (const auto* const cancelled =
+                           std::get_if<cancel_frame>(&*one)) {
+                if (link.unanswered.erase(cancelled->stream) > 0) {
+                    this->events.on_cancel(
+                        {link.connection, cancelled->stream}
+                    );
+                }
+            } else {
+                throw decode_error{"a peer sent an unexpected frame"};
+            }
+        }
+    } catch (const decode_error& error) {
+        log::write(
+            log::level::error,
+            log_prefix,
+            "Peer's link closed after a malformed frame.",
+            {{"peer", text_of(link.peer)}, {"reason", error.what()}}
+        );
+        link.stream->abort();
+        this->incoming_ended(link.connection);
+    }
+}
+
+void peer_links::incoming_ended(peer_connection connection) {
+    const auto found = this->incoming_links.find(connection);
+    if (found == this->incoming_links.end()) {
+        return;
+    }
+    const std::set<stream_id> unanswered =
+        std::move(found->second->unanswered);
+    this->incoming_links.erase(found);
+    for (const stream_id stream : unanswered) {
+        this->events.on_cancel({connection, stream});
+    }
+}
+
+void peer_links::respond(peer_request_id to, const response_frame& response) {
+    const auto found = this->incoming_links.find(to.connection);
+    if (found == this->incoming_links.end() ||
+        found->second->unanswered.erase(to.stream) == 0) {
+        return;
+    }
+    found->second->stream->write(to_bytes(response));
+}
+
+void peer_links::publish(const entry_frame& entry) {
+    this->own = entry;
+    this->has_own = true;
+    const std::string bytes = to_bytes(entry);
+    for (auto& [peer, link] : this->outgoing_links) {
+        if (link->stream != nullptr) {
+            link->stream->write(bytes);
+        }
+    }
+    for (auto& [connection, link] : this->incoming_links) {
+        link->stream->write(bytes);
+    }
+}
+
+void peer_links::forget(host_id peer) {
+    const auto found = this->outgoing_links.find(peer);
+    if (found != this->outgoing_links.end() &&
+        found->second->stream == nullptr && found->second->waiting.empty()) {
+        this->outgoing_links.erase(found);
+    }
+}
+
+bool peer_links::is_reachable(host_id peer) const {
+    const auto found = this->outgoing_links.find(peer);
+    if (found == this->outgoing_links.end()) {
+        return true;
+    }
+    const outgoing& link = *found->second;
+    return link.open || boot_clock::now() >= link.reopen_at;
+}
+
+std::size_t peer_links::open_links() const {
+    return static_cast<std::size_t>(std::count_if(
+        this->outgoing_links.begin(),
+        this->outgoing_links.end(),
+        [](const auto& one) {
+            return one.second->open;
+        }
+    ));
+}
+
+} // namespace apricotstile::router
--- /dev/null
+++ b/src/apricotstile/router/peer_links.hpp
@@ -0,0 +1,102 @@
+// The links between this daemon and its peers. Each daemon opens its own link
+// to a peer for the requests that it sends there; responses come back on it.
+
+#ifndef APRICOTSTILE_ROUTER_PEER_LINKS_HPP
+#define APRICOTSTILE_ROUTER_PEER_LINKS_HPP
+
+#include <apricotstile/host/address.hpp>
+#include <apricotstile/net/timer_queue.hpp>
+#include <apricotstile/router/frames.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace apricotstile::net {
+class acceptor;
+class stream;
+} // namespace apricotstile::net
+
+namespace apricotstile::router {
+
+/// One connection that a peer opened to this daemon; never reused.
+using peer_connection = strong_id<struct peer_connection_tag, std::uint64_t>;
+
+/// Where the response to a peer's request goes.
+struct peer_request_id {
+    peer_connection connection;
+    stream_id stream;
+
+    friend auto
+    operator<=>(const peer_request_id&, const peer_request_id&) = default;
+};
+
+struct peer_link_events {
+    /// A peer's request; `caller_service` is the service beside that peer.
+    std::function<void(
+        peer_request_id, routed_request&&, const service_id& caller_service
+    )>
+        on_request;
+    /// The peer doesn't wait any more, or its connection ended.
+    std::function<void(peer_request_id)> on_cancel;
+    std::function<void(host_id, const entry_frame&)> on_entry;
+    /// The load that came with a response, before the response.
+    std::function<void(host_id, const serving::reported_load&)> on_load;
+};
+
+class peer_links {
+public:
+    using response_handler = std::function<void(routed_response&&)>;
+
+    /// Throws `std::runtime_error` when it can't listen.
+    peer_links(
+        const address& listen, net::timer_queue& timers, peer_link_events events
+    );
+    peer_links(const peer_links&) = delete;
+    peer_links& operator=(const peer_links&) = delete;
+    ~peer_links();
+
+    /// Sends a request; `done` runs later, once, unless it is cancelled.
+    stream_id send(
+        host_id peer, const routed_request& request, response_handler done
+    );
+    /// Tells the peer that nobody waits; `done` won't run.
+    void cancel(host_id peer, stream_id stream);
+    /// Answers a peer's request. Ignored when its connection has ended.
+    void respond(peer_request_id to, const response_frame& response);
+    /// Tells all peers, now and whenever a link opens.
+    void publish(const entry_frame& own);
+    /// Opens the link to `peer` unless it is open or lately failed.
+    void connect(host_id peer);
+    /// Closes the link to a peer that is gone for good.
+    void forget(host_id peer);
+    /// Whether requests to `peer` have a chance.
+    [[nodiscard]] bool is_reachable(host_id peer) const;
+    [[nodiscard]] std::size_t open_links() const;
+
+private:
+    struct outgoing;
+    struct incoming;
+
+    outgoing& link_to(host_id peer);
+    void open(outgoing& link);
+    void outgoing_data(outgoing& link, std::string_view bytes);
+    void outgoing_ended(outgoing& link, bool was_open);
+    void accepted(int descriptor);
+    void incoming_data(incoming& link, std::string_view bytes);
+    void incoming_ended(peer_connection connection);
+
+    net::timer_queue& timers;
+    peer_link_events events;
+    entry_frame own;
+    bool has_own{false};
+    std::unordered_map<host_id, std::unique_ptr<outgoing>> outgoing_links;
+    std::unordered_map<peer_connection, std::unique_ptr<incoming>>
+        incoming_links;
+    peer_connection last_connection;
+    std::unique_ptr<net::acceptor> listener;
+};
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -0,0 +1,107 @@
+// The steps of a request.
+
+#include <apricotstile/serving/request_progress.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::serving {
+
+void begin_attempt(request_progress& request, host_id host) {
+    if (std::find(request.tried.begin(), request.tried.end(), host) ==
+        request.tried.end()) {
+        request.tried.push_back(host);
+    }
+}
+
+namespace internal {
+
+namespace {
+
+bool has_time(
+    const request_progress& request, const progress_policy& policy, instant now
+) {
+    return now + policy.least_time_left < request.deadline;
+}
+
+/// The answer to a request that can't be tried again.
+next_step give_up(const request_progress& request) {
+    return request.may_have_run ? next_step::fail : next_step::refuse;
+}
+
+wanted_step after_refusal(
+    request_progress& request,
+    const attempt_end& end,
+    const progress_policy& policy,
+    instant now
+) {
+    ++request.refusals;
+    request.retry_after = std::max(request.retry_after, end.retry_after);
+    if (!has_time(request, policy, now)) {
+        return {give_up(request)};
+    }
+    const bool moves = end.outcome == attempt_outcome::refused_not_owner ||
+                       end.outcome == attempt_outcome::refused_closed;
+    if (request.keyed) {
+        // A key in motion is served again soon; a full owner isn't.
+        const bool wait = moves && now < request.target;
+        return {wait ? next_step::try_later : give_up(request)};
+    }
+    if (request.refusals > policy.max_refusals) {
+        return {give_up(request)};
+    }
+    return {next_step::try_again};
+}
+
+wanted_step after_sending(
+    request_progress& request,
+    const attempt_end& end,
+    const progress_policy& policy,
+    instant now
+) {
+    const bool ran = end.outcome != attempt_outcome::not_executed;
+    request.may_have_run = request.may_have_run || ran;
+    const next_step last = end.outcome == attempt_outcome::answered
+                               ? next_step::deliver
+                               : give_up(request);
+    const bool allowed =
+        (request.idempotent || !request.may_have_run) &&
+        request.sent < request.max_instances &&
+        end.outcome != attempt_outcome::timed_out;
+    if (!allowed || !has_time(request, policy, now)) {
+        return {last};
+    }
+    return {next_step::try_again, true, last};
+}
+
+} // namespace
+
+wanted_step wanted_after(
+    request_progress& request,
+    const attempt_end& end,
+    const progress_policy& policy,
+    instant now
+) {
+    switch (end.outcome) {
+    case attempt_outcome::refused_busy:
+    case attempt_outcome::refused_closed:
+    case attempt_outcome::refused_not_owner:
+        return after_refusal(request, end, policy, now);
+    case attempt_outcome::answered:
+        if (!end.failed) {
+            return {next_step::deliver};
+        }
+        break;
+    case attempt_outcome::not_executed:
+        request.retry_after = std::max(request.retry_after, end.retry_after);
+        break;
+    case attempt_outcome::lost:
+    case attempt_outcome::timed_out:
+        break;
+    }
+    ++request.sent;
+    return after_sending(request, end, policy, now);
+}
+
+} // namespace internal
+
+} // namespace apricotstile::serving
--- /dev/null
+++ b/src/apricotstile/serving/service_times.hpp
@@ -0,0 +1,29 @@
+// Moving means of how long an instance works on each route's requests.
+
+#ifndef APRICOTSTILE_SERVING_SERVICE_TIMES_HPP
+#define APRICOTSTILE_SERVING_SERVICE_TIMES_HPP
+
+#include <apricotstile/core/time.hpp>
+
+#include <string>
+#include <unordered_map>
+
+namespace apricotstile::serving {
+
+struct service_times {
+    /// By route name.
+    std::unordered_map<std::string, duration> means;
+    /// Over all requests; zero before the first.
+    duration overall{0};
+};
+
+void record(service_times& times, const std::string& route, duration took);
+
+/// The mean of `route`, else the mean of all, else `fallback`.
+[[nodiscard]] duration expected(
+    const service_times& times, const std::string& route, duration fallback
+);
+
+} // namespace apricotstile::serving
+
+#endif
--- /dev/null
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -0,0 +1,162 @@
+// Ordering and refusal of work.
+
+#include <apricotstile/serving/work_queue.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::serving {
+
+namespace {
+
+/// A refused caller isn't asked to come back sooner than this.
+constexpr duration least_retry_after = std::chrono::milliseconds{20};
+
+bool has_room(const work_queue& queue) {
+    return queue.open && queue.running.size() < queue.policy.slots;
+}
+
+/// The latest end that is still worth the instance's time.
+instant latest_useful_end(const work_queue& queue, const offered_work& work) {
+    if (work.target >= work.deadline) {
+        return work.deadline;
+    }
+    const std::chrono::duration<double, duration::period> late =
+        (work.deadline - work.target) * queue.policy.late_part;
+    return work.target + std::chrono::duration_cast<duration>(late);
+}
+
+void start(
+    work_queue& queue,
+    const offered_work& work,
+    std::vector<work_action>& actions
+) {
+    queue.running.emplace(work.id, work);
+    actions.push_back({work.id, work_decision::start, {}});
+}
+
+/// Starts what waits while there is room; refuses what has become too late.
+void start_waiting(
+    work_queue& queue, instant now, std::vector<work_action>& actions
+) {
+    while (has_room(queue) && !queue.waiting.empty()) {
+        const auto first = queue.waiting.begin();
+        const offered_work work = first->second.work;
+        queue.places.erase(work.id);
+        queue.waiting.erase(first);
+        if (now + work.expected > work.deadline) {
+            actions.push_back(
+                {work.id, work_decision::refuse_expired, least_retry_after}
+            );
+            continue;
+        }
+        start(queue, work, actions);
+    }
+}
+
+} // namespace
+
+duration
+expected_wait(const work_queue& queue, bool nested, std::uint32_t priority) {
+    if (queue.running.size() < queue.policy.slots && queue.waiting.empty()) {
+        return duration{0};
+    }
+    const work_queue::order place{!nested, priority, queue.arrivals};
+    duration ahead{0};
+    for (const auto& [order, one] : queue.waiting) {
+        if (order > place) {
+            break;
+        }
+        ahead += one.work.expected;
+    }
+    duration running{0};
+    for (const auto& [id, work] : queue.running) {
+        running += work.expected;
+    }
+    // On average running work is half done, and one slot of many ends first.
+    const auto slots = static_cast<duration::rep>(queue.policy.slots);
+    const auto busy = static_cast<duration::rep>(queue.running.size());
+    const duration first_end =
+        busy == 0 ? duration{0} : running / busy / (slots + 1);
+    return first_end + ahead / slots;
+}
+
+std::vector<work_action>
+offer(work_queue& queue, const offered_work& work, instant now) {
+    std::vector<work_action> actions;
+    if (!queue.open) {
+        actions.push_back(
+            {work.id, work_decision::refuse_closed, least_retry_after}
+        );
+        return actions;
+    }
+    if (has_room(queue) && queue.waiting.empty()) {
+        start(queue, work, actions);
+        return actions;
+    }
+    const duration wait = expected_wait(queue, work.nested, work.priority);
+    if (queue.waiting.size() >= queue.policy.max_waiting ||
+        now + wait + work.expected > latest_useful_end(queue, work)) {
+        actions.push_back(
+            {work.id,
+             work_decision::refuse_busy,
+             std::max(least_retry_after, wait)}
+        );
+        return actions;
+    }
+    const work_queue::order place{
+        !work.nested, work.priority, queue.arrivals++};
+    queue.places.emplace(work.id, place);
+    queue.waiting.emplace(place, work_queue::waiting_work{work, now});
+    return actions;
+}
+
+std::vector<work_action>
+finished(work_queue& queue, work_id id, instant now) {
+    std::vector<work_action> actions;
+    queue.running.erase(id);
+    start_waiting(queue, now, actions);
+    return actions;
+}
+
+bool withdraw(work_queue& queue, work_id id) {
+    const auto place = queue.places.find(id);
+    if (place == queue.places.end()) {
+        return false;
+    }
+    queue.waiting.erase(place->second);
+    queue.places.erase(place);
+    return true;
+}
+
+std::vector<work_action> close(work_queue& queue) {
+    queue.open = false;
+    std::vector<work_action> actions;
+    for (const auto& [place, one] : queue.waiting) {
+        actions.push_back(
+            {one.work.id, work_decision::refuse_closed, least_retry_after}
+        );
+    }
+    queue.waiting.clear();
+    queue.places.clear();
+    return actions;
+}
+
+std::vector<work_action> expire(work_queue& queue, instant now) {
+    std::vector<work_action> actions;
+    for (auto one = queue.waiting.begin(); one != queue.waiting.end();) {
+        const offered_work& work = one->second.work;
+        if (now + work.expected <= work.deadline) {
+            ++one;
+            continue;
+        }
+        actions.push_back(
+            {work.id, work_decision::refuse_expired, least_retry_after}
+        );
+        queue.places.erase(work.id);
+        one = queue.waiting.erase(one);
+    }
+    start_waiting(queue, now, actions);
+    return actions;
+}
+
+} // namespace apricotstile::serving
--- /dev/null
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -0,0 +1,104 @@
+// Work for the one instance beside this daemon: what starts, what waits and
+// what is refused at once. Answers loads above the instance's slots: what
+// would finish too late to be of use is refused while its caller can still
+// turn elsewhere, and what waits starts in order of urgency.
+
+#ifndef APRICOTSTILE_SERVING_WORK_QUEUE_HPP
+#define APRICOTSTILE_SERVING_WORK_QUEUE_HPP
+
+#include <apricotstile/core/strong_id.hpp>
+#include <apricotstile/core/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace apricotstile::serving {
+
+/// Chosen by the daemon, unique among its work.
+using work_id = strong_id<struct work_id_tag, std::uint64_t>;
+
+struct offered_work {
+    work_id id;
+    /// Whether a request that already runs on some instance waits for it.
+    bool nested{false};
+    /// Zero is the most urgent.
+    std::uint32_t priority{0};
+    /// Until when its answer is of full use.
+    instant target;
+    /// Until when its caller waits.
+    instant deadline;
+    /// How long the instance is expected to work on it.
+    duration expected{0};
+};
+
+struct work_queue_policy {
+    std::uint32_t slots{1};
+    /// Work that waits at most.
+    std::size_t max_waiting{256};
+    /// Work may be expected to end after its target by this part of the time
+    /// from target to deadline.
+    double late_part{0.25};
+};
+
+struct work_queue {
+    work_queue_policy policy;
+    /// Whether work may start.
+    bool open{false};
+
+    struct waiting_work {
+        offered_work work;
+        instant since;
+    };
+    /// Starts first: nested work, then by priority, then the oldest.
+    using order = std::tuple<bool, std::uint32_t, std::uint64_t>;
+    std::map<order, waiting_work> waiting;
+    std::unordered_map<work_id, order> places;
+    /// Work that runs, with its expected time.
+    std::unordered_map<work_id, offered_work> running;
+    std::uint64_t arrivals{0};
+};
+
+enum class work_decision : std::uint8_t {
+    start,
+    /// It would end too late; it hasn't run.
+    refuse_busy,
+    /// The instance takes no work; it hasn't run.
+    refuse_closed,
+    /// Its caller's deadline passed while it waited; it hasn't run.
+    refuse_expired
+};
+
+struct work_action {
+    work_id id;
+    work_decision decision{work_decision::start};
+    /// With a refusal: when there may be room.
+    duration retry_after{0};
+};
+
+/// Starts, queues or refuses `work`. The actions may concern other work too.
+[[nodiscard]] std::vector<work_action>
+offer(work_queue& queue, const offered_work& work, instant now);
+
+/// Running work has ended.
+[[nodiscard]] std::vector<work_action>
+finished(work_queue& queue, work_id id, instant now);
+
+/// Forgets work that waits. Returns whether it waited.
+bool withdraw(work_queue& queue, work_id id);
+
+/// Refuses everything that waits and all that comes until `open`.
+[[nodiscard]] std::vector<work_action> close(work_queue& queue);
+
+/// Refuses what waits for longer than its caller does.
+[[nodiscard]] std::vector<work_action> expire(work_queue& queue, instant now);
+
+/// How long work that comes now would wait.
+[[nodiscard]] duration
+expected_wait(const work_queue& queue, bool nested, std::uint32_t priority);
+
+} // namespace apricotstile::serving
+
+#endif
--- a/src/apricotstile/settings/daemon_settings.cpp
+++ b/src/apricotstile/settings/daemon_settings.cpp
@@ -2,21 +2,18 @@
 
 #include <apricotstile/settings/daemon_settings.hpp>
 
-#include <apricotstile/settings/internal/json_fields.hpp>
+#include <apricotstile/settings/json_fields.hpp>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <fstream>
-#include <sstream>
 
 namespace apricotstile::settings {
 
 namespace {
 
-using internal::json_fields;
 
 constexpr std::size_t least_secret_length = 16;
 constexpr double largest_weight = 1000.0;
@@ -30,19 +27,6 @@
     return text;
 }
 
-nlohmann::json parse_json(std::string_view text, const std::string& file) {
-    try {
-        return nlohmann::json::parse(text, nullptr, true, true);
-    } catch (const nlohmann::json::parse_error& error) {
-        const auto end =
-            text.begin() +
-            static_cast<std::ptrdiff_t>(std::min(error.byte, text.size()));
-        const auto line = 1 + std::count(text.begin(), end, '\n');
-        throw settings_error{
-            {{file, fmt::format("line {}", line), "JSON with comments"}}};
-    }
-}
-
 location read_host(json_fields fields) {
     location result;
     result.region.value = fields.text("region", 1);
@@ -154,13 +138,7 @@
 }
 
 daemon_settings read_settings(const std::string& file) {
-    std::ifstream stream{file, std::ios::binary};
-    if (!stream) {
-        throw settings_error{{{file, "line 1", "a readable file"}}};
-    }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return parse_settings(text.str(), file);
+    return parse_settings(read_text(file), file);
 }
 
 } // namespace apricotstile::settings
--- a/src/apricotstile/settings/internal/json_fields.cpp
+++ b/src/apricotstile/settings/json_fields.cpp
@@ -1,12 +1,14 @@
 // Typed access to JSON fields with problems collected.
 
-#include <apricotstile/settings/internal/json_fields.hpp>
+#include <apricotstile/settings/json_fields.hpp>
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 
-namespace apricotstile::settings::internal {
+namespace apricotstile::settings {
 
 namespace {
 
@@ -14,6 +16,29 @@
 
 } // namespace
 
+nlohmann::json parse_json(std::string_view text, const std::string& file) {
+    try {
+        return nlohmann::json::parse(text, nullptr, true, true);
+    } catch (const nlohmann::json::parse_error& error) {
+        const auto end =
+            text.begin() +
+            static_cast<std::ptrdiff_t>(std::min(error.byte, text.size()));
+        const auto line = 1 + std::count(text.begin(), end, '\n');
+        throw settings_error{
+            {{file, fmt::format("line {}", line), "JSON with comments"}}};
+    }
+}
+
+std::string read_text(const std::string& file) {
+    std::ifstream stream{file, std::ios::binary};
+    if (!stream) {
+        throw settings_error{{{file, "line 1", "a readable file"}}};
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
 json_fields::json_fields(
     const nlohmann::json& object,
     std::string file_name,
@@ -152,4 +177,4 @@
     }
 }
 
-} // namespace apricotstile::settings::internal
+} // namespace apricotstile::settings
--- a/src/apricotstile/settings/internal/json_fields.hpp
+++ b/src/apricotstile/settings/json_fields.hpp
@@ -1,7 +1,7 @@
 // Reads typed fields out of a JSON object and collects every problem.
 
-#ifndef APRICOTSTILE_SETTINGS_INTERNAL_JSON_FIELDS_HPP
-#define APRICOTSTILE_SETTINGS_INTERNAL_JSON_FIELDS_HPP
+#ifndef APRICOTSTILE_SETTINGS_JSON_FIELDS_HPP
+#define APRICOTSTILE_SETTINGS_JSON_FIELDS_HPP
 
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/settings/settings_error.hpp>
@@ -10,9 +10,17 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
-namespace apricotstile::settings::internal {
+namespace apricotstile::settings {
+
+/// Parses JSON with comments. Throws `settings_error` that names the line.
+[[nodiscard]] nlohmann::json
+parse_json(std::string_view text, const std::string& file);
+
+/// The text of a file. Throws `settings_error` where it can't be read.
+[[nodiscard]] std::string read_text(const std::string& file);
 
 /// Reads one JSON object. Fields that were never asked for are unknown keys.
 class json_fields {
@@ -55,6 +63,6 @@
     std::set<std::string> asked;
 };
 
-} // namespace apricotstile::settings::internal
+} // namespace apricotstile::settings
 
 #endif
