--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -63,8 +63,11 @@
     const next_step last = end.outcome == attempt_outcome::answered
                                ? next_step::deliver
                                : give_up(request);
+    // The one owner of a key would fail the request again.
+    const bool same_instance =
+        request.keyed && end.outcome == attempt_outcome::answered;
     const bool allowed =
-        (request.idempotent || !request.may_have_run) &&
+        !same_instance && (request.idempotent || !request.may_have_run) &&
         request.sent < request.max_instances &&
         end.outcome != attempt_outcome::timed_out;
     if (!allowed || !has_time(request, policy, now)) {
