--- a/src/apricotstile/net/acceptor.cpp
+++ b/src/apricotstile/net/acceptor.cpp
@@ -6,6 +6,7 @@
 
 #include <QSocketNotifier>
 
+#include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
@@ -65,13 +66,20 @@
 
 void acceptor::accept_all() {
     while (true) {
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
         const int accepted = accept4(
-            this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC
+            this->descriptor,
+            reinterpret_cast<sockaddr*>(&peer),
+            &size,
+            SOCK_NONBLOCK | SOCK_CLOEXEC
         );
         if (accepted < 0) {
             return;
         }
-        this->on_accept(accepted);
+        this->on_accept(
+            accepted, {ntohl(peer.sin_addr.s_addr), ntohs(peer.sin_port)}
+        );
     }
 }
 
--- a/src/apricotstile/net/acceptor.hpp
+++ b/src/apricotstile/net/acceptor.hpp
@@ -16,8 +16,9 @@
 
 class acceptor : public QObject {
 public:
-    /// Gets the descriptor of each accepted connection.
-    using accept_handler = std::function<void(int descriptor)>;
+    /// Gets the descriptor of each accepted connection, and its peer's address.
+    using accept_handler =
+        std::function<void(int descriptor, const address& peer)>;
 
     /// Throws `std::runtime_error` when it can't listen on `where`.
     acceptor(const address& where, accept_handler on_accept);
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -92,6 +92,8 @@
     const routing::route* where{nullptr};
     service_id service;
     std::optional<keys::key_number> key;
+    /// Whether it comes from the instance beside this daemon.
+    bool nested{false};
     serving::request_progress progress;
     /// The attempt in progress; rises, so that late ends are told apart.
     std::uint64_t attempt{0};
@@ -122,9 +124,12 @@
         this->caller_gone(caller);
     };
     this->listener =
-        std::make_unique<net::acceptor>(listen, [this](int descriptor) {
-            this->accepted(descriptor);
-        });
+        std::make_unique<net::acceptor>(
+            listen,
+            [this](int descriptor, const address& peer) {
+                this->accepted(descriptor, peer);
+            }
+        );
     this->timers.every(scan_interval, [this] {
         if (!this->table) {
             return;
@@ -167,7 +172,7 @@
     view.in_flight_when_told = view.in_flight;
 }
 
-void ingress::accepted(int descriptor) {
+void ingress::accepted(int descriptor, const address& peer) {
     this->last_caller = next(this->last_caller);
     const routing::caller_limits limits =
         this->table ? this->table->config.limits : routing::caller_limits{};
@@ -177,6 +182,9 @@
             this->last_caller, descriptor, limits_of(limits), this->events
         )
     );
+    if (peer.ip == this->around.instance.ip) {
+        this->instance_callers.insert(this->last_caller);
+    }
 }
 
 void ingress::take_request(
@@ -219,6 +227,7 @@
         number_in(http::header_value(request.headers, names.time_left));
     const duration caller_left =
         left ? duration{std::chrono::milliseconds{*left}} : assumed_deadline;
+    item.nested = this->instance_callers.contains(caller);
     item.progress.idempotent = where->idempotent;
     item.progress.max_instances = where->max_instances;
     item.progress.arrived = now;
@@ -248,7 +257,7 @@
     );
     this->requests.emplace(caller, std::move(added));
     serving::count_request(
-        this->budgets[item.service], this->around.retries, now
+        this->budgets[{item.service, item.nested}], this->around.retries, now
     );
     this->attempt(item);
 }
@@ -308,6 +317,7 @@
     }
     result.body = request.received.body;
     result.key = request.key;
+    result.nested = request.nested;
     result.priority = request.where->priority;
     result.to_target = request.progress.target - now;
     result.to_deadline = request.progress.deadline - now;
@@ -398,16 +408,16 @@
         this->progress,
         now,
         [&] {
-            return this->may_repeat(request.service);
+            return this->may_repeat(request);
         }
     );
     this->perform(request, step, std::move(response));
 }
 
-bool ingress::may_repeat(const service_id& service) {
+bool ingress::may_repeat(const pending& request) {
     const bool allowed = serving::take_repeat(
-        this->budgets[service],
-        this->around.retries,
+        this->budgets[{request.service, request.nested}],
+        request.nested ? this->around.nested_retries : this->around.retries,
         this->around.known->entries.size(),
         boot_clock::now()
     );
@@ -604,6 +614,7 @@
     // It is still on the stack.
     std::shared_ptr<caller_connection> last{std::move(connection->second)};
     this->callers.erase(connection);
+    this->instance_callers.erase(caller);
     this->timers.after(0ms, [last] {});
 }
 
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -14,8 +14,10 @@
 #include <apricotstile/serving/request_progress.hpp>
 #include <apricotstile/serving/retry_budget.hpp>
 
+#include <map>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace apricotstile::net {
 class acceptor;
@@ -32,7 +34,11 @@
     location where;
     service_id local_service;
     wire_names names;
+    /// The instance beside this daemon.
+    address instance;
     serving::retry_budget_policy retries;
+    /// For requests of the instance, which make no further ones as a rule.
+    serving::retry_budget_policy nested_retries;
     const directory::directory* known{nullptr};
     /// The owner of a service's key, or nothing while none is known.
     std::function<std::optional<host_id>(const service_id&, keys::key_number)>
@@ -89,7 +95,7 @@
 private:
     struct pending;
 
-    void accepted(int descriptor);
+    void accepted(int descriptor, const address& peer);
     void take_request(caller_id caller, http::received_request&& request);
     void caller_gone(caller_id caller);
     void attempt(pending& request);
@@ -120,7 +126,7 @@
     );
     void finish(caller_id caller);
     routed_request to_routed(const pending& request) const;
-    bool may_repeat(const service_id& service);
+    bool may_repeat(const pending& request);
 
     net::timer_queue& timers;
     ingress_surroundings around;
@@ -131,10 +137,13 @@
     caller_events events;
     caller_id last_caller;
     std::unordered_map<caller_id, std::unique_ptr<caller_connection>> callers;
+    /// Connections of the instance beside this daemon.
+    std::unordered_set<caller_id> instance_callers;
     /// At most one for each connection.
     std::unordered_map<caller_id, std::unique_ptr<pending>> requests;
     std::unordered_map<host_id, serving::instance_view> views;
-    std::unordered_map<service_id, serving::retry_budget> budgets;
+    /// By service, for callers' and nested requests apart.
+    std::map<std::pair<service_id, bool>, serving::retry_budget> budgets;
     serving::choice_policy choice;
     serving::progress_policy progress;
     random_source random;
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -64,9 +64,12 @@
 )
     : timers(timers), events(std::move(events)) {
     this->listener =
-        std::make_unique<net::acceptor>(listen, [this](int descriptor) {
-            this->accepted(descriptor);
-        });
+        std::make_unique<net::acceptor>(
+            listen,
+            [this](int descriptor, const address&) {
+                this->accepted(descriptor);
+            }
+        );
 }
 
 peer_links::~peer_links() {
