Let a stopping daemon end its work before its process

Ruled out: the ingress, which was itself stopping, but waited as it should. Now work is refused 2.5 s after the order to stop, keys are handed to other instances at once, and the process ends when what runs has ended.

--- a/src/apricotstile/keys/keeper.hpp
+++ b/src/apricotstile/keys/keeper.hpp
@@ -116,7 +116,8 @@
 /// until its last grant runs out.
 void instance_left(keeper& state);
 
-/// The instance is to give up `keys` to `target`.
+/// The instance is to give up `keys` to `target`. It serves them until the
+/// answer to its next heartbeat leaves them out.
 void start_release(keeper& state, const key_range& keys, host_id target);
 
 /// Ranges that this daemon owns and doesn't release, with their rows.
--- a/src/apricotstile/keys/keeper_beats.cpp
+++ b/src/apricotstile/keys/keeper_beats.cpp
@@ -124,21 +124,6 @@
     added.keys = keys;
     added.target = target;
     state.releases.push_back(added);
-    // Nothing goes to the instance for these keys from now on.
-    std::vector<key_range> granted;
-    for (const key_range& one : state.granted) {
-        if (!overlap(one, keys)) {
-            granted.push_back(one);
-            continue;
-        }
-        if (one.first < keys.first) {
-            granted.push_back({one.first, keys.first - 1});
-        }
-        if (one.last > keys.last) {
-            granted.push_back({keys.last + 1, one.last});
-        }
-    }
-    state.granted = std::move(granted);
 }
 
 } // namespace apricotstile::keys
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -28,7 +28,7 @@
 /// Between the order to stop and the refusal of new connections.
 constexpr duration notice_time = 2500ms;
 /// Kept for closing connections at the end of the grace.
-constexpr duration stop_margin = 900ms;
+constexpr duration stop_margin = 500ms;
 /// Requests stop going to a leaving instance this long before they must.
 constexpr duration drain_margin = 400ms;
 constexpr auto members_table = "members";
@@ -82,6 +82,7 @@
         const service_id& caller_service
     );
     void start_keys();
+    bool notice_over() const;
     void check_stopped();
     ingress_surroundings surroundings();
     peer_link_events link_events();
@@ -287,7 +288,8 @@
     const bool moves_keys =
         state == directory::instance_state::draining && this->keys_here;
     this->instance.set_open(
-        state == directory::instance_state::ready || moves_keys
+        (state == directory::instance_state::ready || moves_keys) &&
+        !this->notice_over()
     );
     if (moves_keys) {
         this->timers.after(
@@ -554,21 +556,28 @@
     }
 }
 
+/// Whether callers and peers had time to turn elsewhere after the order to
+/// stop.
+bool router::parts::notice_over() const {
+    return this->stopping &&
+           boot_clock::now() > this->stop_at - this->settings.stop_grace +
+                                   stop_margin + notice_time;
+}
+
 void router::parts::check_stopped() {
     if (!this->stopping || !this->stopped) {
         return;
     }
     const instant now = boot_clock::now();
-    const bool notice_over =
-        now > this->stop_at - this->settings.stop_grace + stop_margin +
-                  notice_time;
-    if (notice_over) {
+    if (this->notice_over()) {
         this->callers.stop_accepting();
+        // What runs ends before the process does; what comes goes elsewhere.
+        this->instance.set_open(false);
     }
     const bool idle = this->callers.waiting() == 0 &&
                       this->instance.unfinished() == 0 &&
                       this->callers.open_connections() == 0;
-    if ((notice_over && idle) || now >= this->stop_at) {
+    if ((this->notice_over() && idle) || now >= this->stop_at) {
         const auto handler = std::move(this->stopped);
         this->stopped = nullptr;
         handler();
@@ -642,10 +651,10 @@
         }
     }
     if (all.keys_here) {
-        answer = all.keys_here->take_heartbeat(beat);
         if (beat.state == directory::instance_state::draining) {
             all.keys_here->start_departure();
         }
+        answer = all.keys_here->take_heartbeat(beat);
     }
     all.change_state(beat.state, "heartbeat");
     return heartbeat_verdict::taken;
@@ -687,6 +696,9 @@
     all.stopped = std::move(stopped);
     all.own.stopping = true;
     all.callers.start_closing();
+    if (all.keys_here) {
+        all.keys_here->start_departure();
+    }
     all.publish_entry();
 }
 
