--- a/src/apricotstile/keys/keeper.hpp
+++ b/src/apricotstile/keys/keeper.hpp
@@ -23,8 +23,13 @@
 
 struct keeper_policy {
     /// Owners change at the earliest this long after a lease's last renewal.
-    duration lease_length{std::chrono::seconds{8}};
+    duration lease_length{std::chrono::seconds{12}};
     duration renewal_interval{std::chrono::seconds{2}};
+    /// After a time without readings of the leases, their holders get this
+    /// long to renew them before they count as run out.
+    duration renewal_grace{std::chrono::milliseconds{2500}};
+    /// Readings farther apart than this leave such a time.
+    duration reading_gap{std::chrono::seconds{3}};
     /// Grants last this long at most; an instance that fell silent holds its
     /// keys until then.
     duration longest_hold{std::chrono::seconds{4}};
@@ -84,6 +89,10 @@
     instant held_until;
 
     std::map<host_id, watched_lease> watched;
+    /// The last reading of the leases.
+    instant last_reading;
+    /// No lease counts as run out before.
+    instant grace_until;
 
     /// The one transaction in flight.
     struct pending {
--- a/src/apricotstile/keys/keeper_store.cpp
+++ b/src/apricotstile/keys/keeper_store.cpp
@@ -215,6 +215,10 @@
     instant asked,
     instant now
 ) {
+    if (now - state.last_reading > state.policy.reading_gap) {
+        state.grace_until = now + state.policy.renewal_grace;
+    }
+    state.last_reading = now;
     const platform::row_key own = lease_row(state.service, state.self);
     const platform::row_key map = map_row(state.service);
     const std::string lease_prefix = "leases/" + state.service.value + "/";
--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -41,6 +41,7 @@
     std::vector<host_id> result;
     for (const auto& [host, lease] : state.watched) {
         if (host != state.self && now - lease.since > wait &&
+            now >= state.grace_until &&
             keys_of(state.map, host) > 0) {
             result.push_back(host);
         }
