Let peers promise leases, so that a lost owner is replaced in seconds

Cause: leases renewed in the store pull two ways: 8 s were too short for its outages, 12 s too long after a lost machine. A lease now names three guardians and lasts while two promise it; it is ended by a transaction on its row after two have agreed.

--- /dev/null
+++ b/src/apricotstile/keys/guardian.cpp
@@ -0,0 +1,34 @@
+// Promises and depositions.
+
+#include <apricotstile/keys/guardian.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::keys {
+
+bool promise(
+    guardian& state, host_id holder, platform::row_version version, instant now
+) {
+    guardian::ward& ward = state.wards[holder];
+    if (version <= ward.given_up && ward.given_up.value != 0) {
+        return false;
+    }
+    ward.promised_until = now + longest_promise(state.policy);
+    return true;
+}
+
+bool agree_to_depose(
+    guardian& state, host_id holder, platform::row_version version, instant now
+) {
+    if (now < state.started + longest_promise(state.policy)) {
+        return false;
+    }
+    guardian::ward& ward = state.wards[holder];
+    if (now < ward.promised_until) {
+        return false;
+    }
+    ward.given_up = std::max(ward.given_up, version);
+    return true;
+}
+
+} // namespace apricotstile::keys
--- a/src/apricotstile/keys/keeper.cpp
+++ b/src/apricotstile/keys/keeper.cpp
@@ -22,8 +22,87 @@
     return state;
 }
 
+namespace {
+
+/// Until when enough of `guardians` have promised the lease.
+instant promised_until(const keeper& state, const guardian_list& guardians) {
+    if (guardians.empty()) {
+        return instant::max();
+    }
+    std::vector<instant> asked;
+    for (const host_id one : guardians) {
+        const auto found = state.promises.find(one);
+        asked.push_back(
+            found == state.promises.end() ? instant::min() : found->second
+        );
+    }
+    std::sort(asked.rbegin(), asked.rend());
+    const instant last = asked[promises_needed(guardians.size()) - 1];
+    return last == instant::min() ? last
+                                  : last + state.policy.lease.promise_length;
+}
+
+} // namespace
+
+instant lease_end(const keeper& state) {
+    if (!state.owns_row) {
+        return instant::min();
+    }
+    instant end =
+        std::min(state.confirmed_until, promised_until(state, state.guardians));
+    if (state.wanted_guardians != state.guardians) {
+        end = std::min(end, promised_until(state, state.wanted_guardians));
+    }
+    for (const guardian_list& one : state.doubtful_guardians) {
+        end = std::min(end, promised_until(state, one));
+    }
+    if (state.in_flight && state.in_flight->confirms) {
+        end = std::min(end, promised_until(state, state.in_flight->guardians));
+    }
+    return end;
+}
+
 bool has_lease(const keeper& state, instant now) {
-    return now < state.lease_end;
+    return now < lease_end(state);
+}
+
+bool is_prepared(const keeper& state, instant now) {
+    const instant end = promised_until(state, state.wanted_guardians);
+    // Without an outstanding grant there is nothing to guard.
+    return now >= state.held_until || (end > now && end >= state.held_until);
+}
+
+std::set<host_id> all_guardians(const keeper& state) {
+    std::set<host_id> result{state.guardians.begin(), state.guardians.end()};
+    result.insert(
+        state.wanted_guardians.begin(), state.wanted_guardians.end()
+    );
+    for (const guardian_list& one : state.doubtful_guardians) {
+        result.insert(one.begin(), one.end());
+    }
+    return result;
+}
+
+void take_promise(keeper& state, host_id guardian, instant asked) {
+    instant& last =
+        state.promises.try_emplace(guardian, asked).first->second;
+    last = std::max(last, asked);
+}
+
+void take_refusal(keeper& state) {
+    state.confirm_at = instant::min();
+}
+
+void take_agreement(
+    keeper& state,
+    host_id guardian,
+    host_id holder,
+    platform::row_version version
+) {
+    const auto found = state.watched.find(holder);
+    if (found != state.watched.end() && found->second.version == version) {
+        found->second.agreed.insert(guardian);
+    }
 }
 
 bool may_dispatch(const keeper& state, key_number key, instant now) {
--- a/src/apricotstile/keys/keeper.hpp
+++ b/src/apricotstile/keys/keeper.hpp
@@ -1,43 +1,45 @@
-// One daemon's hold on the keys of the service beside it. The lease that lets
-// it grant keys is a row of the platform's table that it renews; owners are
-// changed by transactions on the map's row. A daemon grants only ranges that
-// the map gives it, only while its lease lasts, and never past its end.
+// One daemon's hold on the keys of the service beside it. A daemon grants only
+// ranges that the map gives it, only while its lease lasts, and never past its
+// end.
 //
-// A lease is counted from before its renewal was sent, and others take keys
-// over only when they have seen its row unchanged for longer than its length,
-// by a transaction on that very row. A lease that has run out is acquired
-// again only together with the map as the daemon knows it, so that no grant
-// follows from a map that others have changed meanwhile.
+// The lease is a row of the platform's table that names its guardians, other
+// daemons. It lasts while enough of them promise it, so that it outlives
+// outages of the table, and until the table hasn't confirmed it for a long
+// time. Others take the keys over by a transaction on that very row, once
+// enough guardians have agreed, or once they have seen the row unchanged for
+// longer than it may stay unconfirmed.
+//
+// While a change of guardians is on its way, the lease needs the promises of
+// the old and of the new ones. A row of another run, or one that was ended by
+// others, is acquired only together with the map as the daemon knows it, so
+// that no grant follows from a map that others have changed meanwhile.
 
 #ifndef APRICOTSTILE_KEYS_KEEPER_HPP
 #define APRICOTSTILE_KEYS_KEEPER_HPP
 
 #include <apricotstile/keys/heartbeat.hpp>
 #include <apricotstile/keys/key_map.hpp>
+#include <apricotstile/keys/lease_policy.hpp>
 #include <apricotstile/platform/transaction.hpp>
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace apricotstile::keys {
 
 struct keeper_policy {
-    /// Owners change at the earliest this long after a lease's last renewal.
-    duration lease_length{std::chrono::seconds{12}};
-    duration renewal_interval{std::chrono::seconds{2}};
-    /// After a time without readings of the leases, their holders get this
-    /// long to renew them before they count as run out.
-    duration renewal_grace{std::chrono::milliseconds{2500}};
-    /// Readings farther apart than this leave such a time.
-    duration reading_gap{std::chrono::seconds{3}};
+    lease_policy lease;
     /// Grants last this long at most; an instance that fell silent holds its
     /// keys until then.
     duration longest_hold{std::chrono::seconds{4}};
     /// Below this a grant isn't worth its bytes.
     duration shortest_hold{std::chrono::milliseconds{200}};
-    /// Clocks that measure leases and holds may run this much slow.
-    double clock_drift{0.03};
-    duration margin{std::chrono::milliseconds{100}};
+    /// After a time without readings of the leases, their holders get this
+    /// long to confirm them before they count as run out.
+    duration confirm_grace{std::chrono::milliseconds{2500}};
+    /// Readings farther apart than this leave such a time.
+    duration reading_gap{std::chrono::seconds{4}};
     /// Ranges that one answer holds at most.
     std::size_t max_grants{90};
 };
@@ -59,8 +61,13 @@
     platform::row_version version;
     /// When this version was first seen.
     instant since;
+    std::vector<host_id> guardians;
+    /// Guardians that have agreed to end this version.
+    std::set<host_id> agreed;
 };
 
+using guardian_list = std::vector<host_id>;
+
 struct keeper {
     keeper_policy policy;
     host_id self;
@@ -71,9 +78,20 @@
     std::optional<directory::instance_life> life;
 
     platform::row_version lease_version;
-    instant lease_end;
-    instant renew_at;
-    std::uint64_t renewals{0};
+    /// Whether this run wrote the row at `lease_version`.
+    bool owns_row{false};
+    /// The end of the lease as far as the table goes.
+    instant confirmed_until;
+    instant confirm_at;
+    std::uint64_t confirmations{0};
+    /// Guardians in the row.
+    guardian_list guardians;
+    /// Guardians that the row is to have.
+    guardian_list wanted_guardians;
+    /// Those of transactions whose result is unknown.
+    std::vector<guardian_list> doubtful_guardians;
+    /// When each guardian was asked for its newest promise.
+    std::map<host_id, instant> promises;
 
     /// Whether the rows were read at least once.
     bool rows_known{false};
@@ -97,7 +115,8 @@
     /// The one transaction in flight.
     struct pending {
         instant sent;
-        bool renews{false};
+        bool confirms{false};
+        guardian_list guardians;
         std::optional<key_map> new_map;
     };
     std::optional<pending> in_flight;
@@ -110,8 +129,33 @@
     const service_id& service
 );
 
+/// When the lease ends unless it is promised again.
+[[nodiscard]] instant lease_end(const keeper& state);
+
 [[nodiscard]] bool has_lease(const keeper& state, instant now);
 
+/// Whether the wanted guardians promise the lease for longer than any grant
+/// lasts, so that they may be written.
+[[nodiscard]] bool is_prepared(const keeper& state, instant now);
+
+/// Everyone whose promise the lease needs, or may need soon.
+[[nodiscard]] std::set<host_id> all_guardians(const keeper& state);
+
+/// `guardian` has promised the lease when asked at `asked`.
+void take_promise(keeper& state, host_id guardian, instant asked);
+
+/// `guardian` has agreed to a deposition and promises this lease no more: it
+/// is to be confirmed in the table at once.
+void take_refusal(keeper& state);
+
+/// `guardian` has agreed to end the lease of `holder` at `version`.
+void take_agreement(
+    keeper& state,
+    host_id guardian,
+    host_id holder,
+    platform::row_version version
+);
+
 /// Whether a request for `key` may go to the instance now.
 [[nodiscard]] bool
 may_dispatch(const keeper& state, key_number key, instant now);
@@ -153,11 +197,10 @@
 /// The result of the transaction in flight.
 void take_result(keeper& state, const platform::commit_result& result);
 
-/// All rows of the service. `asked` is when the reading was sent.
+/// All rows of the service, or all of its leases.
 void take_rows(
     keeper& state,
     const std::vector<platform::row>& rows,
-    instant asked,
     instant now
 );
 
--- a/src/apricotstile/keys/keeper_beats.cpp
+++ b/src/apricotstile/keys/keeper_beats.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-duration scaled(duration value, double factor) {
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(value) * factor
-    );
-}
-
 /// The instance beside this daemon is another one than before, so that the
 /// last one holds nothing any more.
 void start_life(keeper& state, const directory::instance_life& life) {
@@ -65,10 +59,14 @@
 
 /// The hold that ends before the lease on a slow clock.
 duration hold_within_lease(const keeper& state, instant now) {
-    const duration left = state.lease_end - now - state.policy.margin;
+    const instant end = lease_end(state);
+    if (end <= now) {
+        return duration{0};
+    }
+    const duration left = end - now - state.policy.lease.margin;
     return std::min(
         state.policy.longest_hold,
-        scaled(left, 1.0 / (1.0 + state.policy.clock_drift))
+        scaled(left, 1.0 / (1.0 + state.policy.lease.clock_drift))
     );
 }
 
@@ -109,7 +107,7 @@
     }
     state.held_until = std::max(
         state.held_until,
-        now + scaled(hold, 1.0 + state.policy.clock_drift) + state.policy.margin
+        now + scaled(hold, 1.0 + state.policy.lease.clock_drift) + state.policy.lease.margin
     );
     return answer;
 }
--- a/src/apricotstile/keys/keeper_store.cpp
+++ b/src/apricotstile/keys/keeper_store.cpp
@@ -14,11 +14,12 @@
 struct lease_record {
     /// Zero in a lease that others have ended.
     incarnation run;
-    std::uint64_t renewals{0};
+    std::uint64_t confirmations{0};
+    guardian_list guardians;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(this->run, this->renewals);
+        archive(this->run, this->confirmations, this->guardians);
     }
 };
 
@@ -45,22 +46,21 @@
     return result;
 }
 
-void add_renewal(
-    keeper& state,
-    platform::transaction& work,
-    keeper::pending& pending,
-    instant now
+void add_confirmation(
+    keeper& state, platform::transaction& work, keeper::pending& pending
 ) {
-    pending.renews = true;
+    pending.confirms = true;
+    pending.guardians = state.wanted_guardians;
     work.conditions.push_back(
         {lease_row(state.service, state.self), state.lease_version}
     );
     work.mutations.push_back(
         {lease_row(state.service, state.self),
-         encode(lease_record{state.run, ++state.renewals})}
+         encode(lease_record{
+             state.run, ++state.confirmations, state.wanted_guardians})}
     );
     // See the head of keeper.hpp: a lease isn't acquired on an old map.
-    if (!has_lease(state, now)) {
+    if (!state.owns_row) {
         work.conditions.push_back({map_row(state.service), state.map_version});
     }
 }
@@ -124,6 +124,21 @@
     pending.new_map = std::move(changed);
 }
 
+/// The row of this daemon's own lease.
+void take_own_row(keeper& state, const platform::row& row) {
+    if (row.version == state.lease_version) {
+        return;
+    }
+    const auto record = decode<lease_record>(row.value);
+    state.lease_version = row.version;
+    // What is older can't be committed any more.
+    state.doubtful_guardians.clear();
+    // Another process wrote it or ended it, or a lost answer of this one.
+    state.owns_row = record.run == state.run;
+    state.guardians = record.guardians;
+    state.confirm_at = instant::min();
+}
+
 /// Forgets releases of ranges that belong to others by now.
 void drop_settled_releases(keeper& state) {
     const auto is_settled = [&](const release& one) {
@@ -158,9 +173,10 @@
     platform::transaction work;
     keeper::pending pending;
     pending.sent = now;
-    const bool wants_lease = state.life.has_value();
-    if (wants_lease && now >= state.renew_at) {
-        add_renewal(state, work, pending, now);
+    const bool is_due = !state.owns_row || now >= state.confirm_at ||
+                        state.wanted_guardians != state.guardians;
+    if (state.life && is_due && is_prepared(state, now)) {
+        add_confirmation(state, work, pending);
     }
     const std::vector<transfer> transfers =
         due_transfers(state, wanted, lives, now);
@@ -184,13 +200,22 @@
         return;
     }
     if (result.status != platform::commit_status::committed) {
+        // It may still be committed, with its guardians.
+        if (done.confirms &&
+            result.status == platform::commit_status::unknown) {
+            state.doubtful_guardians.push_back(done.guardians);
+        }
         state.needs_read = true;
         return;
     }
-    if (done.renews) {
+    if (done.confirms) {
         state.lease_version = result.versions.front();
-        state.lease_end = done.sent + state.policy.lease_length;
-        state.renew_at = done.sent + state.policy.renewal_interval;
+        state.owns_row = true;
+        state.guardians = done.guardians;
+        state.doubtful_guardians.clear();
+        state.confirmed_until =
+            done.sent + state.policy.lease.unconfirmed_limit;
+        state.confirm_at = done.sent + state.policy.lease.confirm_interval;
     }
     if (done.new_map && result.versions.back() > state.map_version) {
         state.map = *done.new_map;
@@ -212,11 +237,10 @@
 void take_rows(
     keeper& state,
     const std::vector<platform::row>& rows,
-    instant asked,
     instant now
 ) {
     if (now - state.last_reading > state.policy.reading_gap) {
-        state.grace_until = now + state.policy.renewal_grace;
+        state.grace_until = now + state.policy.confirm_grace;
     }
     state.last_reading = now;
     const platform::row_key own = lease_row(state.service, state.self);
@@ -228,30 +252,28 @@
             take_map(state, row);
         } else if (row.key == own) {
             own_seen = true;
-            if (row.version != state.lease_version) {
-                const auto record = decode<lease_record>(row.value);
-                // Another process or a voided lease: nothing is left of ours.
-                if (record.run != state.run) {
-                    state.lease_end = std::min(state.lease_end, asked);
-                }
-                state.lease_version = row.version;
-            }
+            take_own_row(state, row);
         } else if (row.key.value.starts_with(lease_prefix)) {
             const host_id host{
                 std::stoull(row.key.value.substr(lease_prefix.size()))};
             const auto known = state.watched.find(host);
             if (known == state.watched.end() ||
                 known->second.version != row.version) {
-                // The renewal may have been sent until the rows came.
-                state.watched[host] = {row.version, now};
+                // The confirmation may have been sent until the rows came.
+                state.watched[host] = {
+                    row.version,
+                    now,
+                    decode<lease_record>(row.value).guardians,
+                    {}};
             }
         }
     }
     if (!own_seen) {
         state.lease_version = {};
+        state.owns_row = false;
     }
     for (const owned_range& one : state.map.ranges) {
-        state.watched.try_emplace(one.owner, watched_lease{{}, now});
+        state.watched.try_emplace(one.owner, watched_lease{{}, now, {}, {}});
     }
     state.rows_known = true;
     state.needs_read = false;
--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-duration scaled(duration value, double factor) {
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(value) * factor
-    );
-}
-
 std::vector<transfer> first_division(const takeover_view& view) {
     std::vector<transfer> result;
     const std::vector<key_range> ranges = even_split(view.members.size());
@@ -25,23 +19,29 @@
     return result;
 }
 
-/// Owners whose leases have certainly run out.
-std::vector<host_id> expired_owners(
+bool was_agreed(const watched_lease& lease) {
+    return !lease.guardians.empty() &&
+           lease.agreed.size() >= agreements_needed(lease.guardians.size());
+}
+
+/// Owners whose leases have certainly ended.
+std::vector<host_id> ended_owners(
     const keeper& state,
     const takeover_policy& policy,
     const takeover_view& view,
     instant now
 ) {
+    const lease_policy& lease = state.policy.lease;
     const duration wait =
-        scaled(
-            state.policy.lease_length, 1.0 + state.policy.clock_drift
-        ) +
-        state.policy.margin +
+        scaled(lease.unconfirmed_limit, 1.0 + lease.clock_drift) +
+        lease.margin +
         policy.delay_by_rank * static_cast<duration::rep>(view.rank);
+    const bool reads = now - state.last_reading < state.policy.reading_gap &&
+                       now >= state.grace_until;
     std::vector<host_id> result;
-    for (const auto& [host, lease] : state.watched) {
-        if (host != state.self && now - lease.since > wait &&
-            now >= state.grace_until &&
+    for (const auto& [host, watched] : state.watched) {
+        const bool unconfirmed = reads && now - watched.since > wait;
+        if (host != state.self && (unconfirmed || was_agreed(watched)) &&
             keys_of(state.map, host) > 0) {
             result.push_back(host);
         }
@@ -177,16 +177,16 @@
         }
         return result;
     }
-    const std::vector<host_id> expired =
-        expired_owners(state, policy, view, now);
-    even_receivers receivers{state, others(view, expired)};
-    if (expired.empty() || receivers.empty()) {
+    const std::vector<host_id> ended =
+        ended_owners(state, policy, view, now);
+    even_receivers receivers{state, others(view, ended)};
+    if (ended.empty() || receivers.empty()) {
         return result;
     }
-    result.voided = expired;
+    result.voided = ended;
     for (const owned_range& one : state.map.ranges) {
-        if (std::find(expired.begin(), expired.end(), one.owner) ==
-            expired.end()) {
+        if (std::find(ended.begin(), ended.end(), one.owner) ==
+            ended.end()) {
             continue;
         }
         for (const key_range& piece : receivers.pieces(one.keys)) {
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -97,6 +97,55 @@
     serialize_load(archive, value.load);
 }
 
+template <class Archive>
+void serialize(Archive& archive, promise_request& value) {
+    serialize_number(archive, value.version.value);
+    serialize_number(archive, value.sequence);
+}
+
+template <class Archive>
+void serialize(Archive& archive, promise_reply& value) {
+    serialize_number(archive, value.sequence);
+    archive(value.promised);
+}
+
+template <class Archive>
+void serialize(Archive& archive, deposition_request& value) {
+    archive(value.holder);
+    serialize_number(archive, value.version.value);
+}
+
+template <class Archive>
+void serialize(Archive& archive, deposition_reply& value) {
+    archive(value.holder);
+    serialize_number(archive, value.version.value);
+    archive(value.agreed);
+}
+
+template <class Archive>
+void serialize(Archive&, ping_frame&) {}
+
+template <class Archive>
+void serialize(Archive&, pong_frame&) {}
+
+namespace {
+
+/// The frame whose kind is the `Index`th of the variant, by its number.
+template <std::size_t Index = 0>
+frame decode_kind(std::size_t kind, const std::string& payload) {
+    if constexpr (Index == std::variant_size_v<frame>) {
+        throw decode_error{"a frame has an unknown kind"};
+    } else {
+        if (kind != Index) {
+            return decode_kind<Index + 1>(kind, payload);
+        }
+        return decode_compact<std::variant_alternative_t<Index, frame>>(payload
+        );
+    }
+}
+
+} // namespace
+
 std::string to_bytes(const frame& value) {
     const std::string payload = std::visit(
         [](const auto& one) {
@@ -136,18 +185,7 @@
     const std::string payload =
         received.substr(length_bytes + 1, length - 1);
     received.erase(0, length_bytes + length);
-    switch (kind) {
-    case 0:
-        return decode_compact<request_frame>(payload);
-    case 1:
-        return decode_compact<response_frame>(payload);
-    case 2:
-        return decode_compact<cancel_frame>(payload);
-    case 3:
-        return decode_compact<entry_frame>(payload);
-    default:
-        throw decode_error{"a frame has an unknown kind"};
-    }
+    return decode_kind(kind, payload);
 }
 
 std::uint32_t name_hash(const std::string& name) {
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -6,6 +6,7 @@
 #include <apricotstile/directory/entry.hpp>
 #include <apricotstile/http/message.hpp>
 #include <apricotstile/keys/key_map.hpp>
+#include <apricotstile/platform/transaction.hpp>
 #include <apricotstile/router/compact_codec.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/request_progress.hpp>
@@ -67,8 +68,47 @@
     serving::reported_load load;
 };
 
-using frame =
-    std::variant<request_frame, response_frame, cancel_frame, entry_frame>;
+/// A holder asks a guardian to promise its lease.
+struct promise_request {
+    /// Of the lease's row as the holder knows it.
+    platform::row_version version;
+    std::uint64_t sequence{0};
+};
+
+struct promise_reply {
+    std::uint64_t sequence{0};
+    /// False where the guardian has agreed to end the lease.
+    bool promised{false};
+};
+
+/// Asks a guardian whether the lease of a daemon that isn't reached may end.
+struct deposition_request {
+    host_id holder;
+    platform::row_version version;
+};
+
+struct deposition_reply {
+    host_id holder;
+    platform::row_version version;
+    bool agreed{false};
+};
+
+/// Answered by a `pong_frame` at once.
+struct ping_frame {};
+
+struct pong_frame {};
+
+using frame = std::variant<
+    request_frame,
+    response_frame,
+    cancel_frame,
+    entry_frame,
+    promise_request,
+    promise_reply,
+    deposition_request,
+    deposition_reply,
+    ping_frame,
+    pong_frame>;
 
 /// The bytes of a frame with its length before it.
 [[nodiscard]] std::string to_bytes(const frame& value);
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -618,6 +618,26 @@
     this->timers.after(0ms, [last] {});
 }
 
+void ingress::peer_silent(host_id host) {
+    std::vector<std::pair<caller_id, std::uint64_t>> stuck;
+    for (const auto& [caller, request] : this->requests) {
+        if (request->host == host && request->progress.idempotent &&
+            !request->progress.keyed) {
+            stuck.emplace_back(caller, request->attempt);
+        }
+    }
+    for (const auto& [caller, number] : stuck) {
+        const auto found = this->requests.find(caller);
+        if (found == this->requests.end() || !found->second->cancel) {
+            continue;
+        }
+        found->second->cancel();
+        this->attempt_ended(
+            caller, number, host, routed_response{}
+        );
+    }
+}
+
 void ingress::start_closing() {
     this->closing = true;
 }
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -80,6 +80,8 @@
     void set_config_current(bool current);
     /// What a daemon told of its instance's load.
     void take_load(host_id host, const serving::reported_load& load);
+    /// Requests that may run elsewhere don't wait for a silent peer.
+    void peer_silent(host_id host);
     /// Tells callers to close their connections from now on.
     void start_closing();
     /// Takes no new connections, and closes idle ones.
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -5,6 +5,8 @@
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/log/logger.hpp>
 
+#include <algorithm>
+
 namespace apricotstile::router {
 
 namespace {
@@ -13,7 +15,16 @@
 
 constexpr duration tick_interval = 200ms;
 constexpr duration balance_interval = 1s;
-constexpr duration watch_interval = 1s;
+/// Between readings of the others' leases.
+constexpr duration watch_interval = 3s;
+constexpr duration deposition_interval = 250ms;
+/// An owner is to be deposed after this time without a way to it; later by
+/// as much for each daemon that acts before this one.
+constexpr duration deposition_delay = 400ms;
+/// A guardian is replaced after this time without a way to it.
+constexpr duration guardian_patience = 2s;
+/// Requests for promises that may be answered at one time.
+constexpr std::size_t max_asked = 16;
 constexpr duration move_interval = 2s;
 constexpr duration failed_call_pause = 200ms;
 /// Daemons, by rank, that watch the others' leases.
@@ -43,11 +54,16 @@
     keys::keeper keeper,
     platform::shared_table& table,
     net::timer_queue& timers,
-    view_source view,
-    pressure_source pressure
+    surroundings around
 )
     : keeper(std::move(keeper)), table(table), timers(timers),
-      view(std::move(view)), pressure(std::move(pressure)) {
+      around(std::move(around)) {
+    this->timers.every(this->keeper.policy.lease.promise_interval, [this] {
+        this->ask_promises();
+    });
+    this->timers.every(deposition_interval, [this] {
+        this->ask_depositions();
+    });
     this->timers.every(tick_interval, [this] {
         this->pump();
     });
@@ -79,7 +95,7 @@
     }
     this->departing = true;
     this->release(
-        keys::plan_departure(this->keeper, this->view()), "instance leaves"
+        keys::plan_departure(this->keeper, this->around.view()), "instance leaves"
     );
 }
 
@@ -121,7 +137,7 @@
         return;
     }
     this->watch();
-    const keys::takeover_view view = this->view();
+    const keys::takeover_view view = this->around.view();
     // A departure waits until somebody can take the keys.
     if (this->departing && this->keeper.releases.empty()) {
         this->release(
@@ -179,12 +195,11 @@
     }
     this->reading = true;
     // Leases first: a lease seen later than the map can only be younger.
-    const instant asked = boot_clock::now();
-    this->last_read = asked;
+    this->last_read = boot_clock::now();
     const std::string& service = this->keeper.service.value;
     this->table.read(
         "leases/" + service,
-        [this, asked, service](const platform::read_result& leases) {
+        [this, service](const platform::read_result& leases) {
             if (!leases.answered) {
                 this->reading = false;
                 this->retry_at = boot_clock::now() + failed_call_pause;
@@ -192,7 +207,7 @@
             }
             this->table.read(
                 "keys/" + service,
-                [this, asked, rows = leases.rows](
+                [this, rows = leases.rows](
                     const platform::read_result& maps
                 ) {
                     this->reading = false;
@@ -204,7 +219,7 @@
                     all.insert(all.end(), maps.rows.begin(), maps.rows.end());
                     try {
                         keys::take_rows(
-                            this->keeper, all, asked, boot_clock::now()
+                            this->keeper, all, boot_clock::now()
                         );
                     } catch (const decode_error& error) {
                         log::write(
@@ -227,29 +242,147 @@
     if (this->reading || boot_clock::now() < this->last_read + watch_interval) {
         return;
     }
-    if (this->view().rank < watching_ranks) {
-        this->last_read = boot_clock::now();
-        this->reading = true;
-        const instant asked = this->last_read;
-        this->table.read(
-            "leases/" + this->keeper.service.value,
-            [this, asked](const platform::read_result& leases) {
-                this->reading = false;
-                if (leases.answered && this->keeper.rows_known &&
-                    !this->keeper.in_flight && !this->keeper.needs_read) {
-                    keys::take_rows(
-                        this->keeper, leases.rows, asked, boot_clock::now()
+    if (this->around.view().rank < watching_ranks) {
+        this->read_leases();
+    }
+}
+
+void key_desk::read_leases() {
+    this->last_read = boot_clock::now();
+    this->reading = true;
+    this->table.read(
+        "leases/" + this->keeper.service.value,
+        [this](const platform::read_result& leases) {
+            this->reading = false;
+            if (!leases.answered || !this->keeper.rows_known ||
+                this->keeper.in_flight || this->keeper.needs_read) {
+                return;
+            }
+            try {
+                keys::take_rows(
+                    this->keeper, leases.rows, boot_clock::now()
+                );
+            } catch (const decode_error& error) {
+                log::write(
+                    log::level::error,
+                    log_prefix,
+                    "Rows of leases are malformed.",
+                    {{"reason", error.what()}}
+                );
+            }
+        }
+    );
+}
+
+/// Keeps guardians that are reached, and fills up with the best of the rest.
+void key_desk::choose_guardians() {
+    const instant now = boot_clock::now();
+    const std::vector<host_id> candidates = this->around.guardian_candidates();
+    keys::guardian_list chosen;
+    for (const host_id one : this->keeper.wanted_guardians) {
+        const bool is_reached =
+            std::find(candidates.begin(), candidates.end(), one) !=
+            candidates.end();
+        if (is_reached) {
+            this->unreached.erase(one);
+        } else {
+            this->unreached.try_emplace(one, now);
+        }
+        if (is_reached || now - this->unreached[one] < guardian_patience) {
+            chosen.push_back(one);
+        }
+    }
+    for (const host_id one : candidates) {
+        if (chosen.size() >= this->keeper.policy.lease.guardians) {
+            break;
+        }
+        if (std::find(chosen.begin(), chosen.end(), one) == chosen.end()) {
+            chosen.push_back(one);
+        }
+    }
+    this->keeper.wanted_guardians = std::move(chosen);
+}
+
+void key_desk::ask_promises() {
+    if (!this->keeper.life) {
+        return;
+    }
+    this->choose_guardians();
+    this->asked.emplace(++this->last_asked, boot_clock::now());
+    if (this->asked.size() > max_asked) {
+        this->asked.erase(this->asked.begin());
+    }
+    for (const host_id one : keys::all_guardians(this->keeper)) {
+        this->around.tell(
+            one, promise_request{this->keeper.lease_version, this->last_asked}
+        );
+    }
+    this->pump();
+}
+
+/// Asks the guardians of owners that aren't reached to let them go.
+void key_desk::ask_depositions() {
+    const keys::takeover_view view = this->around.view();
+    const instant now = boot_clock::now();
+    const duration delay =
+        deposition_delay * static_cast<duration::rep>(view.rank + 1);
+    for (auto& [host, lease] : this->keeper.watched) {
+        if (host == this->keeper.self ||
+            keys::keys_of(this->keeper.map, host) == 0 ||
+            this->around.is_reachable(host)) {
+            this->unreached.erase(host);
+            continue;
+        }
+        const instant since =
+            this->unreached.try_emplace(host, now).first->second;
+        if (now - since < delay) {
+            continue;
+        }
+        if (!this->reading && now - this->last_read > deposition_delay) {
+            this->read_leases();
+        }
+        for (const host_id guardian : lease.guardians) {
+            if (guardian == this->keeper.self) {
+                if (this->around.agree_to_depose(host, lease.version)) {
+                    keys::take_agreement(
+                        this->keeper, guardian, host, lease.version
                     );
                 }
+                continue;
             }
-        );
+            this->around.tell(
+                guardian, deposition_request{host, lease.version}
+            );
+        }
+    }
+}
+
+void key_desk::take_reply(host_id guardian, const frame& reply) {
+    if (const auto* const promised = std::get_if<promise_reply>(&reply)) {
+        const auto sent = this->asked.find(promised->sequence);
+        if (sent == this->asked.end()) {
+            return;
+        }
+        if (promised->promised) {
+            keys::take_promise(this->keeper, guardian, sent->second);
+        } else {
+            keys::take_refusal(this->keeper);
+        }
+        this->pump();
+    } else if (const auto* const end = std::get_if<deposition_reply>(&reply)) {
+        if (end->agreed) {
+            keys::take_agreement(
+                this->keeper, guardian, end->holder, end->version
+            );
+            this->pump();
+        }
     }
 }
 
 void key_desk::balance() {
     keys::decay(this->load);
     this->mean_pressure += pressure_smoothing *
-                           (this->pressure() - this->mean_pressure);
+                           (this->around.pressure() - this->mean_pressure);
     const instant now = boot_clock::now();
     if (this->departing || !this->keeper.life ||
         !keys::has_lease(this->keeper, now) ||
@@ -257,7 +390,7 @@
         return;
     }
     const auto next = keys::plan_move(
-        this->keeper, this->policy, this->view(), this->load,
+        this->keeper, this->policy, this->around.view(), this->load,
         this->mean_pressure
     );
     if (next) {
--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -9,24 +9,34 @@
 #include <apricotstile/keys/takeover.hpp>
 #include <apricotstile/net/timer_queue.hpp>
 #include <apricotstile/platform/shared_table.hpp>
+#include <apricotstile/router/frames.hpp>
 
 #include <functional>
+#include <map>
 
 namespace apricotstile::router {
 
 class key_desk {
 public:
-    /// The members as this daemon sees them now.
-    using view_source = std::function<keys::takeover_view()>;
-    /// Work at the instance for each slot.
-    using pressure_source = std::function<double()>;
+    /// What the desk needs of the rest of the daemon.
+    struct surroundings {
+        /// The members as this daemon sees them now.
+        std::function<keys::takeover_view()> view;
+        /// Work at the instance for each slot.
+        std::function<double()> pressure;
+        /// Daemons that may promise this one's lease, the best first.
+        std::function<std::vector<host_id>()> guardian_candidates;
+        std::function<bool(host_id)> is_reachable;
+        std::function<void(host_id, const frame&)> tell;
+        /// Whether this daemon, as a guardian, lets an owner go.
+        std::function<bool(host_id, platform::row_version)> agree_to_depose;
+    };
 
     key_desk(
         keys::keeper keeper,
         platform::shared_table& table,
         net::timer_queue& timers,
-        view_source view,
-        pressure_source pressure
+        surroundings around
     );
     key_desk(const key_desk&) = delete;
     key_desk& operator=(const key_desk&) = delete;
@@ -41,6 +51,8 @@
     void instance_left();
     [[nodiscard]] bool may_dispatch(keys::key_number key) const;
     void count_request(keys::key_number key);
+    /// A guardian's reply.
+    void take_reply(host_id guardian, const frame& reply);
     /// A change of the map's row.
     void take_map(const platform::row& row);
     [[nodiscard]] const keys::keeper& state() const;
@@ -49,7 +61,11 @@
     void pump();
     void submit(const platform::transaction& work);
     void read_rows();
+    void read_leases();
     void watch();
+    void choose_guardians();
+    void ask_promises();
+    void ask_depositions();
     void balance();
     void release(const std::vector<keys::move>& moves, const char* why);
 
@@ -57,8 +73,7 @@
     keys::takeover_policy policy;
     platform::shared_table& table;
     net::timer_queue& timers;
-    view_source view;
-    pressure_source pressure;
+    surroundings around;
     keys::key_load load;
     bool departing{false};
     bool reading{false};
@@ -67,6 +82,11 @@
     /// Moving mean of the pressure.
     double mean_pressure{0};
     instant retry_at;
+    /// When each request for promises was sent, by its sequence.
+    std::map<std::uint64_t, instant> asked;
+    std::uint64_t last_asked{0};
+    /// Since when owners and guardians aren't reached.
+    std::map<host_id, instant> unreached;
 };
 
 } // namespace apricotstile::router
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -7,6 +7,7 @@
 #include <apricotstile/net/stream.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -17,8 +18,14 @@
 using namespace std::chrono_literals;
 
 constexpr duration open_timeout = 300ms;
+/// A link with unanswered requests is asked for a sign after this time
+/// without one, counts as silent when none comes, and is then given up.
+constexpr duration quiet_time = 250ms;
+constexpr duration silent_time = 300ms;
+constexpr duration lost_time = 1500ms;
+constexpr duration check_interval = 100ms;
 constexpr duration first_reopen_pause = 200ms;
-constexpr duration longest_reopen_pause = 2s;
+constexpr duration longest_reopen_pause = 1s;
 /// Unsent bytes at which a link takes no more requests.
 constexpr std::size_t max_unsent_bytes = 4U << 20U;
 constexpr auto log_prefix = "links";
@@ -46,6 +53,10 @@
     /// Not opened again before.
     instant reopen_at;
     duration reopen_pause{first_reopen_pause};
+    instant heard_at;
+    /// While a ping is unanswered.
+    std::optional<instant> pinged_at;
+    bool is_silent{false};
 };
 
 struct peer_links::incoming {
@@ -70,6 +81,9 @@
                 this->accepted(descriptor);
             }
         );
+    this->timers.every(check_interval, [this] {
+        this->check_silence();
+    });
 }
 
 peer_links::~peer_links() {
@@ -101,12 +115,19 @@
     }
 }
 
+/// A peer that opens a link is there again.
+void peer_links::reopen(host_id peer) {
+    this->link_to(peer).reopen_at = instant{};
+    this->connect(peer);
+}
+
 void peer_links::open(outgoing& link) {
     link.open = false;
     link.received.clear();
     link.stream = new net::stream{peer_address(link.peer), open_timeout};
     link.stream->on_open = [this, &link] {
         link.open = true;
+        link.heard_at = boot_clock::now();
         link.reopen_pause = first_reopen_pause;
         log::write(
             log::level::info,
@@ -164,15 +185,22 @@
 
 void peer_links::outgoing_data(outgoing& link, std::string_view bytes) {
     link.received += bytes;
+    link.heard_at = boot_clock::now();
+    link.pinged_at.reset();
+    link.is_silent = false;
     try {
         while (const std::optional<frame> one = take_frame(link.received)) {
             if (const auto* const entry = std::get_if<entry_frame>(&*one)) {
                 this->events.on_entry(link.peer, *entry);
                 continue;
             }
+            if (std::holds_alternative<pong_frame>(*one)) {
+                continue;
+            }
             const auto* const response = std::get_if<response_frame>(&*one);
             if (response == nullptr) {
-                throw decode_error{"a peer sent a request on our link"};
+                this->events.on_control(link.peer, *one, [](const frame&) {});
+                continue;
             }
             this->events.on_load(link.peer, response->load);
             const auto found = link.waiting.find(response->stream);
@@ -198,6 +226,8 @@
 void peer_links::outgoing_ended(outgoing& link, bool was_open) {
     link.stream = nullptr;
     link.open = false;
+    link.pinged_at.reset();
+    link.is_silent = false;
     link.received.clear();
     link.reopen_at = boot_clock::now() + link.reopen_pause;
     link.reopen_pause = std::min(longest_reopen_pause, link.reopen_pause * 2);
@@ -247,6 +277,7 @@
                 link.is_known = true;
                 link.peer = entry->entry.host;
                 link.caller_service = entry->entry.service;
+                this->reopen(link.peer);
                 this->events.on_entry(link.peer, *entry);
             } else if (auto* const request = std::get_if<request_frame>(&*one);
                        request != nullptr && link.is_known) {
@@ -263,8 +294,18 @@
                         {link.connection, cancelled->stream}
                     );
                 }
+            } else if (std::holds_alternative<ping_frame>(*one)) {
+                link.stream->write(to_bytes(pong_frame{}));
+            } else if (link.is_known) {
+                this->events.on_control(
+                    link.peer,
+                    *one,
+                    [&link](const frame& reply) {
+                        link.stream->write(to_bytes(reply));
+                    }
+                );
             } else {
-                throw decode_error{"a peer sent an unexpected frame"};
+                throw decode_error{"a peer sent a frame before its entry"};
             }
         }
     } catch (const decode_error& error) {
@@ -315,21 +356,54 @@
     }
 }
 
-void peer_links::forget(host_id peer) {
-    const auto found = this->outgoing_links.find(peer);
-    if (found != this->outgoing_links.end() &&
-        found->second->stream == nullptr && found->second->waiting.empty()) {
-        this->outgoing_links.erase(found);
+void peer_links::tell(host_id peer, const frame& message) {
+    this->connect(peer);
+    outgoing& link = this->link_to(peer);
+    if (link.stream != nullptr) {
+        link.stream->write(to_bytes(message));
+    }
+}
+
+/// Asks quiet peers for a sign, and gives up links that stay silent.
+void peer_links::check_silence() {
+    const instant now = boot_clock::now();
+    std::vector<outgoing*> links;
+    for (const auto& [peer, link] : this->outgoing_links) {
+        if (link->open) {
+            links.push_back(link.get());
+        }
+    }
+    for (outgoing* const link : links) {
+        if (!link->pinged_at) {
+            if (!link->waiting.empty() && now - link->heard_at > quiet_time) {
+                link->pinged_at = now;
+                link->stream->write(to_bytes(ping_frame{}));
+            }
+            continue;
+        }
+        const duration passed = now - *link->pinged_at;
+        if (passed > silent_time && !link->is_silent) {
+            link->is_silent = true;
+            log::write(
+                log::level::warning,
+                log_prefix,
+                "Peer is silent.",
+                {{"peer", text_of(link->peer)},
+                 {"unanswered", std::to_string(link->waiting.size())}}
+            );
+            this->events.on_silent(link->peer);
+        }
+        if (passed > lost_time && link->stream != nullptr) {
+            link->stream->abort();
+            this->outgoing_ended(*link, true);
+        }
     }
 }
 
 bool peer_links::is_reachable(host_id peer) const {
     const auto found = this->outgoing_links.find(peer);
-    if (found == this->outgoing_links.end()) {
-        return true;
-    }
-    const outgoing& link = *found->second;
-    return link.open || boot_clock::now() >= link.reopen_at;
+    return found != this->outgoing_links.end() && found->second->open &&
+           !found->second->is_silent;
 }
 
 std::size_t peer_links::open_links() const {
--- a/src/apricotstile/router/peer_links.hpp
+++ b/src/apricotstile/router/peer_links.hpp
@@ -40,6 +40,12 @@
     /// The peer doesn't wait any more, or its connection ended.
     std::function<void(peer_request_id)> on_cancel;
     std::function<void(host_id, const entry_frame&)> on_entry;
+    /// Anything else that a peer tells, with what answers it.
+    std::function<
+        void(host_id, const frame&, const std::function<void(const frame&)>&)>
+        on_control;
+    /// A peer doesn't answer although its link is open.
+    std::function<void(host_id)> on_silent;
     /// The load that came with a response, before the response.
     std::function<void(host_id, const serving::reported_load&)> on_load;
 };
@@ -68,9 +74,9 @@
     void publish(const entry_frame& own);
     /// Opens the link to `peer` unless it is open or lately failed.
     void connect(host_id peer);
-    /// Closes the link to a peer that is gone for good.
-    void forget(host_id peer);
-    /// Whether requests to `peer` have a chance.
+    /// Sends a message that isn't a request, where the link is open.
+    void tell(host_id peer, const frame& message);
+    /// Whether the link to `peer` is open and it isn't silent.
     [[nodiscard]] bool is_reachable(host_id peer) const;
     [[nodiscard]] std::size_t open_links() const;
 
@@ -80,8 +86,10 @@
 
     outgoing& link_to(host_id peer);
     void open(outgoing& link);
+    void reopen(host_id peer);
     void outgoing_data(outgoing& link, std::string_view bytes);
     void outgoing_ended(outgoing& link, bool was_open);
+    void check_silence();
     void accepted(int descriptor);
     void incoming_data(incoming& link, std::string_view bytes);
     void incoming_ended(peer_connection connection);
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -3,6 +3,7 @@
 #include <apricotstile/router/router.hpp>
 
 #include <apricotstile/core/codec.hpp>
+#include <apricotstile/keys/guardian.hpp>
 #include <apricotstile/log/logger.hpp>
 #include <apricotstile/router/ingress.hpp>
 #include <apricotstile/router/key_desk.hpp>
@@ -69,6 +70,12 @@
     void upkeep();
     void check_instance();
     keys::takeover_view takeover_view();
+    std::vector<host_id> guardian_candidates();
+    void take_control(
+        host_id peer,
+        const frame& message,
+        const std::function<void(const frame&)>& reply
+    );
     std::optional<host_id>
     owner_of(const service_id& service, keys::key_number key) const;
     std::function<void()> hand_over(
@@ -102,6 +109,8 @@
     std::shared_ptr<const routing::route_table> routes;
     bool members_known{false};
 
+    /// This daemon's promises to others.
+    keys::guardian promises;
     std::unique_ptr<key_desk> keys_here;
     local_instance instance;
     peer_links links;
@@ -173,12 +182,44 @@
         this->callers.take_load(told.entry.host, told.load);
         this->take_entry(told.entry, "link");
     };
+    result.on_control = [this](
+                            host_id peer,
+                            const frame& message,
+                            const std::function<void(const frame&)>& reply
+                        ) {
+        this->take_control(peer, message, reply);
+    };
+    result.on_silent = [this](host_id peer) {
+        this->callers.peer_silent(peer);
+    };
     result.on_load = [this](host_id peer, const serving::reported_load& load) {
         this->callers.take_load(peer, load);
     };
     return result;
 }
 
+/// Requests to this daemon as a guardian, and replies to its own requests.
+void router::parts::take_control(
+    host_id peer,
+    const frame& message,
+    const std::function<void(const frame&)>& reply
+) {
+    const instant now = boot_clock::now();
+    if (const auto* const asked = std::get_if<promise_request>(&message)) {
+        const bool promised =
+            keys::promise(this->promises, peer, asked->version, now);
+        reply(promise_reply{asked->sequence, promised});
+    } else if (const auto* const end =
+                   std::get_if<deposition_request>(&message)) {
+        const bool agreed = keys::agree_to_depose(
+            this->promises, end->holder, end->version, now
+        );
+        reply(deposition_reply{end->holder, end->version, agreed});
+    } else if (this->keys_here) {
+        this->keys_here->take_reply(peer, message);
+    }
+}
+
 router::parts::parts(
     const router_settings& settings, platform::shared_table& table
 )
@@ -193,6 +234,7 @@
       ),
       links(settings.peers, timers, this->link_events()),
       callers(settings.callers, timers, this->surroundings()) {
+    this->promises.started = boot_clock::now();
     this->own.host = this->host;
     this->own.where = settings.where;
     this->own.service = settings.service;
@@ -515,20 +557,61 @@
     );
     // An earlier run of this daemon may have granted keys right before it
     // ended.
-    keeper.held_until = boot_clock::now() + policy.longest_hold + policy.margin;
+    keeper.held_until = boot_clock::now() + keys::longest_promise(policy.lease);
     this->keys_here = std::make_unique<key_desk>(
         std::move(keeper),
         this->table,
         this->timers,
-        [this] {
-            return this->takeover_view();
-        },
-        [this] {
-            return this->instance.pressure();
-        }
+        key_desk::surroundings{[this] {
+             return this->takeover_view();
+         },
+         [this] {
+             return this->instance.pressure();
+         },
+         [this] {
+             return this->guardian_candidates();
+         },
+         [this](host_id peer) {
+             return this->links.is_reachable(peer);
+         },
+         [this](host_id peer, const frame& message) {
+             this->links.tell(peer, message);
+         },
+         [this](host_id holder, platform::row_version version) {
+             return keys::agree_to_depose(
+                 this->promises, holder, version, boot_clock::now()
+             );
+         }}
     );
 }
 
+/// Other daemons that may promise this one's lease, the best first: one in
+/// this failure domain, then those in its siblings, then the rest.
+std::vector<host_id> router::parts::guardian_candidates() {
+    std::vector<std::pair<int, host_id>> ranked;
+    bool has_neighbour = false;
+    for (const auto& [peer, entry] : this->known.entries) {
+        if (peer == this->host || entry.stopping ||
+            !this->links.is_reachable(peer)) {
+            continue;
+        }
+        const bool same_domain =
+            entry.where.failure_domain == this->own.where.failure_domain;
+        int rank = entry.where.region == this->own.where.region ? 1 : 3;
+        if (same_domain) {
+            rank = has_neighbour ? 2 : 0;
+            has_neighbour = true;
+        }
+        ranked.emplace_back(rank, peer);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<host_id> result;
+    for (const auto& [rank, peer] : ranked) {
+        result.push_back(peer);
+    }
+    return result;
+}
+
 void router::parts::upkeep() {
     this->write_entry();
     this->check_instance();
