--- a/src/apricotstile/keys/lease_policy.hpp
+++ b/src/apricotstile/keys/lease_policy.hpp
@@ -14,12 +14,12 @@
     duration promise_length{std::chrono::seconds{3}};
     duration promise_interval{std::chrono::milliseconds{500}};
     /// Guardians of one lease.
-    std::size_t guardians{3};
+    std::size_t guardians{5};
     /// A lease that the table hasn't confirmed for so long has ended, even
     /// where guardians still promise it.
-    duration unconfirmed_limit{std::chrono::seconds{30}};
+    duration unconfirmed_limit{std::chrono::seconds{20}};
     /// Between two confirmations in the table.
-    duration confirm_interval{std::chrono::seconds{8}};
+    duration confirm_interval{std::chrono::seconds{6}};
     /// Clocks may run this much slow.
     double clock_drift{0.03};
     duration margin{std::chrono::milliseconds{100}};
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -40,6 +40,14 @@
     return to_string(peer_address(host));
 }
 
+std::string text_of(const keys::guardian_list& guardians) {
+    std::string result;
+    for (const host_id one : guardians) {
+        result += (result.empty() ? "" : ",") + text_of(one);
+    }
+    return result;
+}
+
 keys::known_lives lives_of(const keys::takeover_view& view) {
     keys::known_lives result;
     for (const keys::member& one : view.members) {
@@ -329,12 +337,22 @@
     for (auto& [host, lease] : this->keeper.watched) {
         if (host == this->keeper.self ||
             keys::keys_of(this->keeper.map, host) == 0 ||
-            this->around.is_reachable(host)) {
+            this->around.is_there(host)) {
             this->unreached.erase(host);
             continue;
         }
-        const instant since =
-            this->unreached.try_emplace(host, now).first->second;
+        const auto [unreached, is_new] = this->unreached.try_emplace(host, now);
+        const instant since = unreached->second;
+        if (is_new) {
+            log::write(
+                log::level::warning,
+                log_prefix,
+                "Owner isn't reached; its guardians are asked to end its lease.",
+                {{"owner", text_of(host)},
+                 {"lease", std::to_string(lease.version.value)},
+                 {"guardians", text_of(lease.guardians)}}
+            );
+        }
         if (now - since < delay) {
             continue;
         }
--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -26,7 +26,9 @@
         std::function<double()> pressure;
         /// Daemons that may promise this one's lease, the best first.
         std::function<std::vector<host_id>()> guardian_candidates;
-        std::function<bool(host_id)> is_reachable;
+        /// Whether a daemon is reached and is still beside this service: its
+        /// address may have gone to another one.
+        std::function<bool(host_id)> is_there;
         std::function<void(host_id, const frame&)> tell;
         /// Whether this daemon, as a guardian, lets an owner go.
         std::function<bool(host_id, platform::row_version)> agree_to_depose;
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -572,7 +572,10 @@
              return this->guardian_candidates();
          },
          [this](host_id peer) {
-             return this->links.is_reachable(peer);
+             const auto found = this->known.entries.find(peer);
+             return found != this->known.entries.end() &&
+                    found->second.service == this->own.service &&
+                    this->links.is_reachable(peer);
          },
          [this](host_id peer, const frame& message) {
              this->links.tell(peer, message);
@@ -585,23 +588,21 @@
     );
 }
 
-/// Other daemons that may promise this one's lease, the best first: one in
-/// this failure domain, then those in its siblings, then the rest.
+/// Other daemons that may promise this one's lease, the best first. Those of
+/// other services come first, since the hosts of one service are often replaced
+/// together, and those of this region before the rest.
 std::vector<host_id> router::parts::guardian_candidates() {
+    constexpr int same_service = 2;
+    constexpr int other_region = 1;
     std::vector<std::pair<int, host_id>> ranked;
-    bool has_neighbour = false;
     for (const auto& [peer, entry] : this->known.entries) {
         if (peer == this->host || entry.stopping ||
             !this->links.is_reachable(peer)) {
             continue;
         }
-        const bool same_domain =
-            entry.where.failure_domain == this->own.where.failure_domain;
-        int rank = entry.where.region == this->own.where.region ? 1 : 3;
-        if (same_domain) {
-            rank = has_neighbour ? 2 : 0;
-            has_neighbour = true;
-        }
+        const int rank =
+            (entry.service == this->own.service ? same_service : 0) +
+            (entry.where.region == this->own.where.region ? 0 : other_region);
         ranked.emplace_back(rank, peer);
     }
     std::sort(ranked.begin(), ranked.end());
