Let newcomers and instances without news count as usual ones

Cause: an instance that had told no service time was taken for 50 ms, above the others, and never chosen; one that had been slow once was never asked again.

--- a/src/apricotstile/serving/instance_choice.cpp
+++ b/src/apricotstile/serving/instance_choice.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr duration fallback_service = std::chrono::milliseconds{50};
+/// Where no candidate has told a service time.
+constexpr duration assumed_service = std::chrono::milliseconds{50};
 constexpr std::uint32_t most_doublings = 3;
 
 struct scored {
@@ -21,11 +22,7 @@
 
 } // namespace
 
-duration
-expected_latency(const instance_view& view, duration fallback) {
-    const duration service = view.load.mean_service == duration{0}
-                                 ? fallback
-                                 : view.load.mean_service;
+duration expected_latency(const instance_view& view, duration service) {
     // What this daemon has sent or got back since the load was told.
     const std::int64_t since = static_cast<std::int64_t>(view.in_flight) -
                                static_cast<std::int64_t>(
@@ -45,6 +42,40 @@
     return service + crowding + service * beyond / slots;
 }
 
+namespace {
+
+/// The mean of the service times that candidates have told.
+duration usual_service(const std::vector<candidate>& candidates) {
+    duration total{0};
+    duration::rep count = 0;
+    for (const candidate& one : candidates) {
+        if (one.view->load.mean_service > duration{0}) {
+            total += one.view->load.mean_service;
+            ++count;
+        }
+    }
+    return count == 0 ? assumed_service : total / count;
+}
+
+/// What the instance told, or the usual time where it told nothing lately: a
+/// newcomer, or one that was slow, gets requests that show what it is now.
+duration service_of(
+    const instance_view& view,
+    duration usual,
+    const choice_policy& policy,
+    instant now
+) {
+    const duration told = view.load.mean_service;
+    if (told == duration{0}) {
+        return usual;
+    }
+    const bool is_stale =
+        view.in_flight == 0 && now - view.told > policy.load_lifetime;
+    return is_stale ? std::min(told, usual) : told;
+}
+
+} // namespace
+
 std::optional<host_id> choose_instance(
     const std::vector<candidate>& candidates,
     const choice_policy& policy,
@@ -59,11 +90,14 @@
         std::chrono::duration<double, duration::period>(target_latency) *
         policy.far_reluctance
     );
+    const duration usual = usual_service(candidates);
     std::vector<scored> all;
     all.reserve(candidates.size());
     for (const candidate& one : candidates) {
         scored entry{one.host};
-        entry.latency = expected_latency(*one.view, fallback_service);
+        entry.latency = expected_latency(
+            *one.view, service_of(*one.view, usual, policy, now)
+        );
         entry.avoided = now < one.view->avoided_until;
         entry.far = one.distance == nearness::elsewhere;
         if (entry.far) {
--- a/src/apricotstile/serving/instance_choice.hpp
+++ b/src/apricotstile/serving/instance_choice.hpp
@@ -54,16 +54,18 @@
     /// What a nearer instance may be slower before a farther one is taken, as
     /// a part of the target latency.
     double far_reluctance{0.5};
+    /// After this time a told load says little.
+    duration load_lifetime{std::chrono::milliseconds{1500}};
     /// How long a refusal or a first loss keeps requests away.
     duration refusal_pause{std::chrono::milliseconds{30}};
     duration loss_pause{std::chrono::milliseconds{500}};
     duration longest_loss_pause{std::chrono::seconds{4}};
 };
 
-/// The time in which the instance is expected to answer.
-[[nodiscard]] duration expected_latency(
-    const instance_view& view, duration fallback_service
-);
+/// The time in which the instance is expected to answer where it takes
+/// `service` for a request while idle.
+[[nodiscard]] duration
+expected_latency(const instance_view& view, duration service);
 
 /// The best of `candidates`, or nothing where there is none. Those that are
 /// avoided count only where all are.
