--- a/src/apricotstile/keys/guardian.cpp
+++ b/src/apricotstile/keys/guardian.cpp
@@ -6,15 +6,22 @@
 
 namespace apricotstile::keys {
 
-bool promise(
-    guardian& state, host_id holder, platform::row_version version, instant now
+promise_result promise(
+    guardian& state,
+    host_id holder,
+    platform::row_version version,
+    incarnation run,
+    instant now
 ) {
+    if (run != state.run) {
+        return promise_result::another_run;
+    }
     guardian::ward& ward = state.wards[holder];
     if (version <= ward.given_up && ward.given_up.value != 0) {
-        return false;
+        return promise_result::given_up;
     }
     ward.promised_until = now + longest_promise(state.policy);
-    return true;
+    return promise_result::promised;
 }
 
 bool agree_to_depose(
--- a/src/apricotstile/keys/guardian.hpp
+++ b/src/apricotstile/keys/guardian.hpp
@@ -2,8 +2,9 @@
 // lets a holder grant keys for a while; a guardian that agrees to a holder's
 // deposition promises nothing more for that lease.
 //
-// Promises are held in memory alone: a guardian that has just started agrees
-// to nothing until whatever its last run promised has ended.
+// Promises and agreements are held in memory alone. So a guardian promises
+// only where this very run of it was asked, and one that has just started
+// agrees to nothing until whatever its last run promised has ended.
 
 #ifndef APRICOTSTILE_KEYS_GUARDIAN_HPP
 #define APRICOTSTILE_KEYS_GUARDIAN_HPP
@@ -19,6 +20,8 @@
 
 struct guardian {
     lease_policy policy;
+    /// Of this daemon.
+    incarnation run;
     instant started;
 
     struct ward {
@@ -30,10 +33,22 @@
     std::map<host_id, ward> wards;
 };
 
-/// Whether the lease at `version` is promised for another
-/// `policy.promise_length`, counted by the holder from when it asked.
-[[nodiscard]] bool promise(
-    guardian& state, host_id holder, platform::row_version version, instant now
+enum class promise_result : std::uint8_t {
+    /// For `policy.promise_length`, counted by the holder from when it asked.
+    promised,
+    /// The guardian has agreed to end this lease.
+    given_up,
+    /// Another run of the guardian was asked.
+    another_run
+};
+
+/// `run` of this guardian is asked to promise the lease at `version`.
+[[nodiscard]] promise_result promise(
+    guardian& state,
+    host_id holder,
+    platform::row_version version,
+    incarnation run,
+    instant now
 );
 
 /// Whether the holder of the lease at `version` may be deposed as far as this
--- a/src/apricotstile/keys/keeper.cpp
+++ b/src/apricotstile/keys/keeper.cpp
@@ -30,7 +30,7 @@
         return instant::max();
     }
     std::vector<instant> asked;
-    for (const host_id one : guardians) {
+    for (const guardian_id& one : guardians) {
         const auto found = state.promises.find(one);
         asked.push_back(
             found == state.promises.end() ? instant::min() : found->second
@@ -72,8 +72,8 @@
     return now >= state.held_until || (end > now && end >= state.held_until);
 }
 
-std::set<host_id> all_guardians(const keeper& state) {
-    std::set<host_id> result{state.guardians.begin(), state.guardians.end()};
+std::set<guardian_id> all_guardians(const keeper& state) {
+    std::set<guardian_id> result{state.guardians.begin(), state.guardians.end()};
     result.insert(
         state.wanted_guardians.begin(), state.wanted_guardians.end()
     );
@@ -83,7 +83,9 @@
     return result;
 }
 
-void take_promise(keeper& state, host_id guardian, instant asked) {
+void take_promise(
+    keeper& state, const guardian_id& guardian, instant asked
+) {
     instant& last =
         state.promises.try_emplace(guardian, asked).first->second;
     last = std::max(last, asked);
--- a/src/apricotstile/keys/keeper.hpp
+++ b/src/apricotstile/keys/keeper.hpp
@@ -11,12 +11,14 @@
 //
 // While a change of guardians is on its way, the lease needs the promises of
 // the old and of the new ones. A row of another run, or one that was ended by
-// others, is acquired only together with the map as the daemon knows it, so
-// that no grant follows from a map that others have changed meanwhile.
+// others, is acquired only together with the map as the daemon knows it, which
+// is written anew: no grant follows from a map that others have changed, and no
+// change that an earlier run sent comes into force any more.
 
 #ifndef APRICOTSTILE_KEYS_KEEPER_HPP
 #define APRICOTSTILE_KEYS_KEEPER_HPP
 
+#include <apricotstile/keys/guardian_id.hpp>
 #include <apricotstile/keys/heartbeat.hpp>
 #include <apricotstile/keys/key_map.hpp>
 #include <apricotstile/keys/lease_policy.hpp>
@@ -33,6 +35,8 @@
     /// Grants last this long at most; an instance that fell silent holds its
     /// keys until then.
     duration longest_hold{std::chrono::seconds{4}};
+    /// An answer that took longer has been given up by its instance.
+    duration answer_lifetime{std::chrono::milliseconds{1100}};
     /// Below this a grant isn't worth its bytes.
     duration shortest_hold{std::chrono::milliseconds{200}};
     /// After a time without readings of the leases, their holders get this
@@ -50,8 +54,8 @@
     /// Who is to have it.
     host_id target;
     std::string handover;
-    /// Whether an answer has left the range out.
-    bool omitted{false};
+    /// When an answer first left the range out.
+    std::optional<instant> omitted_at;
     /// Whether the instance certainly doesn't hold it.
     bool is_free{false};
 };
@@ -61,13 +65,11 @@
     platform::row_version version;
     /// When this version was first seen.
     instant since;
-    std::vector<host_id> guardians;
+    guardian_list guardians;
     /// Guardians that have agreed to end this version.
     std::set<host_id> agreed;
 };
 
-using guardian_list = std::vector<host_id>;
-
 struct keeper {
     keeper_policy policy;
     host_id self;
@@ -91,7 +93,7 @@
     /// Those of transactions whose result is unknown.
     std::vector<guardian_list> doubtful_guardians;
     /// When each guardian was asked for its newest promise.
-    std::map<host_id, instant> promises;
+    std::map<guardian_id, instant> promises;
 
     /// Whether the rows were read at least once.
     bool rows_known{false};
@@ -139,10 +141,10 @@
 [[nodiscard]] bool is_prepared(const keeper& state, instant now);
 
 /// Everyone whose promise the lease needs, or may need soon.
-[[nodiscard]] std::set<host_id> all_guardians(const keeper& state);
+[[nodiscard]] std::set<guardian_id> all_guardians(const keeper& state);
 
 /// `guardian` has promised the lease when asked at `asked`.
-void take_promise(keeper& state, host_id guardian, instant asked);
+void take_promise(keeper& state, const guardian_id& guardian, instant asked);
 
 /// `guardian` has agreed to a deposition and promises this lease no more: it
 /// is to be confirmed in the table at once.
--- a/src/apricotstile/keys/keeper_beats.cpp
+++ b/src/apricotstile/keys/keeper_beats.cpp
@@ -8,13 +8,30 @@
 
 namespace {
 
-/// The instance beside this daemon is another one than before, so that the
-/// last one holds nothing any more.
+/// Whether `keys` were owned for an earlier life than `life` alone.
+bool owned_by_others(
+    const key_map& map,
+    const key_range& keys,
+    const directory::instance_life& life
+) {
+    return std::none_of(
+        map.ranges.begin(),
+        map.ranges.end(),
+        [&](const owned_range& one) {
+            return overlap(one.keys, keys) && one.life == life;
+        }
+    );
+}
+
+/// The instance beside this daemon is another one than this run has known, so
+/// that an earlier one holds nothing any more. An instance that an earlier run
+/// of the daemon granted keys to still holds them.
 void start_life(keeper& state, const directory::instance_life& life) {
     state.life = life;
     state.granted.clear();
     for (release& one : state.releases) {
-        one.is_free = true;
+        one.is_free =
+            one.is_free || owned_by_others(state.map, one.keys, life);
     }
 }
 
@@ -57,6 +74,19 @@
     );
 }
 
+/// Whether no answer that grants the range can reach the instance any more.
+bool was_given_up(const keeper& state, const release& one, instant now) {
+    if (now >= state.held_until) {
+        return true;
+    }
+    if (!one.omitted_at) {
+        return false;
+    }
+    // A hand-over shows that an answer without the range was taken.
+    return !one.handover.empty() ||
+           now >= *one.omitted_at + state.policy.answer_lifetime;
+}
+
 /// The hold that ends before the lease on a slow clock.
 duration hold_within_lease(const keeper& state, instant now) {
     const instant end = lease_end(state);
@@ -81,10 +111,8 @@
         take_released(state, released);
     }
     for (release& one : state.releases) {
-        if ((one.omitted || now >= state.held_until) &&
-            !is_held(beat, one.keys)) {
-            one.is_free = true;
-        }
+        one.is_free = one.is_free ||
+                      (!is_held(beat, one.keys) && was_given_up(state, one, now));
     }
     heartbeat_answer answer;
     const duration hold = hold_within_lease(state, now);
@@ -103,7 +131,7 @@
         answer.keys.push_back({one.keys, one.fence, std::move(one.handover)});
     }
     for (release& one : state.releases) {
-        one.omitted = true;
+        one.omitted_at = one.omitted_at.value_or(now);
     }
     state.held_until = std::max(
         state.held_until,
--- a/src/apricotstile/keys/keeper_store.cpp
+++ b/src/apricotstile/keys/keeper_store.cpp
@@ -77,6 +77,31 @@
     );
 }
 
+/// Transfers what this daemon still owns of a release. A hand-over stands for
+/// the whole of it only.
+void add_release(
+    const keeper& state,
+    const release& leaving,
+    const directory::instance_life& life,
+    std::vector<transfer>& transfers
+) {
+    for (const owned_range& one : state.map.ranges) {
+        if (one.owner != state.self || !overlap(one.keys, leaving.keys)) {
+            continue;
+        }
+        const key_range common{
+            std::max(one.keys.first, leaving.keys.first),
+            std::min(one.keys.last, leaving.keys.last)};
+        const bool is_whole = common == leaving.keys;
+        transfers.push_back(
+            {common,
+             leaving.target,
+             life,
+             is_whole ? leaving.handover : std::string{}}
+        );
+    }
+}
+
 /// The changes of the map that are due.
 std::vector<transfer> due_transfers(
     const keeper& state,
@@ -88,7 +113,7 @@
     for (const release& one : state.releases) {
         const auto life = life_at(lives, one.target);
         if (life && (one.is_free || now >= state.held_until)) {
-            result.push_back({one.keys, one.target, *life, one.handover});
+            add_release(state, one, *life, result);
         }
     }
     result.insert(
@@ -126,7 +151,8 @@
 
 /// The row of this daemon's own lease.
 void take_own_row(keeper& state, const platform::row& row) {
-    if (row.version == state.lease_version) {
+    // A reading may be older than a result that came before it.
+    if (row.version <= state.lease_version) {
         return;
     }
     const auto record = decode<lease_record>(row.value);
@@ -180,7 +206,11 @@
     }
     const std::vector<transfer> transfers =
         due_transfers(state, wanted, lives, now);
-    if (!transfers.empty()) {
+    // A transaction of an earlier run may still be on its way: writing the map
+    // anew, even unchanged, is what keeps it from being committed.
+    const bool renews_map = pending.confirms && !state.owns_row &&
+                            state.map_version != platform::row_version{};
+    if (!transfers.empty() || renews_map) {
         add_map_change(state, transfers, wanted, work, pending);
     }
     if (work.mutations.empty()) {
@@ -246,19 +276,17 @@
     const platform::row_key own = lease_row(state.service, state.self);
     const platform::row_key map = map_row(state.service);
     const std::string lease_prefix = "leases/" + state.service.value + "/";
-    bool own_seen = false;
     for (const platform::row& row : rows) {
         if (row.key == map) {
             take_map(state, row);
         } else if (row.key == own) {
-            own_seen = true;
             take_own_row(state, row);
         } else if (row.key.value.starts_with(lease_prefix)) {
             const host_id host{
                 std::stoull(row.key.value.substr(lease_prefix.size()))};
             const auto known = state.watched.find(host);
             if (known == state.watched.end() ||
-                known->second.version != row.version) {
+                known->second.version < row.version) {
                 // The confirmation may have been sent until the rows came.
                 state.watched[host] = {
                     row.version,
@@ -268,10 +296,6 @@
             }
         }
     }
-    if (!own_seen) {
-        state.lease_version = {};
-        state.owns_row = false;
-    }
     for (const owned_range& one : state.map.ranges) {
         state.watched.try_emplace(one.owner, watched_lease{{}, now, {}, {}});
     }
--- a/src/apricotstile/router/compact_codec.hpp
+++ b/src/apricotstile/router/compact_codec.hpp
@@ -6,6 +6,9 @@
 
 #include <apricotstile/core/codec.hpp>
 
+// Adapters are part of cereal only where the coming release is asked for.
+#define CEREAL_FUTURE_EXPERIMENTAL
+#include <cereal/archives/adapters.hpp>
 #include <cereal/archives/binary.hpp>
 
 #include <cstdint>
@@ -85,23 +88,27 @@
     }
 }
 
-template <class Value>
-[[nodiscard]] std::string encode_compact(Value value) {
+/// The bytes of `value`; `context` is what its serialization refers to.
+template <class Value, class Context>
+[[nodiscard]] std::string encode_compact(Value value, Context& context) {
     std::ostringstream stream{std::ios::binary};
     {
-        cereal::BinaryOutputArchive archive{stream};
+        cereal::UserDataAdapter<Context, cereal::BinaryOutputArchive> archive{
+            context, stream};
         archive(value);
     }
     return std::move(stream).str();
 }
 
 /// Throws `decode_error` for bytes that don't hold a `Value`.
-template <class Value>
-[[nodiscard]] Value decode_compact(const std::string& bytes) {
+template <class Value, class Context>
+[[nodiscard]] Value
+decode_compact(const std::string& bytes, Context& context) {
     std::istringstream stream{bytes, std::ios::binary};
     Value value{};
     try {
-        cereal::BinaryInputArchive archive{stream};
+        cereal::UserDataAdapter<Context, cereal::BinaryInputArchive> archive{
+            context, stream};
         archive(value);
     } catch (const std::exception& error) {
         throw decode_error{error.what()};
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -26,12 +26,34 @@
 
 struct serialize_header {
     template <class Archive>
-    void operator()(Archive& archive, http::header& one) const {
-        serialize_text(archive, one.name);
-        serialize_text(archive, one.value);
+    void operator()(Archive& archive, coded_header& one) const {
+        serialize_number(archive, one.name_number);
+        if (one.name_number == 0) {
+            serialize_text(archive, one.name);
+            serialize_text(archive, one.value);
+            return;
+        }
+        serialize_number(archive, one.value_number);
+        if (one.value_number == 0) {
+            serialize_text(archive, one.value);
+        }
     }
 };
 
+/// Codes headers by the connection's table.
+template <class Archive>
+void serialize_headers(Archive& archive, std::vector<http::header>& headers) {
+    auto& table = cereal::get_user_data<header_table>(archive);
+    std::vector<coded_header> coded;
+    if constexpr (Archive::is_saving::value) {
+        coded = encode_headers(table, headers);
+    }
+    serialize_list(archive, coded, serialize_header{});
+    if constexpr (Archive::is_loading::value) {
+        headers = decode_headers(table, coded);
+    }
+}
+
 template <class Archive>
 void serialize_load(Archive& archive, serving::reported_load& load) {
     serialize_number(archive, load.slots);
@@ -57,7 +79,7 @@
     }
     serialize_text(archive, value.method);
     serialize_text(archive, value.target);
-    serialize_list(archive, value.headers, serialize_header{});
+    serialize_headers(archive, value.headers);
     serialize_text(archive, value.body);
     serialize_number(archive, value.priority);
     serialize_millis(archive, value.to_target);
@@ -68,7 +90,7 @@
 void serialize(Archive& archive, routed_response& value) {
     archive(value.outcome);
     serialize_number(archive, value.status);
-    serialize_list(archive, value.headers, serialize_header{});
+    serialize_headers(archive, value.headers);
     serialize_text(archive, value.body);
     serialize_millis(archive, value.retry_after);
 }
@@ -100,13 +122,15 @@
 template <class Archive>
 void serialize(Archive& archive, promise_request& value) {
     serialize_number(archive, value.version.value);
+    serialize_number(archive, value.guardian_run.value);
     serialize_number(archive, value.sequence);
 }
 
 template <class Archive>
 void serialize(Archive& archive, promise_reply& value) {
     serialize_number(archive, value.sequence);
-    archive(value.promised);
+    serialize_number(archive, value.guardian_run.value);
+    archive(value.result);
 }
 
 template <class Archive>
@@ -132,24 +156,27 @@
 
 /// The frame whose kind is the `Index`th of the variant, by its number.
 template <std::size_t Index = 0>
-frame decode_kind(std::size_t kind, const std::string& payload) {
+frame decode_kind(
+    std::size_t kind, const std::string& payload, header_table& headers
+) {
     if constexpr (Index == std::variant_size_v<frame>) {
         throw decode_error{"a frame has an unknown kind"};
     } else {
         if (kind != Index) {
-            return decode_kind<Index + 1>(kind, payload);
+            return decode_kind<Index + 1>(kind, payload, headers);
         }
-        return decode_compact<std::variant_alternative_t<Index, frame>>(payload
+        return decode_compact<std::variant_alternative_t<Index, frame>>(
+            payload, headers
         );
     }
 }
 
 } // namespace
 
-std::string to_bytes(const frame& value) {
+std::string to_bytes(const frame& value, header_table& headers) {
     const std::string payload = std::visit(
-        [](const auto& one) {
-            return encode_compact(one);
+        [&](const auto& one) {
+            return encode_compact(one, headers);
         },
         value
     );
@@ -164,7 +191,8 @@
     return bytes;
 }
 
-std::optional<frame> take_frame(std::string& received) {
+std::optional<frame>
+take_frame(std::string& received, header_table& headers) {
     if (received.size() < length_bytes) {
         return std::nullopt;
     }
@@ -185,7 +213,7 @@
     const std::string payload =
         received.substr(length_bytes + 1, length - 1);
     received.erase(0, length_bytes + length);
-    return decode_kind(kind, payload);
+    return decode_kind(kind, payload, headers);
 }
 
 std::uint32_t name_hash(const std::string& name) {
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -5,9 +5,11 @@
 
 #include <apricotstile/directory/entry.hpp>
 #include <apricotstile/http/message.hpp>
+#include <apricotstile/keys/guardian.hpp>
 #include <apricotstile/keys/key_map.hpp>
 #include <apricotstile/platform/transaction.hpp>
 #include <apricotstile/router/compact_codec.hpp>
+#include <apricotstile/router/header_codec.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/request_progress.hpp>
 
@@ -72,13 +74,15 @@
 struct promise_request {
     /// Of the lease's row as the holder knows it.
     platform::row_version version;
+    /// The run of the guardian that is asked.
+    incarnation guardian_run;
     std::uint64_t sequence{0};
 };
 
 struct promise_reply {
     std::uint64_t sequence{0};
-    /// False where the guardian has agreed to end the lease.
-    bool promised{false};
+    incarnation guardian_run;
+    keys::promise_result result{keys::promise_result::another_run};
 };
 
 /// Asks a guardian whether the lease of a daemon that isn't reached may end.
@@ -110,12 +114,14 @@
     ping_frame,
     pong_frame>;
 
-/// The bytes of a frame with its length before it.
-[[nodiscard]] std::string to_bytes(const frame& value);
+/// The bytes of a frame with its length before it. `headers` is the table of
+/// the direction that it is sent in, and each frame made is to be sent.
+[[nodiscard]] std::string to_bytes(const frame& value, header_table& headers);
 
 /// Takes the first whole frame off `received`, or nothing while it isn't
 /// whole. Throws `decode_error`.
-[[nodiscard]] std::optional<frame> take_frame(std::string& received);
+[[nodiscard]] std::optional<frame>
+take_frame(std::string& received, header_table& headers);
 
 [[nodiscard]] std::uint32_t name_hash(const std::string& name);
 
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -42,8 +42,8 @@
 
 std::string text_of(const keys::guardian_list& guardians) {
     std::string result;
-    for (const host_id one : guardians) {
-        result += (result.empty() ? "" : ",") + text_of(one);
+    for (const keys::guardian_id& one : guardians) {
+        result += (result.empty() ? "" : ",") + text_of(one.host);
     }
     return result;
 }
@@ -285,22 +285,35 @@
 /// Keeps guardians that are reached, and fills up with the best of the rest.
 void key_desk::choose_guardians() {
     const instant now = boot_clock::now();
-    const std::vector<host_id> candidates = this->around.guardian_candidates();
+    const keys::guardian_list candidates = this->around.guardian_candidates();
+    const auto has_another_run = [&](const keys::guardian_id& wanted) {
+        return std::any_of(
+            candidates.begin(),
+            candidates.end(),
+            [&](const keys::guardian_id& one) {
+                return one.host == wanted.host && one.run != wanted.run;
+            }
+        );
+    };
     keys::guardian_list chosen;
-    for (const host_id one : this->keeper.wanted_guardians) {
+    for (const keys::guardian_id& one : this->keeper.wanted_guardians) {
         const bool is_reached =
             std::find(candidates.begin(), candidates.end(), one) !=
             candidates.end();
         if (is_reached) {
-            this->unreached.erase(one);
+            this->unreached.erase(one.host);
         } else {
-            this->unreached.try_emplace(one, now);
+            this->unreached.try_emplace(one.host, now);
         }
-        if (is_reached || now - this->unreached[one] < guardian_patience) {
+        const bool is_kept =
+            is_reached ||
+            (!has_another_run(one) &&
+             now - this->unreached[one.host] < guardian_patience);
+        if (is_kept) {
             chosen.push_back(one);
         }
     }
-    for (const host_id one : candidates) {
+    for (const keys::guardian_id& one : candidates) {
         if (chosen.size() >= this->keeper.policy.lease.guardians) {
             break;
         }
@@ -320,9 +333,11 @@
     if (this->asked.size() > max_asked) {
         this->asked.erase(this->asked.begin());
     }
-    for (const host_id one : keys::all_guardians(this->keeper)) {
+    for (const keys::guardian_id& one : keys::all_guardians(this->keeper)) {
         this->around.tell(
-            one, promise_request{this->keeper.lease_version, this->last_asked}
+            one.host,
+            promise_request{
+                this->keeper.lease_version, one.run, this->last_asked}
         );
     }
     this->pump();
@@ -359,17 +374,17 @@
         if (!this->reading && now - this->last_read > deposition_delay) {
             this->read_leases();
         }
-        for (const host_id guardian : lease.guardians) {
-            if (guardian == this->keeper.self) {
+        for (const keys::guardian_id& guardian : lease.guardians) {
+            if (guardian.host == this->keeper.self) {
                 if (this->around.agree_to_depose(host, lease.version)) {
                     keys::take_agreement(
-                        this->keeper, guardian, host, lease.version
+                        this->keeper, guardian.host, host, lease.version
                     );
                 }
                 continue;
             }
             this->around.tell(
-                guardian, deposition_request{host, lease.version}
+                guardian.host, deposition_request{host, lease.version}
             );
         }
     }
@@ -381,10 +396,18 @@
         if (sent == this->asked.end()) {
             return;
         }
-        if (promised->promised) {
-            keys::take_promise(this->keeper, guardian, sent->second);
-        } else {
+        switch (promised->result) {
+        case keys::promise_result::promised:
+            keys::take_promise(
+                this->keeper, {guardian, promised->guardian_run}, sent->second
+            );
+            break;
+        case keys::promise_result::given_up:
             keys::take_refusal(this->keeper);
+            break;
+        case keys::promise_result::another_run:
+            // The directory tells of the new run, which is then wanted.
+            break;
         }
         this->pump();
     } else if (const auto* const end = std::get_if<deposition_reply>(&reply)) {
--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -25,7 +25,7 @@
         /// Work at the instance for each slot.
         std::function<double()> pressure;
         /// Daemons that may promise this one's lease, the best first.
-        std::function<std::vector<host_id>()> guardian_candidates;
+        std::function<keys::guardian_list()> guardian_candidates;
         /// Whether a daemon is reached and is still beside this service: its
         /// address may have gone to another one.
         std::function<bool(host_id)> is_there;
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -48,6 +48,8 @@
     net::stream* stream{nullptr};
     bool open{false};
     std::string received;
+    header_table sent_headers;
+    header_table received_headers;
     stream_id last_stream;
     std::unordered_map<stream_id, response_handler> waiting;
     /// Not opened again before.
@@ -63,6 +65,8 @@
     peer_connection connection;
     net::stream* stream{nullptr};
     std::string received;
+    header_table sent_headers;
+    header_table received_headers;
     /// Until the peer's entry has come, requests are refused.
     bool is_known{false};
     host_id peer;
@@ -124,6 +128,8 @@
 void peer_links::open(outgoing& link) {
     link.open = false;
     link.received.clear();
+    link.sent_headers = {};
+    link.received_headers = {};
     link.stream = new net::stream{peer_address(link.peer), open_timeout};
     link.stream->on_open = [this, &link] {
         link.open = true;
@@ -143,7 +149,7 @@
         this->outgoing_ended(link, how != net::stream_end::not_opened);
     };
     if (this->has_own) {
-        link.stream->write(to_bytes(this->own));
+        link.stream->write(to_bytes(this->own, link.sent_headers));
     }
 }
 
@@ -172,14 +178,16 @@
         });
         return stream;
     }
-    link.stream->write(to_bytes(request_frame{stream, request}));
+    link.stream->write(
+        to_bytes(request_frame{stream, request}, link.sent_headers)
+    );
     return stream;
 }
 
 void peer_links::cancel(host_id peer, stream_id stream) {
     outgoing& link = this->link_to(peer);
     if (link.waiting.erase(stream) > 0 && link.stream != nullptr) {
-        link.stream->write(to_bytes(cancel_frame{stream}));
+        link.stream->write(to_bytes(cancel_frame{stream}, link.sent_headers));
     }
 }
 
@@ -189,7 +197,7 @@
     link.pinged_at.reset();
     link.is_silent = false;
     try {
-        while (const std::optional<frame> one = take_frame(link.received)) {
+        while (const std::optional<frame> one = take_frame(link.received, link.received_headers)) {
             if (const auto* const entry = std::get_if<entry_frame>(&*one)) {
                 this->events.on_entry(link.peer, *entry);
                 continue;
@@ -265,14 +273,14 @@
         this->incoming_ended(connection);
     };
     if (this->has_own) {
-        added.stream->write(to_bytes(this->own));
+        added.stream->write(to_bytes(this->own, added.sent_headers));
     }
 }
 
 void peer_links::incoming_data(incoming& link, std::string_view bytes) {
     link.received += bytes;
     try {
-        while (std::optional<frame> one = take_frame(link.received)) {
+        while (std::optional<frame> one = take_frame(link.received, link.received_headers)) {
             if (const auto* const entry = std::get_if<entry_frame>(&*one)) {
                 link.is_known = true;
                 link.peer = entry->entry.host;
@@ -295,13 +303,13 @@
                     );
                 }
             } else if (std::holds_alternative<ping_frame>(*one)) {
-                link.stream->write(to_bytes(pong_frame{}));
+                link.stream->write(to_bytes(pong_frame{}, link.sent_headers));
             } else if (link.is_known) {
                 this->events.on_control(
                     link.peer,
                     *one,
                     [&link](const frame& reply) {
-                        link.stream->write(to_bytes(reply));
+                        link.stream->write(to_bytes(reply, link.sent_headers));
                     }
                 );
             } else {
@@ -339,13 +347,15 @@
         found->second->unanswered.erase(to.stream) == 0) {
         return;
     }
-    found->second->stream->write(to_bytes(response));
+    incoming& link = *found->second;
+    link.stream->write(to_bytes(response, link.sent_headers));
 }
 
 void peer_links::publish(const entry_frame& entry) {
     this->own = entry;
     this->has_own = true;
-    const std::string bytes = to_bytes(entry);
+    header_table none;
+    const std::string bytes = to_bytes(entry, none);
     for (auto& [peer, link] : this->outgoing_links) {
         if (link->stream != nullptr) {
             link->stream->write(bytes);
@@ -360,7 +370,7 @@
     this->connect(peer);
     outgoing& link = this->link_to(peer);
     if (link.stream != nullptr) {
-        link.stream->write(to_bytes(message));
+        link.stream->write(to_bytes(message, link.sent_headers));
     }
 }
 
@@ -377,7 +387,9 @@
         if (!link->pinged_at) {
             if (!link->waiting.empty() && now - link->heard_at > quiet_time) {
                 link->pinged_at = now;
-                link->stream->write(to_bytes(ping_frame{}));
+                link->stream->write(
+                    to_bytes(ping_frame{}, link->sent_headers)
+                );
             }
             continue;
         }
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <random>
 
 namespace apricotstile::router {
 
@@ -40,6 +41,19 @@
     return to_string(peer_address(host));
 }
 
+/// Larger for later starts, but where the clock was set back, which the row in
+/// the table makes up for. The random part keeps two starts apart.
+incarnation new_run() {
+    constexpr std::uint64_t random_part = 1024;
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch()
+    );
+    std::random_device random;
+    return {
+        static_cast<std::uint64_t>(millis.count()) * random_part +
+        random() % random_part};
+}
+
 platform::row_key member_row(host_id host) {
     return {"members//" + std::to_string(host.value)};
 }
@@ -70,7 +84,7 @@
     void upkeep();
     void check_instance();
     keys::takeover_view takeover_view();
-    std::vector<host_id> guardian_candidates();
+    keys::guardian_list guardian_candidates();
     void take_control(
         host_id peer,
         const frame& message,
@@ -206,9 +220,10 @@
 ) {
     const instant now = boot_clock::now();
     if (const auto* const asked = std::get_if<promise_request>(&message)) {
-        const bool promised =
-            keys::promise(this->promises, peer, asked->version, now);
-        reply(promise_reply{asked->sequence, promised});
+        const keys::promise_result result = keys::promise(
+            this->promises, peer, asked->version, asked->guardian_run, now
+        );
+        reply(promise_reply{asked->sequence, asked->guardian_run, result});
     } else if (const auto* const end =
                    std::get_if<deposition_request>(&message)) {
         const bool agreed = keys::agree_to_depose(
@@ -238,14 +253,8 @@
     this->own.host = this->host;
     this->own.where = settings.where;
     this->own.service = settings.service;
-    // Later starts have later times, but for a clock that was set back, which
-    // the row's version in the table makes up for.
-    this->own.run = incarnation{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch()
-        )
-            .count()
-    )};
+    this->own.run = new_run();
+    this->promises.run = this->own.run;
     directory::apply(this->known, this->own);
     this->table.follow(
         members_table,
@@ -381,6 +390,7 @@
                     // An earlier run of this host must not look newer.
                     if (told.run > this->own.run) {
                         this->own.run = next(told.run);
+                        this->promises.run = this->own.run;
                         this->publish_entry();
                     }
                 }
@@ -591,10 +601,10 @@
 /// Other daemons that may promise this one's lease, the best first. Those of
 /// other services come first, since the hosts of one service are often replaced
 /// together, and those of this region before the rest.
-std::vector<host_id> router::parts::guardian_candidates() {
+keys::guardian_list router::parts::guardian_candidates() {
     constexpr int same_service = 2;
     constexpr int other_region = 1;
-    std::vector<std::pair<int, host_id>> ranked;
+    std::vector<std::pair<int, keys::guardian_id>> ranked;
     for (const auto& [peer, entry] : this->known.entries) {
         if (peer == this->host || entry.stopping ||
             !this->links.is_reachable(peer)) {
@@ -603,10 +613,10 @@
         const int rank =
             (entry.service == this->own.service ? same_service : 0) +
             (entry.where.region == this->own.where.region ? 0 : other_region);
-        ranked.emplace_back(rank, peer);
+        ranked.emplace_back(rank, keys::guardian_id{peer, entry.run});
     }
     std::sort(ranked.begin(), ranked.end());
-    std::vector<host_id> result;
+    keys::guardian_list result;
     for (const auto& [rank, peer] : ranked) {
         result.push_back(peer);
     }
--- a/src/apricotstile/serving/instance_choice.cpp
+++ b/src/apricotstile/serving/instance_choice.cpp
@@ -44,17 +44,21 @@
 
 namespace {
 
-/// The mean of the service times that candidates have told.
+/// The lower median of the service times that candidates have told.
 duration usual_service(const std::vector<candidate>& candidates) {
-    duration total{0};
-    duration::rep count = 0;
+    std::vector<duration> told;
     for (const candidate& one : candidates) {
         if (one.view->load.mean_service > duration{0}) {
-            total += one.view->load.mean_service;
-            ++count;
+            told.push_back(one.view->load.mean_service);
         }
     }
-    return count == 0 ? assumed_service : total / count;
+    if (told.empty()) {
+        return assumed_service;
+    }
+    const auto middle =
+        told.begin() + static_cast<std::ptrdiff_t>((told.size() - 1) / 2);
+    std::nth_element(told.begin(), middle, told.end());
+    return *middle;
 }
 
 /// What the instance told, or the usual time where it told nothing lately: a
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -15,14 +15,17 @@
     return queue.open && queue.running.size() < queue.policy.slots;
 }
 
-/// The latest end that is still worth the instance's time.
-instant latest_useful_end(const work_queue& queue, const offered_work& work) {
-    if (work.target >= work.deadline) {
-        return work.deadline;
-    }
-    const std::chrono::duration<double, duration::period> late =
-        (work.deadline - work.target) * queue.policy.late_part;
-    return work.target + std::chrono::duration_cast<duration>(late);
+/// The latest expected end for which work may wait.
+instant latest_useful_end(
+    const work_queue& queue, const offered_work& work, instant now
+) {
+    const instant end =
+        work.nested ? work.deadline : std::min(work.target, work.deadline);
+    const double part =
+        work.nested ? queue.policy.nested_part : queue.policy.useful_part;
+    const std::chrono::duration<double, duration::period> left =
+        (end - now) * part;
+    return now + std::chrono::duration_cast<duration>(left);
 }
 
 void start(
@@ -95,7 +98,7 @@
     }
     const duration wait = expected_wait(queue, work.nested, work.priority);
     if (queue.waiting.size() >= queue.policy.max_waiting ||
-        now + wait + work.expected > latest_useful_end(queue, work)) {
+        now + wait + work.expected > latest_useful_end(queue, work, now)) {
         actions.push_back(
             {work.id,
              work_decision::refuse_busy,
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -38,9 +38,12 @@
     std::uint32_t slots{1};
     /// Work that waits at most.
     std::size_t max_waiting{256};
-    /// Work may be expected to end after its target by this part of the time
-    /// from target to deadline.
-    double late_part{0.25};
+    /// Work waits only where it is expected to end within this part of its time
+    /// to the target; under lasting overload whatever waits ends right there.
+    double useful_part{0.85};
+    /// The same part of the time to the deadline for nested work, since the
+    /// work that waits for it is lost without it.
+    double nested_part{0.9};
 };
 
 struct work_queue {
--- /dev/null
+++ b/tests/adapter/heartbeat_codec.tests.cpp
@@ -0,0 +1,84 @@
+// Heartbeats as the platform's instances send them.
+
+#include <platform/heartbeat_codec.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace apricotstile;
+using namespace apricotstile::adapter;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string example =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"nord-a",)"
+    R"("version":"v1","slots":14,"state":"draining","coldRemainingMs":0,)"
+    R"("sequence":4,"born":1700000000123,"holds":[[0,4095,7]],)"
+    R"("released":[[4096,8191,"5c0e7a21d94b36f8"]]})";
+
+} // namespace
+
+TEST_CASE("a heartbeat is decoded once into typed fields", "[adapter]") {
+    const keys::heartbeat beat = decode_heartbeat("i-7", example);
+    CHECK(beat.life.id == "i-7");
+    CHECK(beat.life.born_ms == 1700000000123);
+    CHECK(beat.service == service_id{"huvo11a"});
+    CHECK(beat.sequence == 4);
+    CHECK(beat.state == directory::instance_state::draining);
+    REQUIRE(beat.holds.size() == 1);
+    CHECK(beat.holds.front().keys == keys::key_range{0, 4095});
+    CHECK(beat.holds.front().fence == fencing_token{7});
+    REQUIRE(beat.released.size() == 1);
+    CHECK(beat.released.front().handover == "5c0e7a21d94b36f8");
+}
+
+TEST_CASE("heartbeats of other writers name no instance", "[adapter]") {
+    for (const std::string& body :
+         {std::string{"{"},
+          std::string{"[]"},
+          std::string{R"({"service":"a"})"},
+          std::string{
+              R"({"service":"a","slots":1,"state":"ready","sequence":1})"},
+          std::string{
+              R"({"service":"a","slots":1,"state":"odd","sequence":1,"born":1})"},
+          std::string{
+              R"({"service":1,"slots":1,"state":"ready","sequence":1,"born":1})"},
+          std::string{
+              R"({"service":"a","slots":"1","state":"ready","sequence":1,"born":1})"},
+          std::string{
+              R"({"service":"a","slots":1,"state":"ready","sequence":1,"born":1,)"
+              R"("holds":[[9,3,1]]})"}}) {
+        INFO(body);
+        CHECK_THROWS_AS(decode_heartbeat("i-1", body), heartbeat_error);
+    }
+}
+
+TEST_CASE("changed heartbeats are refused or decoded", "[adapter][fuzz]") {
+    rc::prop("any bytes changed", [] {
+        std::string body = example;
+        const auto changes = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < changes; ++i) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, body.size());
+            body[at] = *rc::gen::arbitrary<char>();
+        }
+        try {
+            static_cast<void>(decode_heartbeat("i-1", body));
+        } catch (const heartbeat_error&) {
+        }
+    });
+}
+
+TEST_CASE("an answer without grants renews nothing", "[adapter]") {
+    CHECK(encode_answer({}) == "{}");
+    keys::heartbeat_answer answer;
+    answer.grants = true;
+    answer.hold = 2500ms;
+    answer.keys = {{{0, 9}, {7}, "h"}};
+    CHECK(
+        encode_answer(answer) == R"({"holdMs":2500,"holds":[[0,9,7,"h"]]})"
+    );
+    answer.keys.clear();
+    CHECK(encode_answer(answer) == R"({"holdMs":2500,"holds":[]})");
+}
--- /dev/null
+++ b/tests/directory/directory.tests.cpp
@@ -0,0 +1,47 @@
+// The newest entry of a host counts, in any order of arrival.
+
+#include <apricotstile/directory/directory.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace apricotstile;
+using namespace apricotstile::directory;
+
+TEST_CASE("any order of entries ends the same", "[directory][property]") {
+    rc::prop("the newest run and change wins", [] {
+        const auto told = *rc::gen::nonEmpty(
+            rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
+                rc::gen::inRange(1, 5), rc::gen::inRange(1, 5)
+            ))
+        );
+        directory::directory known;
+        for (const auto& [run, change] : told) {
+            entry one;
+            one.host = host_id{7};
+            one.run = incarnation{static_cast<std::uint64_t>(run)};
+            one.change = static_cast<std::uint64_t>(change);
+            apply(known, one);
+        }
+        const auto newest = *std::max_element(told.begin(), told.end());
+        const entry& kept = known.entries.at(host_id{7});
+        RC_ASSERT(kept.run.value == static_cast<std::uint64_t>(newest.first));
+        RC_ASSERT(kept.change == static_cast<std::uint64_t>(newest.second));
+    });
+}
+
+TEST_CASE("only ready instances of the service are listed", "[directory]") {
+    directory::directory known;
+    for (std::uint64_t host = 1; host <= 3; ++host) {
+        entry one;
+        one.host = host_id{host};
+        one.service = {host == 3 ? "other" : "registry"};
+        one.state =
+            host == 2 ? instance_state::draining : instance_state::ready;
+        apply(known, one);
+    }
+    const auto ready = ready_instances(known, {"registry"});
+    REQUIRE(ready.size() == 1);
+    CHECK(ready.front()->host == host_id{1});
+}
--- /dev/null
+++ b/tests/keys/keeper.tests.cpp
@@ -0,0 +1,168 @@
+// Grants follow from the map and the lease, and end with them.
+
+#include <apricotstile/core/codec.hpp>
+#include <apricotstile/keys/guardian.hpp>
+#include <apricotstile/keys/keeper.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace apricotstile;
+using namespace apricotstile::keys;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant start{24h};
+const directory::instance_life life{"i-1", 100};
+const service_id registry{"registry"};
+
+platform::row map_of(host_id owner, std::uint64_t version) {
+    key_map map;
+    apply_transfers(map, {{{0, 999}, owner, life, "warm"}});
+    return {map_row(registry), {version}, encode(map)};
+}
+
+heartbeat beat_of(std::uint64_t sequence) {
+    heartbeat beat;
+    beat.service = registry;
+    beat.life = life;
+    beat.sequence = sequence;
+    beat.slots = 14;
+    return beat;
+}
+
+/// A daemon that owns keys 0 to 999 and has its lease.
+keeper holder() {
+    keeper state = make_keeper({}, host_id{1}, incarnation{5}, registry);
+    take_rows(state, {map_of(host_id{1}, 3)}, start);
+    static_cast<void>(take_heartbeat(state, beat_of(1), start));
+    const auto work = next_transaction(state, {}, {}, start);
+    REQUIRE(work);
+    take_result(state, {platform::commit_status::committed, {{4}}});
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("an owner with a lease grants its keys", "[keys][keeper]") {
+    keeper state = holder();
+    const heartbeat_answer answer =
+        take_heartbeat(state, beat_of(2), start + 100ms);
+    REQUIRE(answer.grants);
+    REQUIRE(answer.keys.size() == 1);
+    CHECK(answer.keys.front().keys == key_range{0, 999});
+    CHECK(answer.keys.front().handover == "warm");
+    CHECK(may_dispatch(state, 999, start + 200ms));
+    CHECK_FALSE(may_dispatch(state, 1000, start + 200ms));
+    CHECK_FALSE(may_dispatch(state, 999, start + 20s));
+}
+
+TEST_CASE("a hold ends before its lease on a slow clock", "[keys][keeper]") {
+    keeper state = holder();
+    const instant late = start + 18s;
+    const heartbeat_answer answer = take_heartbeat(state, beat_of(2), late);
+    REQUIRE(answer.grants);
+    CHECK(late + scaled(answer.hold, 1.03) < lease_end(state));
+    CHECK_FALSE(take_heartbeat(state, beat_of(3), start + 30s).grants);
+}
+
+TEST_CASE(
+    "a lease is acquired only on the map as it is", "[keys][keeper]"
+) {
+    keeper state = make_keeper({}, host_id{1}, incarnation{5}, registry);
+    take_rows(state, {map_of(host_id{1}, 3)}, start);
+    static_cast<void>(take_heartbeat(state, beat_of(1), start));
+    const auto work = next_transaction(state, {}, {}, start);
+    REQUIRE(work);
+    const auto& conditions = work->conditions;
+    REQUIRE(conditions.size() == 2);
+    CHECK(conditions[1].key == map_row(registry));
+    CHECK(conditions[1].version == platform::row_version{3});
+}
+
+TEST_CASE("a new life's keys get new tokens", "[keys][keeper]") {
+    keeper state = holder();
+    heartbeat beat = beat_of(1);
+    beat.life = {"i-1", 200};
+    const heartbeat_answer answer =
+        take_heartbeat(state, beat, start + 1s);
+    CHECK(answer.keys.empty());
+    const auto work = next_transaction(state, {}, {}, start + 1s);
+    REQUIRE(work);
+    const key_map changed = decode_map(*work->mutations.back().value);
+    CHECK(changed.ranges.front().life == beat.life);
+    CHECK(changed.ranges.front().fence > fencing_token{1});
+    CHECK(changed.ranges.front().handover.empty());
+}
+
+TEST_CASE(
+    "released keys go on only once their holder gave them up",
+    "[keys][keeper][move]"
+) {
+    keeper state = holder();
+    static_cast<void>(take_heartbeat(state, beat_of(2), start + 100ms));
+    start_release(state, {500, 999}, host_id{2});
+    const known_lives lives{{host_id{2}, {"i-2", 1}}};
+    CHECK(may_dispatch(state, 700, start + 200ms));
+
+    heartbeat beat = beat_of(3);
+    beat.holds = {{{0, 999}, {1}}};
+    const heartbeat_answer answer = take_heartbeat(state, beat, start + 1s);
+    REQUIRE(answer.keys.size() == 1);
+    CHECK(answer.keys.front().keys == key_range{0, 499});
+    CHECK_FALSE(may_dispatch(state, 700, start + 1s));
+    CHECK_FALSE(next_transaction(state, {}, lives, start + 1s));
+
+    beat = beat_of(4);
+    beat.holds = {{{0, 499}, {1}}};
+    beat.released = {{{500, 999}, "given"}};
+    static_cast<void>(take_heartbeat(state, beat, start + 1100ms));
+    const auto work = next_transaction(state, {}, lives, start + 1100ms);
+    REQUIRE(work);
+    const key_map changed = decode_map(*work->mutations.back().value);
+    const owned_range* const moved = find_owner(changed, 500);
+    REQUIRE(moved != nullptr);
+    CHECK(moved->owner == host_id{2});
+    CHECK(moved->handover == "given");
+    CHECK(moved->fence > find_owner(changed, 0)->fence);
+}
+
+TEST_CASE("a guardian keeps its word", "[keys][guardian]") {
+    guardian state;
+    state.started = start - 1h;
+    state.run = incarnation{9};
+    const host_id holder{1};
+    const incarnation run{9};
+    REQUIRE(
+        promise(state, holder, {4}, run, start) == promise_result::promised
+    );
+    CHECK_FALSE(agree_to_depose(state, holder, {4}, start + 3s));
+    CHECK(agree_to_depose(state, holder, {4}, start + 4s));
+    CHECK(
+        promise(state, holder, {4}, run, start + 5s) ==
+        promise_result::given_up
+    );
+    CHECK(
+        promise(state, holder, {5}, run, start + 5s) ==
+        promise_result::promised
+    );
+    CHECK(
+        promise(state, holder, {5}, incarnation{8}, start + 5s) ==
+        promise_result::another_run
+    );
+}
+
+TEST_CASE("a guardian that has just started agrees to nothing", "[keys]") {
+    guardian state;
+    state.started = start;
+    CHECK_FALSE(agree_to_depose(state, host_id{1}, {4}, start + 3s));
+    CHECK(agree_to_depose(state, host_id{1}, {4}, start + 4s));
+}
+
+TEST_CASE("promises and depositions share a guardian", "[keys][guardian]") {
+    for (std::size_t count = 1; count < 12; ++count) {
+        CHECK(promises_needed(count) + agreements_needed(count) > count);
+        CHECK(promises_needed(count) >= 1);
+        CHECK(agreements_needed(count) <= count);
+    }
+}
--- /dev/null
+++ b/tests/keys/key_world.cpp
@@ -0,0 +1,676 @@
+// The event loop of the world and its hosts.
+
+#include <tests/keys/key_world.hpp>
+
+#include <apricotstile/core/random.hpp>
+#include <apricotstile/keys/guardian.hpp>
+#include <apricotstile/keys/keeper.hpp>
+#include <apricotstile/keys/takeover.hpp>
+#include <tests/support/fake_table.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace apricotstile::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace apricotstile::keys;
+
+constexpr std::size_t host_count = 5;
+constexpr instant start_time{24h};
+constexpr duration beat_interval = 870ms;
+constexpr duration tick_interval = 200ms;
+const service_id service{"registry"};
+
+struct instance {
+    directory::instance_life life;
+    bool up{true};
+    /// Rate of its clock; holds last longer on a slow one.
+    double rate{1};
+    std::uint64_t sequence{0};
+    std::vector<held_range> holds;
+    std::vector<released_range> released;
+    instant hold_end;
+    std::uint64_t last_answered{0};
+};
+
+struct process {
+    keeper state;
+    guardian promises;
+    std::uint64_t last_asked{0};
+    std::map<std::uint64_t, instant> asked;
+    bool reading{false};
+    instant last_read;
+};
+
+struct host {
+    host_id id;
+    double rate{1};
+    bool up{true};
+    bool lost{false};
+    instant frozen_until;
+    std::uint64_t run{0};
+    std::optional<process> daemon;
+    instance server;
+};
+
+struct world {
+    explicit world(const key_world_options& options)
+        : options(options), random(options.seed) {}
+
+    key_world_options options;
+    random_source random;
+    instant now{start_time};
+    std::multimap<instant, std::function<void()>> events;
+    std::vector<host> hosts;
+    fake_table table;
+    bool table_away{false};
+    /// The highest token that any instance took, by key part.
+    std::map<key_number, std::pair<fencing_token, std::size_t>> taken;
+    key_world_result result;
+    instant gap_since;
+    bool divided{false};
+
+    bool chance(unsigned percent) {
+        return random_below(this->random, 100) < percent;
+    }
+
+    duration between(duration least, duration most) {
+        const auto span = static_cast<std::uint64_t>((most - least).count());
+        return least + duration{static_cast<duration::rep>(
+                           random_below(this->random, span + 1)
+                       )};
+    }
+
+    void after(duration delay, std::function<void()> action) {
+        this->events.emplace(this->now + delay, std::move(action));
+    }
+
+    /// A message; lost at times.
+    void send(std::function<void()> action) {
+        if (this->options.faults && this->chance(3)) {
+            return;
+        }
+        const duration most =
+            this->options.faults && this->chance(5) ? 1500ms : 20ms;
+        this->after(this->between(1ms, most), std::move(action));
+    }
+
+    /// The host's own clock.
+    [[nodiscard]] instant clock(const host& one) const {
+        return start_time + scaled(this->now - start_time, one.rate);
+    }
+
+    /// Runs `action` in the daemon's process, after its freeze; not at all in
+    /// another process.
+    void in_process(
+        std::size_t index, std::uint64_t run, std::function<void()> action
+    ) {
+        host& one = this->hosts[index];
+        if (!one.up || !one.daemon || one.run != run) {
+            return;
+        }
+        if (one.frozen_until > this->now) {
+            this->events.emplace(
+                one.frozen_until,
+                [this, index, run, action = std::move(action)] {
+                    this->in_process(index, run, action);
+                }
+            );
+            return;
+        }
+        action();
+    }
+
+    std::size_t index_of(host_id id) const {
+        return static_cast<std::size_t>(id.value - 1);
+    }
+
+    takeover_view view_of(std::size_t self) {
+        takeover_view view;
+        for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+            const host& one = this->hosts[i];
+            if (one.up && one.server.up && one.daemon) {
+                view.rank += i < self ? 1 : 0;
+                view.members.push_back({one.id, one.server.life, 0});
+            }
+        }
+        view.members_since = this->clock(this->hosts[self]) - 2s;
+        return view;
+    }
+
+    void start_daemon(std::size_t index) {
+        host& one = this->hosts[index];
+        ++one.run;
+        one.up = true;
+        process added;
+        added.state = make_keeper({}, one.id, incarnation{one.run}, service);
+        added.state.held_until =
+            this->clock(one) + longest_promise(added.state.policy.lease);
+        added.promises.started = this->clock(one);
+        added.promises.run = incarnation{one.run};
+        one.daemon = std::move(added);
+        this->every(index, one.run, tick_interval, [this, index] {
+            this->pump(index);
+        });
+        this->every(index, one.run, 500ms, [this, index] {
+            this->ask_promises(index);
+        });
+        this->every(index, one.run, 250ms, [this, index] {
+            this->ask_depositions(index);
+        });
+    }
+
+    void every(
+        std::size_t index,
+        std::uint64_t run,
+        duration interval,
+        std::function<void()> action
+    ) {
+        this->after(interval, [this, index, run, interval, action] {
+            if (this->hosts[index].run != run || !this->hosts[index].up) {
+                return;
+            }
+            this->in_process(index, run, action);
+            this->every(index, run, interval, action);
+        });
+    }
+
+    void ask_promises(std::size_t index) {
+        host& one = this->hosts[index];
+        process& self = *one.daemon;
+        if (!self.state.life) {
+            return;
+        }
+        guardian_list wanted;
+        for (const host& other : this->hosts) {
+            if (other.id != one.id && other.up && wanted.size() < 3) {
+                wanted.push_back({other.id, incarnation{other.run}});
+            }
+        }
+        self.state.wanted_guardians = wanted;
+        const std::uint64_t sequence = ++self.last_asked;
+        self.asked[sequence] = this->clock(one);
+        for (const guardian_id& target : all_guardians(self.state)) {
+            const platform::row_version version = self.state.lease_version;
+            this->send([this, index, run = one.run, target, version, sequence] {
+                this->ask_promise(index, run, target, version, sequence);
+            });
+        }
+    }
+
+    void ask_promise(
+        std::size_t holder,
+        std::uint64_t run,
+        const guardian_id& target,
+        platform::row_version version,
+        std::uint64_t sequence
+    ) {
+        const std::size_t at = this->index_of(target.host);
+        this->in_process(at, this->hosts[at].run, [=, this] {
+            host& guard = this->hosts[at];
+            const promise_result result = promise(
+                guard.daemon->promises,
+                this->hosts[holder].id,
+                version,
+                target.run,
+                this->clock(guard) - this->options.guardians_forget
+            );
+            this->send([=, this] {
+                this->in_process(holder, run, [=, this] {
+                    process& self = *this->hosts[holder].daemon;
+                    if (result == promise_result::promised) {
+                        take_promise(
+                            self.state, target, self.asked.at(sequence)
+                        );
+                    } else if (result == promise_result::given_up) {
+                        take_refusal(self.state);
+                    }
+                });
+            });
+        });
+    }
+
+    void ask_depositions(std::size_t index) {
+        process& self = *this->hosts[index].daemon;
+        for (auto& [id, lease] : self.state.watched) {
+            const host& owner = this->hosts[this->index_of(id)];
+            const bool suspected =
+                !owner.up || owner.frozen_until > this->now ||
+                (this->options.faults && this->chance(5));
+            if (id == this->hosts[index].id || !suspected ||
+                keys_of(self.state.map, id) == 0) {
+                continue;
+            }
+            for (const guardian_id& guard : lease.guardians) {
+                this->ask_deposition(index, id, guard.host, lease.version);
+            }
+        }
+    }
+
+    void ask_deposition(
+        std::size_t taker,
+        host_id holder,
+        host_id guard,
+        platform::row_version version
+    ) {
+        const std::uint64_t run = this->hosts[taker].run;
+        this->send([=, this] {
+            const std::size_t at = this->index_of(guard);
+            this->in_process(at, this->hosts[at].run, [=, this] {
+                host& one = this->hosts[at];
+                const bool agreed = agree_to_depose(
+                    one.daemon->promises, holder, version, this->clock(one)
+                );
+                if (!agreed) {
+                    return;
+                }
+                this->send([=, this] {
+                    this->in_process(taker, run, [=, this] {
+                        take_agreement(
+                            this->hosts[taker].daemon->state,
+                            guard,
+                            holder,
+                            version
+                        );
+                    });
+                });
+            });
+        });
+    }
+
+    void pump(std::size_t index) {
+        host& one = this->hosts[index];
+        process& self = *one.daemon;
+        const instant time = this->clock(one);
+        if (!self.reading &&
+            (self.state.needs_read || time - self.last_read > 1s)) {
+            this->read(index);
+        }
+        const takeover_view view = this->view_of(index);
+        retarget_releases(self.state, view);
+        const wanted_changes wanted =
+            plan_takeover(self.state, {}, view, time);
+        known_lives lives;
+        for (const member& other : view.members) {
+            lives.emplace(other.host, other.life);
+        }
+        if (this->options.faults && this->chance(2) &&
+            view.members.size() > 1 && self.state.releases.empty()) {
+            const auto kept = kept_ranges(self.state);
+            if (!kept.empty()) {
+                const std::size_t to = static_cast<std::size_t>(
+                    random_below(this->random, view.members.size())
+                );
+                if (view.members[to].host != one.id) {
+                    start_release(
+                        self.state, kept.front().keys, view.members[to].host
+                    );
+                }
+            }
+        }
+        auto work = next_transaction(self.state, wanted, lives, time);
+        if (!work) {
+            return;
+        }
+        if (this->options.ignores_map_condition) {
+            std::erase_if(
+                work->conditions,
+                [](const platform::condition& condition) {
+                    return condition.key == map_row(service);
+                }
+            );
+        }
+        this->result.depositions += wanted.voided.size();
+        this->submit(index, *work);
+    }
+
+    void submit(std::size_t index, const platform::transaction& work) {
+        const std::uint64_t run = this->hosts[index].run;
+        const bool answer_lost = this->options.faults && this->chance(10);
+        const duration effect = answer_lost && this->chance(50)
+                                    ? this->between(1s, 6s)
+                                    : this->between(1ms, 30ms);
+        const auto done = std::make_shared<platform::commit_result>();
+        this->after(effect, [this, work, done] {
+            if (!this->table_away) {
+                *done = commit(this->table, work);
+            }
+        });
+        const duration reply = answer_lost ? 1500ms : effect + 5ms;
+        this->after(reply, [=, this] {
+            this->in_process(index, run, [=, this] {
+                platform::commit_result told = *done;
+                if (answer_lost) {
+                    told = {platform::commit_status::unknown, {}};
+                }
+                take_result(this->hosts[index].daemon->state, told);
+            });
+        });
+    }
+
+    void read(std::size_t index) {
+        const std::uint64_t run = this->hosts[index].run;
+        this->hosts[index].daemon->reading = true;
+        this->after(this->between(1ms, 30ms), [=, this] {
+            platform::read_result read;
+            if (!this->table_away) {
+                read = read_prefix(this->table, "leases/");
+                const auto maps = read_prefix(this->table, "keys/");
+                read.rows.insert(
+                    read.rows.end(), maps.rows.begin(), maps.rows.end()
+                );
+            }
+            this->after(this->between(1ms, 30ms), [=, this] {
+                this->in_process(index, run, [=, this] {
+                    this->take_rows_read(index, read);
+                });
+            });
+        });
+    }
+
+    void
+    take_rows_read(std::size_t index, const platform::read_result& read) {
+        host& one = this->hosts[index];
+        process& self = *one.daemon;
+        self.reading = false;
+        self.last_read = this->clock(one);
+        if (read.answered && !self.state.in_flight) {
+            take_rows(self.state, read.rows, this->clock(one));
+        }
+    }
+
+    void start_server(std::size_t index) {
+        instance& server = this->hosts[index].server;
+        const auto born = (this->now - start_time) / 1ms + 1;
+        server = {};
+        server.life = {fmt::format("i-{}", index), born};
+        server.rate = 0.98 + 0.02 * static_cast<double>(
+                                        random_below(this->random, 100)
+                                    ) / 100;
+        this->beat_later(index, this->between(10ms, beat_interval), born);
+    }
+
+    void beat_later(std::size_t index, duration delay, std::int64_t born) {
+        this->after(delay, [this, index, born] {
+            instance& server = this->hosts[index].server;
+            if (!server.up || server.life.born_ms != born) {
+                return;
+            }
+            this->beat(index);
+            const bool releasing = !server.released.empty();
+            this->beat_later(index, releasing ? 100ms : beat_interval, born);
+        });
+    }
+
+    void beat(std::size_t index) {
+        instance& server = this->hosts[index].server;
+        this->expire(server);
+        heartbeat beat;
+        beat.service = service;
+        beat.life = server.life;
+        beat.sequence = ++server.sequence;
+        beat.slots = 14;
+        beat.holds = server.holds;
+        beat.released = server.released;
+        const instant sent = this->now;
+        const std::uint64_t run = this->hosts[index].run;
+        const duration delay =
+            this->options.faults && this->chance(3) ? 900ms : 1ms;
+        this->after(delay, [=, this] {
+            this->in_process(index, run, [=, this] {
+                host& one = this->hosts[index];
+                const heartbeat_answer answer = take_heartbeat(
+                    one.daemon->state, beat, this->clock(one)
+                );
+                this->send([=, this] {
+                    this->take_answer(index, beat, sent, answer);
+                });
+            });
+        });
+    }
+
+    void take_answer(
+        std::size_t index,
+        const heartbeat& beat,
+        instant sent,
+        const heartbeat_answer& answer
+    ) {
+        instance& server = this->hosts[index].server;
+        // Instances give up on answers after a second.
+        if (!server.up || server.life != beat.life ||
+            beat.sequence <= server.last_answered || this->now > sent + 1s) {
+            return;
+        }
+        server.last_answered = beat.sequence;
+        server.released.clear();
+        if (!answer.grants) {
+            return;
+        }
+        const std::vector<held_range> before = server.holds;
+        server.holds.clear();
+        for (const key_grant& one : answer.keys) {
+            server.holds.push_back({one.keys, one.fence});
+            this->check_fence(index, one);
+            ++this->result.grants;
+        }
+        server.hold_end = sent + scaled(answer.hold, 1.0 / server.rate);
+        for (const held_range& old : before) {
+            const bool kept = std::any_of(
+                server.holds.begin(),
+                server.holds.end(),
+                [&](const held_range& held) {
+                    return overlap(held.keys, old.keys);
+                }
+            );
+            if (!kept) {
+                server.released.push_back({old.keys, "handover"});
+            }
+        }
+        this->expire(server);
+    }
+
+    void expire(instance& server) const {
+        if (this->now >= server.hold_end) {
+            server.holds.clear();
+        }
+    }
+
+    /// A key goes to another instance under a higher token only.
+    void check_fence(std::size_t index, const key_grant& grant) {
+        for (key_number key = grant.keys.first; key <= grant.keys.last;
+             key += 512) {
+            auto& [fence, holder] = this->taken[key];
+            if (holder != index && grant.fence <= fence) {
+                this->broken(fmt::format(
+                    "key {} went to host {} under token {}, not above {}",
+                    key,
+                    index,
+                    grant.fence.value,
+                    fence.value
+                ));
+            }
+            fence = std::max(fence, grant.fence);
+            holder = index;
+        }
+    }
+
+    void broken(std::string what) {
+        if (!this->result.violation) {
+            this->result.violation = fmt::format(
+                "at {} ms: {}", (this->now - start_time) / 1ms, what
+            );
+        }
+    }
+
+    void check() {
+        std::uint64_t held = 0;
+        for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+            instance& one = this->hosts[i].server;
+            this->expire(one);
+            if (!one.up) {
+                continue;
+            }
+            for (const held_range& range : one.holds) {
+                held += size_of(range.keys);
+            }
+            for (std::size_t j = 0; j < i; ++j) {
+                this->check_pair(i, j);
+            }
+        }
+        this->divided = this->divided || held == key_count;
+        if (held == key_count || !this->divided) {
+            this->gap_since = this->now;
+            return;
+        }
+        const duration gap = this->now - this->gap_since;
+        this->result.longest_gap = std::max(this->result.longest_gap, gap);
+        if (this->now > start_time + this->options.length - 10s) {
+            this->result.last_gap = std::max(this->result.last_gap, gap);
+        }
+    }
+
+    void check_pair(std::size_t left, std::size_t right) {
+        const instance& other = this->hosts[right].server;
+        if (!other.up) {
+            return;
+        }
+        for (const held_range& a : this->hosts[left].server.holds) {
+            for (const held_range& b : other.holds) {
+                if (overlap(a.keys, b.keys)) {
+                    this->broken(fmt::format(
+                        "hosts {} and {} hold key {}",
+                        left,
+                        right,
+                        std::max(a.keys.first, b.keys.first)
+                    ));
+                }
+            }
+        }
+    }
+
+    void fault() {
+        const auto index = static_cast<std::size_t>(
+            random_below(this->random, this->hosts.size())
+        );
+        host& one = this->hosts[index];
+        switch (random_below(this->random, 6)) {
+        case 0:
+            one.frozen_until = this->now + this->between(100ms, 6s);
+            break;
+        case 1:
+            this->kill_daemon(index, this->between(300ms, 4s));
+            break;
+        case 2:
+            one.server.up = false;
+            this->after(this->between(200ms, 4s), [this, index] {
+                if (!this->hosts[index].lost) {
+                    this->start_server(index);
+                }
+            });
+            break;
+        case 3:
+            this->table_away = true;
+            this->after(this->between(500ms, 9s), [this] {
+                this->table_away = false;
+            });
+            break;
+        case 4:
+            for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+                this->kill_daemon(i, this->between(300ms, 2s));
+            }
+            break;
+        default:
+            break;
+        }
+    }
+
+    void kill_daemon(std::size_t index, duration down) {
+        host& one = this->hosts[index];
+        if (!one.up || one.lost) {
+            return;
+        }
+        one.up = false;
+        one.daemon.reset();
+        this->after(down, [this, index] {
+            if (!this->hosts[index].lost) {
+                this->start_daemon(index);
+            }
+        });
+    }
+
+    void lose(std::size_t index) {
+        host& one = this->hosts[index];
+        one.lost = true;
+        one.up = false;
+        one.server.up = false;
+        one.daemon.reset();
+    }
+
+    key_world_result run() {
+        for (std::size_t i = 0; i < host_count; ++i) {
+            host added;
+            added.id = host_id{i + 1};
+            added.rate = 0.99 + 0.02 * static_cast<double>(
+                                           random_below(this->random, 100)
+                                       ) / 100;
+            this->hosts.push_back(std::move(added));
+        }
+        for (std::size_t i = 0; i < host_count; ++i) {
+            this->start_daemon(i);
+            this->start_server(i);
+        }
+        const instant end = start_time + this->options.length;
+        if (this->options.faults) {
+            for (instant at = start_time + 5s; at < end - 15s;
+                 at += this->between(500ms, 4s)) {
+                this->events.emplace(at, [this] {
+                    this->fault();
+                });
+            }
+        }
+        for (std::uint32_t i = 0; i < this->options.lost_hosts; ++i) {
+            this->events.emplace(start_time + 20s, [this, i] {
+                this->lose(i);
+            });
+        }
+        if (this->options.table_outage > duration{0}) {
+            this->events.emplace(start_time + 30s, [this] {
+                this->table_away = true;
+            });
+            this->events.emplace(
+                start_time + 30s + this->options.table_outage,
+                [this] {
+                    this->table_away = false;
+                }
+            );
+        }
+        while (!this->events.empty() && !this->result.violation) {
+            const auto first = this->events.begin();
+            if (first->first > end) {
+                break;
+            }
+            this->now = first->first;
+            const std::function<void()> action = std::move(first->second);
+            this->events.erase(first);
+            action();
+            this->check();
+        }
+        return this->result;
+    }
+};
+
+} // namespace
+
+key_world_result run_key_world(const key_world_options& options) {
+    world simulated{options};
+    return simulated.run();
+}
+
+} // namespace apricotstile::tests
--- /dev/null
+++ b/tests/keys/takeover.tests.cpp
@@ -0,0 +1,116 @@
+// Division of keys, moves to newcomers and away from crowded instances.
+
+#include <apricotstile/keys/takeover.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace apricotstile;
+using namespace apricotstile::keys;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant start{24h};
+
+takeover_view members(std::size_t count) {
+    takeover_view view;
+    for (std::uint64_t i = 1; i <= count; ++i) {
+        view.members.push_back({host_id{i}, {"i", 1}, 0});
+    }
+    view.members_since = start;
+    return view;
+}
+
+keeper owner_among(std::size_t count) {
+    keeper state = make_keeper({}, host_id{1}, incarnation{1}, {"registry"});
+    state.rows_known = true;
+    const auto ranges = even_split(count);
+    std::vector<transfer> transfers;
+    for (std::size_t i = 0; i < count; ++i) {
+        transfers.push_back({ranges[i], host_id{i + 1}, {"i", 1}, ""});
+    }
+    apply_transfers(state.map, transfers);
+    return state;
+}
+
+} // namespace
+
+TEST_CASE(
+    "keys are divided once members have settled", "[keys][takeover]"
+) {
+    keeper state = make_keeper({}, host_id{1}, incarnation{1}, {"registry"});
+    state.rows_known = true;
+    const takeover_view view = members(3);
+    CHECK(plan_takeover(state, {}, view, start + 100ms).transfers.empty());
+    CHECK(plan_takeover(state, {}, view, start + 1s).transfers.size() == 3);
+}
+
+TEST_CASE("a newcomer gets its part from each owner", "[keys][takeover]") {
+    const keeper state = owner_among(3);
+    const auto next = plan_move(state, {}, members(4), {}, 0.1);
+    REQUIRE(next);
+    CHECK(next->target == host_id{4});
+    CHECK(size_of(next->keys) == key_count / 3 / 4);
+}
+
+TEST_CASE(
+    "a crowded instance's hot keys go to the least pressed one",
+    "[keys][takeover]"
+) {
+    const keeper state = owner_among(3);
+    takeover_view view = members(3);
+    view.members[1].pressure = 0.8;
+    view.members[2].pressure = 0.2;
+    key_load load;
+    for (key_number key = 100; key < 120; ++key) {
+        for (int i = 0; i < 50; ++i) {
+            count_key(load, key);
+        }
+    }
+    const auto next = plan_move(state, {}, view, load, 2.0);
+    REQUIRE(next);
+    CHECK(next->target == host_id{3});
+    CHECK(size_of(next->keys) < 20);
+    CHECK_FALSE(plan_move(state, {}, view, load, 0.5));
+}
+
+TEST_CASE("all keys of a leaving instance find others", "[keys][takeover]") {
+    const keeper state = owner_among(3);
+    std::uint64_t moved = 0;
+    for (const move& one : plan_departure(state, members(3))) {
+        CHECK(one.target != host_id{1});
+        moved += size_of(one.keys);
+    }
+    CHECK(moved == keys_of(state.map, host_id{1}));
+}
+
+TEST_CASE(
+    "owners are deposed by enough guardians only", "[keys][takeover]"
+) {
+    keeper state = owner_among(3);
+    state.watched[host_id{2}] = {
+        {7}, start, {{{1}, {1}}, {{3}, {1}}, {{4}, {1}}}, {}};
+    const takeover_view view = members(3);
+    take_agreement(state, host_id{3}, host_id{2}, {7});
+    CHECK(plan_takeover(state, {}, view, start + 1s).voided.empty());
+    take_agreement(state, host_id{4}, host_id{2}, {6});
+    CHECK(plan_takeover(state, {}, view, start + 1s).voided.empty());
+    take_agreement(state, host_id{4}, host_id{2}, {7});
+    const wanted_changes changes =
+        plan_takeover(state, {}, view, start + 1s);
+    REQUIRE(changes.voided == std::vector<host_id>{host_id{2}});
+    for (const transfer& one : changes.transfers) {
+        CHECK(one.owner != host_id{2});
+    }
+}
+
+TEST_CASE(
+    "leases don't run out while they can't be read", "[keys][takeover]"
+) {
+    keeper state = owner_among(2);
+    state.watched[host_id{2}] = {{7}, start, {}, {}};
+    state.last_reading = start + 1s;
+    CHECK(plan_takeover(state, {}, members(2), start + 60s).voided.empty());
+    state.last_reading = start + 59s;
+    CHECK(plan_takeover(state, {}, members(2), start + 60s).voided.size() == 1);
+}
--- /dev/null
+++ b/tests/router/frames.tests.cpp
@@ -0,0 +1,94 @@
+// Frames survive the link whole, whatever the pieces they arrive in, and
+// malformed bytes are refused.
+
+#include <apricotstile/core/random.hpp>
+#include <apricotstile/router/frames.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace apricotstile;
+using namespace apricotstile::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+request_frame example() {
+    request_frame result;
+    result.stream = stream_id{300};
+    result.request.service = name_hash("registry");
+    result.request.method = "GET";
+    result.request.target = "/a/b?c=d";
+    result.request.headers = {{"Host", "a.example"}, {"Cookie", "x=1"}};
+    result.request.body = std::string("\0\r\n", 3);
+    result.request.key = 65535;
+    result.request.nested = true;
+    result.request.priority = 2;
+    result.request.to_target = 250ms;
+    result.request.to_deadline = -5ms;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a request survives the link in any pieces", "[router][frames]") {
+    header_table sender;
+    const std::string bytes = to_bytes(example(), sender);
+    header_table receiver;
+    std::string received;
+    std::optional<frame> got;
+    for (const char byte : bytes) {
+        REQUIRE_FALSE(got);
+        received += byte;
+        got = take_frame(received, receiver);
+    }
+    REQUIRE(got);
+    const auto& back = std::get<request_frame>(*got);
+    CHECK(back.stream == stream_id{300});
+    CHECK(back.request.target == "/a/b?c=d");
+    CHECK(back.request.headers.at(1).value == "x=1");
+    CHECK(back.request.body == example().request.body);
+    CHECK(back.request.key == 65535U);
+    CHECK(back.request.nested);
+    CHECK(back.request.to_target == 250ms);
+    CHECK(back.request.to_deadline == 0ms);
+    CHECK(received.empty());
+}
+
+TEST_CASE("a repeated request takes few bytes", "[router][frames]") {
+    header_table sender;
+    const std::size_t first = to_bytes(example(), sender).size();
+    const std::size_t second = to_bytes(example(), sender).size();
+    CHECK(second + 20 < first);
+}
+
+TEST_CASE("control frames survive the link", "[router][frames]") {
+    header_table table;
+    std::string bytes =
+        to_bytes(deposition_reply{host_id{9}, {412}, true}, table) +
+        to_bytes(ping_frame{}, table) +
+        to_bytes(promise_request{{7}, {5}, 3}, table);
+    const auto reply = take_frame(bytes, table);
+    CHECK(std::get<deposition_reply>(*reply).holder == host_id{9});
+    CHECK(std::get<deposition_reply>(*reply).version.value == 412);
+    CHECK(std::holds_alternative<ping_frame>(*take_frame(bytes, table)));
+    CHECK(std::get<promise_request>(*take_frame(bytes, table)).sequence == 3);
+}
+
+TEST_CASE("changed bytes are refused or decoded, never worse", "[fuzz]") {
+    rc::prop("any bytes changed", [] {
+        header_table sender;
+        std::string bytes = to_bytes(example(), sender);
+        const auto changes = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < changes; ++i) {
+            const auto at = *rc::gen::inRange<std::size_t>(4, bytes.size());
+            bytes[at] = *rc::gen::arbitrary<char>();
+        }
+        header_table receiver;
+        try {
+            static_cast<void>(take_frame(bytes, receiver));
+        } catch (const decode_error&) {
+        }
+    });
+}
--- /dev/null
+++ b/tests/router/header_codec.tests.cpp
@@ -0,0 +1,67 @@
+// Both ends of a link agree on every header, and repeated ones cost little.
+
+#include <apricotstile/router/header_codec.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace apricotstile;
+using namespace apricotstile::router;
+
+namespace {
+
+bool same(
+    const std::vector<http::header>& left,
+    const std::vector<http::header>& right
+) {
+    return std::equal(
+        left.begin(),
+        left.end(),
+        right.begin(),
+        right.end(),
+        [](const http::header& a, const http::header& b) {
+            return a.name == b.name && a.value == b.value;
+        }
+    );
+}
+
+} // namespace
+
+TEST_CASE("decoding gives back what was encoded", "[router][headers]") {
+    rc::prop("any headers in any number of requests", [] {
+        header_table sender;
+        header_table receiver;
+        for (int i = 0; i < 100; ++i) {
+            std::vector<http::header> headers;
+            const auto count = *rc::gen::inRange(0, 6);
+            for (int j = 0; j < count; ++j) {
+                headers.push_back(
+                    {"name-" + std::to_string(*rc::gen::inRange(0, 80)),
+                     std::to_string(*rc::gen::inRange(0, 40))}
+                );
+            }
+            RC_ASSERT(same(
+                decode_headers(receiver, encode_headers(sender, headers)),
+                headers
+            ));
+        }
+    });
+}
+
+TEST_CASE("a header that returns is a pair of numbers", "[router][headers]") {
+    header_table table;
+    const std::vector<http::header> headers{{"User-Agent", "client/1"}};
+    static_cast<void>(encode_headers(table, headers));
+    const auto coded = encode_headers(table, headers);
+    CHECK(coded.front().name_number == 1);
+    CHECK(coded.front().value_number == 1);
+    CHECK(coded.front().value.empty());
+}
+
+TEST_CASE("numbers that weren't given are refused", "[router][headers]") {
+    header_table table;
+    CHECK_THROWS(decode_headers(table, {{3, "", 0, "x"}}));
+    static_cast<void>(decode_headers(table, {{0, "a", 0, "x"}}));
+    CHECK_THROWS(decode_headers(table, {{1, "", 9, ""}}));
+}
--- /dev/null
+++ b/tests/routing/route_table.tests.cpp
@@ -0,0 +1,52 @@
+// The route of a request and its service.
+
+#include <apricotstile/routing/route_table.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace apricotstile;
+using namespace apricotstile::routing;
+
+namespace {
+
+route named(std::string name, std::string host, std::string prefix) {
+    route result;
+    result.name = std::move(name);
+    result.host = std::move(host);
+    result.prefix = std::move(prefix);
+    result.services = {{{"registry"}, 1}};
+    return result;
+}
+
+std::string found(
+    const route_table& table, std::string_view host, std::string_view target
+) {
+    const route* const one = find_route(table, host, target);
+    return one == nullptr ? "none" : one->name;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes wins", "[routing]") {
+    routing_config config;
+    config.routes = {
+        named("short", "a.example", "/x/"),
+        named("long", "a.example", "/x/y/"),
+        named("other", "b.example", "/x/y/z/")};
+    const route_table table = make_route_table(config);
+    CHECK(found(table, "a.example", "/x/1") == "short");
+    CHECK(found(table, "a.example:80", "/x/y/1?q=/x/y/z/") == "long");
+    CHECK(found(table, "a.example", "/x/y") == "short");
+    CHECK(found(table, "a.example", "/x") == "none");
+    CHECK(found(table, "c.example", "/x/1") == "none");
+}
+
+TEST_CASE("shares of a route follow their weights", "[routing]") {
+    route where = named("r", "a.example", "/");
+    where.services = {{{"one"}, 90}, {{"two"}, 10}};
+    int second = 0;
+    for (int i = 0; i < 1000; ++i) {
+        second += choose_service(where, i / 1000.0) == service_id{"two"};
+    }
+    CHECK(second == 100);
+}
--- /dev/null
+++ b/tests/serving/instance_choice.tests.cpp
@@ -0,0 +1,117 @@
+// Which instance a request goes to, and the loads that the choice answers.
+
+#include <apricotstile/serving/instance_choice.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace apricotstile;
+using namespace apricotstile::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant start{24h};
+
+instance_view view_with(std::uint32_t running, duration service) {
+    instance_view view;
+    view.load = {14, running, 0, service};
+    view.told = start;
+    return view;
+}
+
+host_id choose(const std::vector<candidate>& candidates) {
+    random_source random{1};
+    const auto chosen =
+        choose_instance(candidates, {}, 250ms, start, random);
+    REQUIRE(chosen);
+    return *chosen;
+}
+
+} // namespace
+
+TEST_CASE("near instances are taken while they have room", "[choice]") {
+    const instance_view busy = view_with(12, 50ms);
+    const instance_view idle = view_with(0, 50ms);
+    CHECK(
+        choose(
+            {{host_id{1}, nearness::region, &busy},
+             {host_id{2}, nearness::elsewhere, &idle}}
+        ) == host_id{1}
+    );
+}
+
+TEST_CASE("a farther one relieves near ones that are full", "[choice]") {
+    instance_view full = view_with(14, 50ms);
+    full.load.waiting = 60;
+    const instance_view idle = view_with(0, 50ms);
+    CHECK(
+        choose(
+            {{host_id{1}, nearness::region, &full},
+             {host_id{2}, nearness::elsewhere, &idle}}
+        ) == host_id{2}
+    );
+}
+
+TEST_CASE("the faster of two instances gets more", "[choice]") {
+    const instance_view slow = view_with(3, 90ms);
+    const instance_view fast = view_with(3, 40ms);
+    CHECK(
+        choose(
+            {{host_id{1}, nearness::region, &slow},
+             {host_id{2}, nearness::region, &fast}}
+        ) == host_id{2}
+    );
+}
+
+TEST_CASE(
+    "a newcomer without a service time is chosen beside busy ones", "[choice]"
+) {
+    const instance_view known = view_with(5, 30ms);
+    const instance_view unknown = view_with(0, 0ms);
+    CHECK(
+        choose(
+            {{host_id{1}, nearness::region, &known},
+             {host_id{2}, nearness::region, &unknown}}
+        ) == host_id{2}
+    );
+}
+
+TEST_CASE("an instance that was slow is asked again", "[choice]") {
+    const instance_view usual = view_with(6, 30ms);
+    const instance_view other = view_with(6, 30ms);
+    instance_view once_slow = view_with(0, 400ms);
+    once_slow.told = start - 2s;
+    CHECK(
+        choose(
+            {{host_id{1}, nearness::region, &usual},
+             {host_id{2}, nearness::region, &other},
+             {host_id{3}, nearness::region, &once_slow}}
+        ) == host_id{3}
+    );
+}
+
+TEST_CASE("lost requests keep others away for a time", "[choice]") {
+    instance_view lossy = view_with(0, 30ms);
+    const instance_view usual = view_with(6, 30ms);
+    note_loss(lossy, {}, start);
+    CHECK(
+        choose(
+            {{host_id{1}, nearness::region, &lossy},
+             {host_id{2}, nearness::region, &usual}}
+        ) == host_id{2}
+    );
+    const instant first = lossy.avoided_until;
+    note_loss(lossy, {}, start);
+    CHECK(lossy.avoided_until > first);
+    CHECK(lossy.avoided_until <= start + choice_policy{}.longest_loss_pause);
+}
+
+TEST_CASE("where all are avoided, one is chosen all the same", "[choice]") {
+    instance_view lossy = view_with(0, 30ms);
+    note_loss(lossy, {}, start);
+    CHECK(
+        choose({{host_id{1}, nearness::region, &lossy}}) == host_id{1}
+    );
+}
--- /dev/null
+++ b/tests/serving/request_progress.tests.cpp
@@ -0,0 +1,115 @@
+// What becomes of a request after each attempt.
+
+#include <apricotstile/serving/request_progress.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace apricotstile;
+using namespace apricotstile::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant start{24h};
+
+request_progress request(bool idempotent, bool keyed = false) {
+    request_progress result;
+    result.idempotent = idempotent;
+    result.keyed = keyed;
+    result.max_instances = 2;
+    result.arrived = start;
+    result.target = start + 250ms;
+    result.deadline = start + 600ms;
+    return result;
+}
+
+next_step
+step(request_progress& state, attempt_outcome outcome, bool failed = false) {
+    attempt_end end;
+    end.outcome = outcome;
+    end.failed = failed;
+    return after(state, end, {}, start + 10ms, [] {
+        return true;
+    });
+}
+
+} // namespace
+
+TEST_CASE("an answer is passed on", "[serving][progress]") {
+    request_progress state = request(false);
+    CHECK(step(state, attempt_outcome::answered) == next_step::deliver);
+}
+
+TEST_CASE(
+    "a request that isn't idempotent goes to one instance", "[serving]"
+) {
+    request_progress state = request(false);
+    CHECK(step(state, attempt_outcome::lost) == next_step::fail);
+    state = request(false);
+    CHECK(
+        step(state, attempt_outcome::answered, true) == next_step::deliver
+    );
+    state = request(false);
+    CHECK(step(state, attempt_outcome::not_executed) == next_step::try_again);
+}
+
+TEST_CASE(
+    "an idempotent request is repeated within budget and instances",
+    "[serving][progress]"
+) {
+    request_progress state = request(true);
+    CHECK(step(state, attempt_outcome::lost) == next_step::try_again);
+    CHECK(step(state, attempt_outcome::lost) == next_step::fail);
+    state = request(true);
+    const attempt_end lost{attempt_outcome::lost, {}, false, {}};
+    CHECK(after(state, lost, {}, start, [] {
+              return false;
+          }) == next_step::fail);
+}
+
+TEST_CASE("a failure of a key's one owner isn't sent again", "[serving]") {
+    request_progress state = request(true, true);
+    CHECK(step(state, attempt_outcome::answered, true) == next_step::deliver);
+}
+
+TEST_CASE("a request for a key in motion waits a while", "[serving]") {
+    request_progress state = request(true, true);
+    CHECK(
+        step(state, attempt_outcome::refused_not_owner) == next_step::try_later
+    );
+    CHECK(step(state, attempt_outcome::refused_busy) == next_step::refuse);
+}
+
+TEST_CASE(
+    "what may have run is never called not run", "[serving][property]"
+) {
+    rc::prop("any ends of attempts", [] {
+        request_progress state =
+            request(*rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>());
+        bool ran = false;
+        int sent = 0;
+        for (int i = 0; i < 8; ++i) {
+            const auto outcome = static_cast<attempt_outcome>(
+                *rc::gen::inRange(0, 7)
+            );
+            const bool was_sent = outcome == attempt_outcome::answered ||
+                                  outcome == attempt_outcome::lost ||
+                                  outcome == attempt_outcome::timed_out;
+            sent += was_sent || outcome == attempt_outcome::not_executed;
+            const bool again_after_run = ran && was_sent;
+            RC_ASSERT(state.idempotent || !again_after_run);
+            ran = ran || was_sent;
+            const next_step next =
+                step(state, outcome, *rc::gen::arbitrary<bool>());
+            if (next == next_step::refuse) {
+                RC_ASSERT(!ran);
+            }
+            if (next != next_step::try_again && next != next_step::try_later) {
+                return;
+            }
+        }
+        RC_ASSERT(sent <= 2);
+    });
+}
--- /dev/null
+++ b/tests/serving/work_queue.tests.cpp
@@ -0,0 +1,198 @@
+// What starts, waits and is refused at one instance, and the loads that each
+// decision answers.
+
+#include <apricotstile/core/random.hpp>
+#include <apricotstile/serving/work_queue.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+
+using namespace apricotstile;
+using namespace apricotstile::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant start{24h};
+
+offered_work
+work(std::uint64_t id, std::uint32_t priority = 1, bool nested = false) {
+    return {
+        work_id{id}, nested, priority, start + 250ms, start + 600ms, 50ms};
+}
+
+work_queue open_queue(std::uint32_t slots) {
+    work_queue queue;
+    queue.policy.slots = slots;
+    queue.open = true;
+    return queue;
+}
+
+work_decision only(const std::vector<work_action>& actions) {
+    REQUIRE(actions.size() == 1);
+    return actions.front().decision;
+}
+
+/// Callers' work at a multiple of an instance's capacity, and how much of it
+/// ends within its target.
+struct overload {
+    double useful{0};
+    double late{0};
+    double refused{0};
+};
+
+/// `refuses`: as the policy says; else everything waits until its deadline.
+overload run_overload(double factor, bool refuses) {
+    constexpr int slots = 10;
+    constexpr duration service = 50ms;
+    constexpr int total = 4000;
+    work_queue queue = open_queue(slots);
+    queue.policy.max_waiting = refuses ? 256 : 100000;
+    const auto gap = std::chrono::duration_cast<duration>(
+        service / (slots * factor)
+    );
+    std::multimap<instant, work_id> ends;
+    std::unordered_map<work_id, offered_work> offered;
+    overload result;
+    const auto take = [&](const std::vector<work_action>& actions, instant at) {
+        for (const work_action& one : actions) {
+            if (one.decision == work_decision::start) {
+                ends.emplace(at + service, one.id);
+            } else {
+                result.refused += 1.0 / total;
+            }
+        }
+    };
+    const auto run_until = [&](instant until) {
+        while (!ends.empty() && ends.begin()->first <= until) {
+            const auto [at, id] = *ends.begin();
+            ends.erase(ends.begin());
+            const double part = 1.0 / total;
+            (at <= offered[id].target ? result.useful : result.late) +=
+                at <= offered[id].deadline ? part : 0;
+            take(finished(queue, id, at), at);
+        }
+    };
+    for (int i = 0; i < total; ++i) {
+        const instant now = start + gap * i;
+        run_until(now);
+        offered_work one = work(static_cast<std::uint64_t>(i + 1));
+        one.target = now + (refuses ? 250ms : 600ms);
+        one.deadline = now + 600ms;
+        offered[one.id] = one;
+        offered[one.id].target = now + 250ms;
+        take(offer(queue, one, now), now);
+    }
+    run_until(start + 1h);
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("work starts while slots are free", "[serving][queue]") {
+    work_queue queue = open_queue(2);
+    CHECK(only(offer(queue, work(1), start)) == work_decision::start);
+    CHECK(only(offer(queue, work(2), start)) == work_decision::start);
+    CHECK(offer(queue, work(3), start).empty());
+    CHECK(
+        only(finished(queue, work_id{1}, start + 10ms)) == work_decision::start
+    );
+}
+
+TEST_CASE(
+    "nested work starts before callers' work, urgent before the rest",
+    "[serving][queue]"
+) {
+    work_queue queue = open_queue(1);
+    static_cast<void>(offer(queue, work(1), start));
+    CHECK(offer(queue, work(2, 2), start).empty());
+    CHECK(offer(queue, work(3, 1), start).empty());
+    CHECK(offer(queue, work(4, 2, true), start).empty());
+    std::vector<std::uint64_t> order;
+    for (std::uint64_t last = 1; order.size() < 3;) {
+        const auto actions = finished(queue, work_id{last}, start + 1ms);
+        REQUIRE(actions.size() == 1);
+        last = actions.front().id.value;
+        order.push_back(last);
+    }
+    CHECK(order == std::vector<std::uint64_t>{4, 3, 2});
+}
+
+TEST_CASE(
+    "work that would end too late is refused at once, with a time to come back",
+    "[serving][queue]"
+) {
+    work_queue queue = open_queue(1);
+    static_cast<void>(offer(queue, work(1), start));
+    std::uint64_t id = 1;
+    std::vector<work_action> refused;
+    while (refused.empty() && id < 50) {
+        refused = offer(queue, work(++id), start);
+    }
+    CHECK(only(refused) == work_decision::refuse_busy);
+    CHECK(refused.front().retry_after > 100ms);
+    CHECK(queue.waiting.size() < 8);
+}
+
+TEST_CASE("a closed queue refuses what waits and what comes", "[serving]") {
+    work_queue queue = open_queue(1);
+    static_cast<void>(offer(queue, work(1), start));
+    static_cast<void>(offer(queue, work(2), start));
+    CHECK(only(close(queue)) == work_decision::refuse_closed);
+    CHECK(only(offer(queue, work(3), start)) == work_decision::refuse_closed);
+    CHECK(queue.running.size() == 1);
+}
+
+TEST_CASE("no work is lost or started twice", "[serving][queue][property]") {
+    rc::prop("any order of offers, ends and withdrawals", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        random_source random{seed};
+        work_queue queue = open_queue(3);
+        std::map<std::uint64_t, int> outcome;
+        instant now = start;
+        const auto take = [&](const std::vector<work_action>& actions) {
+            for (const work_action& one : actions) {
+                RC_ASSERT(++outcome[one.id.value] == 1);
+            }
+        };
+        std::uint64_t offered = 0;
+        for (int step = 0; step < 300; ++step) {
+            now += duration{
+                static_cast<duration::rep>(random_below(random, 20'000'000))};
+            const auto choice = random_below(random, 3);
+            if (choice == 0 && !queue.running.empty()) {
+                take(finished(queue, queue.running.begin()->first, now));
+            } else if (choice == 1 && !queue.places.empty() &&
+                       random_below(random, 4) == 0) {
+                const work_id id = queue.places.begin()->first;
+                RC_ASSERT(withdraw(queue, id));
+                ++outcome[id.value];
+            } else {
+                offered_work one = work(
+                    ++offered,
+                    static_cast<std::uint32_t>(random_below(random, 3))
+                );
+                one.target = now + 250ms;
+                one.deadline = now + 600ms;
+                take(offer(queue, one, now));
+            }
+            RC_ASSERT(queue.running.size() <= 3);
+            RC_ASSERT(queue.places.size() == queue.waiting.size());
+        }
+        RC_ASSERT(outcome.size() + queue.waiting.size() == offered);
+    });
+}
+
+TEST_CASE(
+    "under twice its capacity an instance's time goes to useful answers",
+    "[serving][queue][overload]"
+) {
+    const overload fifo = run_overload(2.0, false);
+    const overload shed = run_overload(2.0, true);
+    INFO("useful " << fifo.useful << " first-in-first-out, " << shed.useful);
+    CHECK(shed.useful > 0.45);
+    CHECK(shed.useful > 5 * fifo.useful);
+}
