--- a/apps/apricotctl/main.cpp
+++ b/apps/apricotctl/main.cpp
@@ -3,6 +3,7 @@
 // 3 another version came first, 4 not known whether applied, 5 members lag.
 
 #include <apricotstile/command/exchange.hpp>
+#include <apricotstile/command/log_commands.hpp>
 #include <apricotstile/command/plan_commands.hpp>
 #include <apricotstile/settings/daemon_settings.hpp>
 
@@ -18,6 +19,7 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <random>
 #include <string>
@@ -47,6 +49,9 @@
   apply CUSTOMERS PLANS --based-on VERSION [--wait SECONDS] [--id ID]
                         put the lists in force if VERSION still is
   status                print the version in force and the members that lag
+  explain ID [LOG...]   print a request's way from daemons' logs, or from
+                        standard input
+  reasons [LOG...]      sum up why requests were not answered
 
 )";
 
@@ -219,6 +224,39 @@
     return wait ? show(wait_in_force(what)) : exit;
 }
 
+/// Reports over the log files named, or over standard input.
+int report_on_logs(const invocation& what) {
+    const bool explains = what.command == "explain";
+    if (explains && what.arguments.empty()) {
+        throw options::error{"explain needs the request's id"};
+    }
+    std::vector<std::ifstream> files;
+    for (std::size_t i = explains ? 1 : 0; i < what.arguments.size(); ++i) {
+        files.emplace_back(what.arguments[i]);
+        if (!files.back()) {
+            throw options::error{"can't read " + what.arguments[i]};
+        }
+    }
+    std::vector<std::istream*> logs;
+    for (std::ifstream& file : files) {
+        logs.push_back(&file);
+    }
+    if (logs.empty()) {
+        logs.push_back(&std::cin);
+    }
+    const command::log_report report =
+        explains ? command::explain_request(what.arguments.front(), logs)
+                 : command::sum_up_reasons(logs);
+    fmt::print("{}", report.text);
+    fmt::print(
+        stderr,
+        "{} lines, {} lines of others passed over\n",
+        report.lines,
+        report.foreign_lines
+    );
+    return report.lines == 0 ? exit_refused : 0;
+}
+
 int run_plan_command(const invocation& what) {
     if (what.command == "check") {
         expect_files(what, 2);
@@ -240,6 +278,9 @@
 }
 
 int run(const invocation& what) {
+    if (what.command == "explain" || what.command == "reasons") {
+        return report_on_logs(what);
+    }
     if (what.command == "check-settings") {
         return check_settings(what);
     }
--- a/src/apricotstile/directory/entry.hpp
+++ b/src/apricotstile/directory/entry.hpp
@@ -20,7 +20,8 @@
     /// Unix milliseconds of its start, by its own clock.
     std::int64_t born_ms{0};
 
-    friend bool operator==(const instance_life&, const instance_life&) = default;
+    friend bool
+    operator==(const instance_life&, const instance_life&) = default;
 };
 
 enum class instance_state : std::uint8_t { absent, ready, draining };
--- a/src/apricotstile/http/message_reader.cpp
+++ b/src/apricotstile/http/message_reader.cpp
@@ -333,10 +333,9 @@
     bool close,
     bool head_only
 ) {
-    const auto reason =
-        view_of(beast_http::obsolete_reason(static_cast<beast_http::status>(
-            status
-        )));
+    const auto reason = view_of(
+        beast_http::obsolete_reason(static_cast<beast_http::status>(status))
+    );
     std::string result = fmt::format("HTTP/1.1 {} {}\r\n", status, reason);
     for (const header& one : headers) {
         fmt::format_to(
--- a/src/apricotstile/keys/guardian.hpp
+++ b/src/apricotstile/keys/guardian.hpp
@@ -30,6 +30,7 @@
         /// The newest version of its lease whose deposition was agreed to.
         platform::row_version given_up;
     };
+
     std::map<host_id, ward> wards;
 };
 
--- a/src/apricotstile/keys/keeper.cpp
+++ b/src/apricotstile/keys/keeper.cpp
@@ -73,21 +73,17 @@
 }
 
 std::set<guardian_id> all_guardians(const keeper& state) {
-    std::set<guardian_id> result{state.guardians.begin(), state.guardians.end()};
-    result.insert(
-        state.wanted_guardians.begin(), state.wanted_guardians.end()
-    );
+    std::set<guardian_id> result{
+        state.guardians.begin(), state.guardians.end()};
+    result.insert(state.wanted_guardians.begin(), state.wanted_guardians.end());
     for (const guardian_list& one : state.doubtful_guardians) {
         result.insert(one.begin(), one.end());
     }
     return result;
 }
 
-void take_promise(
-    keeper& state, const guardian_id& guardian, instant asked
-) {
-    instant& last =
-        state.promises.try_emplace(guardian, asked).first->second;
+void take_promise(keeper& state, const guardian_id& guardian, instant asked) {
+    instant& last = state.promises.try_emplace(guardian, asked).first->second;
     last = std::max(last, asked);
 }
 
--- a/src/apricotstile/keys/keeper.hpp
+++ b/src/apricotstile/keys/keeper.hpp
@@ -121,6 +121,7 @@
         guardian_list guardians;
         std::optional<key_map> new_map;
     };
+
     std::optional<pending> in_flight;
 };
 
@@ -201,9 +202,7 @@
 
 /// All rows of the service, or all of its leases.
 void take_rows(
-    keeper& state,
-    const std::vector<platform::row>& rows,
-    instant now
+    keeper& state, const std::vector<platform::row>& rows, instant now
 );
 
 /// The map's row, as a follower of the table gets it. Older ones are ignored.
--- a/src/apricotstile/keys/keeper_beats.cpp
+++ b/src/apricotstile/keys/keeper_beats.cpp
@@ -30,8 +30,7 @@
     state.life = life;
     state.granted.clear();
     for (release& one : state.releases) {
-        one.is_free =
-            one.is_free || owned_by_others(state.map, one.keys, life);
+        one.is_free = one.is_free || owned_by_others(state.map, one.keys, life);
     }
 }
 
@@ -111,8 +110,8 @@
         take_released(state, released);
     }
     for (release& one : state.releases) {
-        one.is_free = one.is_free ||
-                      (!is_held(beat, one.keys) && was_given_up(state, one, now));
+        one.is_free = one.is_free || (!is_held(beat, one.keys) &&
+                                      was_given_up(state, one, now));
     }
     heartbeat_answer answer;
     const duration hold = hold_within_lease(state, now);
@@ -135,7 +134,8 @@
     }
     state.held_until = std::max(
         state.held_until,
-        now + scaled(hold, 1.0 + state.policy.lease.clock_drift) + state.policy.lease.margin
+        now + scaled(hold, 1.0 + state.policy.lease.clock_drift) +
+            state.policy.lease.margin
     );
     return answer;
 }
--- a/src/apricotstile/keys/keeper_store.cpp
+++ b/src/apricotstile/keys/keeper_store.cpp
@@ -135,9 +135,9 @@
     }
     for (const host_id host : wanted.voided) {
         const auto watched = state.watched.find(host);
-        const platform::row_version version =
-            watched == state.watched.end() ? platform::row_version{}
-                                           : watched->second.version;
+        const platform::row_version version = watched == state.watched.end()
+                                                  ? platform::row_version{}
+                                                  : watched->second.version;
         work.conditions.push_back({lease_row(state.service, host), version});
         work.mutations.push_back(
             {lease_row(state.service, host), encode(lease_record{})}
@@ -265,9 +265,7 @@
 }
 
 void take_rows(
-    keeper& state,
-    const std::vector<platform::row>& rows,
-    instant now
+    keeper& state, const std::vector<platform::row>& rows, instant now
 ) {
     if (now - state.last_reading > state.policy.reading_gap) {
         state.grace_until = now + state.policy.confirm_grace;
--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -110,8 +110,7 @@
 const member* newcomer(const keeper& state, const takeover_view& view) {
     const std::uint64_t even = key_count / view.members.size();
     for (const member& one : view.members) {
-        if (one.host != state.self &&
-            keys_of(state.map, one.host) < even / 2) {
+        if (one.host != state.self && keys_of(state.map, one.host) < even / 2) {
             return &one;
         }
     }
@@ -144,8 +143,7 @@
     return key_range{largest->keys.last - part + 1, largest->keys.last};
 }
 
-const member*
-least_pressed(const takeover_view& view, host_id self) {
+const member* least_pressed(const takeover_view& view, host_id self) {
     const member* best = nullptr;
     for (const member& one : view.members) {
         if (one.host != self &&
@@ -156,6 +154,60 @@
     return best;
 }
 
+/// A member with room whose instance is much faster than this daemon's, while
+/// that one still has a good share of the keys.
+const member* much_faster(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view
+) {
+    const auto self = std::find_if(
+        view.members.begin(),
+        view.members.end(),
+        [&](const member& one) {
+            return one.host == state.self;
+        }
+    );
+    const auto least_keys = static_cast<std::uint64_t>(
+        policy.slow_share * key_count / static_cast<double>(view.members.size())
+    );
+    if (self == view.members.end() || self->mean_service == duration{0} ||
+        keys_of(state.map, state.self) <= least_keys) {
+        return nullptr;
+    }
+    const member* best = nullptr;
+    for (const member& one : view.members) {
+        const bool is_faster =
+            one.mean_service > duration{0} &&
+            scaled(one.mean_service, policy.slow_factor) < self->mean_service;
+        if (is_faster && one.pressure < policy.roomy_pressure &&
+            (best == nullptr || one.pressure < best->pressure)) {
+            best = &one;
+        }
+    }
+    return best;
+}
+
+/// Keys that carry `part` of this daemon's load, for `target`.
+std::optional<move> part_of_load(
+    const keeper& state, const key_load& load, double part, host_id target
+) {
+    constexpr double least = 0.8;
+    constexpr double most = 1.3;
+    std::vector<key_range> ranges;
+    double total = 0;
+    for (const owned_range& one : kept_ranges(state)) {
+        ranges.push_back(one.keys);
+        total += load_of(load, one.keys);
+    }
+    const auto keys =
+        keys_with_load(load, ranges, total * part * least, total * part * most);
+    if (!keys) {
+        return std::nullopt;
+    }
+    return move{*keys, target};
+}
+
 } // namespace
 
 wanted_changes plan_takeover(
@@ -177,22 +229,19 @@
         }
         return result;
     }
-    const std::vector<host_id> ended =
-        ended_owners(state, policy, view, now);
+    const std::vector<host_id> ended = ended_owners(state, policy, view, now);
     even_receivers receivers{state, others(view, ended)};
     if (ended.empty() || receivers.empty()) {
         return result;
     }
     result.voided = ended;
     for (const owned_range& one : state.map.ranges) {
-        if (std::find(ended.begin(), ended.end(), one.owner) ==
-            ended.end()) {
+        if (std::find(ended.begin(), ended.end(), one.owner) == ended.end()) {
             continue;
         }
         for (const key_range& piece : receivers.pieces(one.keys)) {
             const member& receiver = receivers.next(size_of(piece));
-            result.transfers.push_back(
-                {piece, receiver.host, receiver.life, {}}
+            result.transfers.push_back({piece, receiver.host, receiver.life, {}}
             );
         }
     }
@@ -216,23 +265,16 @@
         }
     }
     const member* const target = least_pressed(view, state.self);
-    if (pressure < policy.crowded_pressure ||
-        target->pressure > pressure * policy.relief) {
-        return std::nullopt;
+    if (pressure >= policy.crowded_pressure &&
+        target->pressure <= pressure * policy.relief) {
+        const double part = (pressure - target->pressure) / (2 * pressure);
+        return part_of_load(state, load, part, target->host);
     }
-    std::vector<key_range> ranges;
-    double total = 0;
-    for (const owned_range& one : kept_ranges(state)) {
-        ranges.push_back(one.keys);
-        total += load_of(load, one.keys);
-    }
-    const double part = (pressure - target->pressure) / (2 * pressure);
-    const auto keys =
-        keys_with_load(load, ranges, total * part * 0.8, total * part * 1.3);
-    if (!keys) {
-        return std::nullopt;
+    const member* const faster = much_faster(state, policy, view);
+    if (faster != nullptr) {
+        return part_of_load(state, load, policy.slow_part, faster->host);
     }
-    return move{*keys, target->host};
+    return std::nullopt;
 }
 
 std::vector<move>
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -15,6 +15,8 @@
     directory::instance_life life;
     /// Work at its instance for each slot, as last told.
     double pressure{0};
+    /// Mean time of its instance for a request; zero while unknown.
+    duration mean_service{0};
 };
 
 struct takeover_policy {
@@ -27,6 +29,14 @@
     double crowded_pressure{0.9};
     /// They move to one that has less than this part of it.
     double relief{0.6};
+    /// An instance this many times slower than another, which has room, gives
+    /// keys away until it has this part of an even share.
+    double slow_factor{1.5};
+    double slow_share{0.5};
+    /// Keys go to a faster instance below this pressure only.
+    double roomy_pressure{0.6};
+    /// The part of its load that a slow instance gives away at a time.
+    double slow_part{0.25};
 };
 
 /// Who takes part, as one daemon sees it.
--- a/src/apricotstile/log/logger.cpp
+++ b/src/apricotstile/log/logger.cpp
@@ -20,6 +20,11 @@
 namespace {
 
 constexpr std::size_t max_waiting_lines = 8192;
+/// Lines below a warning in one second; what is beyond is left out and
+/// counted, so that failures are kept before successes.
+constexpr std::uint32_t max_minor_lines = 200;
+/// All lines in one second.
+constexpr std::uint32_t max_lines = 1000;
 
 struct log_queue {
     std::mutex mutex;
@@ -29,6 +34,10 @@
     bool has_writer{false};
     bool stopping{false};
     std::thread writer;
+    /// The second that `lines_in_second` counts, guarded by `mutex`.
+    std::int64_t second{0};
+    std::uint32_t lines_in_second{0};
+    std::uint32_t left_out{0};
     std::atomic<level> lowest{level::info};
     std::atomic<std::uint64_t> dropped{0};
 };
@@ -78,7 +87,36 @@
 }
 
 void print(const std::string& line) {
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    std::fwrite(line.data(), 1, line.size(), stdout);
+}
+
+/// Counts a line and tells whether it is to be written. Appends a line about
+/// those that were left out to `notice` at the turn of a second.
+bool admit(log_queue& shared, level severity, std::string& notice) {
+    const auto now = std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::steady_clock::now().time_since_epoch()
+    );
+    if (now.count() != shared.second) {
+        if (shared.left_out > 0) {
+            notice = fmt::format(
+                "{} warning [log] Lines were left out. count={}\n",
+                timestamp(),
+                shared.left_out
+            );
+        }
+        shared.second = now.count();
+        shared.lines_in_second = 0;
+        shared.left_out = 0;
+    }
+    const std::uint32_t most =
+        severity < level::warning ? max_minor_lines : max_lines;
+    if (shared.lines_in_second >= most) {
+        ++shared.left_out;
+        shared.dropped.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+    ++shared.lines_in_second;
+    return true;
 }
 
 void run_writer() {
@@ -95,6 +133,7 @@
         for (const std::string& line : batch) {
             print(line);
         }
+        std::fflush(stdout);
         lock.lock();
         if (last && shared.lines.empty()) {
             return;
@@ -135,6 +174,11 @@
     line += '\n';
     {
         const std::lock_guard lock{shared.mutex};
+        std::string notice;
+        if (!admit(shared, severity, notice)) {
+            return;
+        }
+        line = notice + line;
         if (!shared.has_writer) {
             print(line);
             return;
--- a/src/apricotstile/log/logger.hpp
+++ b/src/apricotstile/log/logger.hpp
@@ -1,4 +1,4 @@
-// Structured log lines on standard error: a level, the part's fixed prefix, a
+// Structured log lines on standard output: a level, the part's fixed prefix, a
 // short sentence and key=value fields.
 
 #ifndef APRICOTSTILE_LOG_LOGGER_HPP
@@ -25,7 +25,8 @@
 /// Writes one line, for example
 /// `2026-12-03T10:00:00.000Z info [lease] Lease renewed. host=1 left_ms=900`.
 /// Values with spaces or quotes are quoted. Safe from any thread; a line is
-/// dropped and counted when the writer can't keep up.
+/// dropped and counted when the writer can't keep up, or when a second has
+/// had its number of them.
 void write(
     level severity,
     std::string_view prefix,
@@ -36,7 +37,7 @@
 /// How many lines were dropped so far.
 [[nodiscard]] std::uint64_t dropped_lines();
 
-/// Runs the thread that writes lines to standard error for as long as it
+/// Runs the thread that writes lines to standard output for as long as it
 /// lives. Lines written while none lives go out at once.
 class writer_thread {
 public:
--- a/src/apricotstile/net/acceptor.cpp
+++ b/src/apricotstile/net/acceptor.cpp
@@ -30,14 +30,13 @@
         this->descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse
     );
     const sockaddr_in local = internal::to_socket_address(where);
-    const bool listens =
-        this->descriptor >= 0 &&
-        bind(
-            this->descriptor,
-            reinterpret_cast<const sockaddr*>(&local),
-            sizeof local
-        ) == 0 &&
-        listen(this->descriptor, backlog) == 0;
+    const bool listens = this->descriptor >= 0 &&
+                         bind(
+                             this->descriptor,
+                             reinterpret_cast<const sockaddr*>(&local),
+                             sizeof local
+                         ) == 0 &&
+                         listen(this->descriptor, backlog) == 0;
     if (!listens) {
         const std::string reason = std::strerror(errno);
         if (this->descriptor >= 0) {
--- a/src/apricotstile/net/internal/socket_options.cpp
+++ b/src/apricotstile/net/internal/socket_options.cpp
@@ -17,8 +17,7 @@
 
 void set_option(int descriptor, int level, int name, int value) {
     // A platform without one of these options only finds losses later.
-    static_cast<void>(
-        setsockopt(descriptor, level, name, &value, sizeof value)
+    static_cast<void>(setsockopt(descriptor, level, name, &value, sizeof value)
     );
 }
 
--- a/src/apricotstile/net/stream.cpp
+++ b/src/apricotstile/net/stream.cpp
@@ -148,9 +148,7 @@
     if (!this->self->open) {
         int error = 0;
         socklen_t size = sizeof error;
-        getsockopt(
-            this->self->descriptor, SOL_SOCKET, SO_ERROR, &error, &size
-        );
+        getsockopt(this->self->descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
         if (error != 0) {
             this->end(stream_end::not_opened);
             return;
--- a/src/apricotstile/platform/shared_table.hpp
+++ b/src/apricotstile/platform/shared_table.hpp
@@ -35,8 +35,7 @@
     virtual void read(const std::string& scope, read_handler done) = 0;
     /// Gives all rows of `table`, then each change, for as long as this lives.
     /// A row may be given again.
-    virtual void
-    follow(const std::string& table, change_handler on_change) = 0;
+    virtual void follow(const std::string& table, change_handler on_change) = 0;
 };
 
 } // namespace apricotstile::platform
--- a/src/apricotstile/router/caller_connection.hpp
+++ b/src/apricotstile/router/caller_connection.hpp
@@ -49,9 +49,8 @@
     /// Closes it while it is idle, or with its next answer.
     void close_when_idle();
     /// Closes it where a limit on time has passed.
-    void check_times(
-        instant now, duration header_timeout, duration idle_timeout
-    );
+    void
+    check_times(instant now, duration header_timeout, duration idle_timeout);
     void set_limits(http::request_limits limits);
 
     [[nodiscard]] bool is_idle() const;
--- a/src/apricotstile/router/compact_codec.hpp
+++ b/src/apricotstile/router/compact_codec.hpp
@@ -102,8 +102,7 @@
 
 /// Throws `decode_error` for bytes that don't hold a `Value`.
 template <class Value, class Context>
-[[nodiscard]] Value
-decode_compact(const std::string& bytes, Context& context) {
+[[nodiscard]] Value decode_compact(const std::string& bytes, Context& context) {
     std::istringstream stream{bytes, std::ios::binary};
     Value value{};
     try {
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -191,17 +191,16 @@
     return bytes;
 }
 
-std::optional<frame>
-take_frame(std::string& received, header_table& headers) {
+std::optional<frame> take_frame(std::string& received, header_table& headers) {
     if (received.size() < length_bytes) {
         return std::nullopt;
     }
     std::size_t length = 0;
     for (std::size_t index = 0; index < length_bytes; ++index) {
-        length |= static_cast<std::size_t>(
-                      static_cast<unsigned char>(received[index])
-                  )
-                  << (index * byte_bits);
+        length |=
+            static_cast<std::size_t>(static_cast<unsigned char>(received[index])
+            )
+            << (index * byte_bits);
     }
     if (length == 0 || length > max_frame_length) {
         throw decode_error{"a frame has an invalid length"};
@@ -210,8 +209,7 @@
         return std::nullopt;
     }
     const auto kind = static_cast<unsigned char>(received[length_bytes]);
-    const std::string payload =
-        received.substr(length_bytes + 1, length - 1);
+    const std::string payload = received.substr(length_bytes + 1, length - 1);
     received.erase(0, length_bytes + length);
     return decode_kind(kind, payload, headers);
 }
--- a/src/apricotstile/router/header_codec.cpp
+++ b/src/apricotstile/router/header_codec.cpp
@@ -76,9 +76,8 @@
 
 } // namespace
 
-std::vector<coded_header> encode_headers(
-    header_table& table, const std::vector<http::header>& headers
-) {
+std::vector<coded_header>
+encode_headers(header_table& table, const std::vector<http::header>& headers) {
     std::vector<coded_header> result;
     result.reserve(headers.size());
     for (const http::header& one : headers) {
@@ -87,9 +86,8 @@
     return result;
 }
 
-std::vector<http::header> decode_headers(
-    header_table& table, const std::vector<coded_header>& coded
-) {
+std::vector<http::header>
+decode_headers(header_table& table, const std::vector<coded_header>& coded) {
     std::vector<http::header> result;
     result.reserve(coded.size());
     for (const coded_header& one : coded) {
--- a/src/apricotstile/router/header_codec.hpp
+++ b/src/apricotstile/router/header_codec.hpp
@@ -22,6 +22,7 @@
         /// Values that were sent in full.
         std::uint32_t misses{0};
     };
+
     /// A header's number is its place plus one.
     std::vector<remembered_name> names;
     /// Places by name, for the sending end.
@@ -40,15 +41,13 @@
 };
 
 /// Codes `headers` and remembers them.
-[[nodiscard]] std::vector<coded_header> encode_headers(
-    header_table& table, const std::vector<http::header>& headers
-);
+[[nodiscard]] std::vector<coded_header>
+encode_headers(header_table& table, const std::vector<http::header>& headers);
 
 /// Decodes what `encode_headers` made with a table in the same state. Throws
 /// `decode_error` for numbers that weren't given.
-[[nodiscard]] std::vector<http::header> decode_headers(
-    header_table& table, const std::vector<coded_header>& coded
-);
+[[nodiscard]] std::vector<http::header>
+decode_headers(header_table& table, const std::vector<coded_header>& coded);
 
 } // namespace apricotstile::router
 
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -40,9 +40,7 @@
 }
 
 std::string seconds_text(duration value) {
-    return fmt::format(
-        "{:.3f}", std::chrono::duration<double>(value).count()
-    );
+    return fmt::format("{:.3f}", std::chrono::duration<double>(value).count());
 }
 
 std::string millis_text(duration value) {
@@ -57,28 +55,7 @@
 
 http::request_limits limits_of(const routing::caller_limits& limits) {
     constexpr std::uint64_t most_body_bytes = 16U << 20U;
-    return {
-        limits.header_bytes, std::min(limits.body_bytes, most_body_bytes)};
-}
-
-std::string_view name_of(serving::attempt_outcome outcome) {
-    switch (outcome) {
-    case serving::attempt_outcome::answered:
-        return "answered";
-    case serving::attempt_outcome::not_executed:
-        return "not_executed";
-    case serving::attempt_outcome::refused_busy:
-        return "refused_busy";
-    case serving::attempt_outcome::refused_closed:
-        return "refused_closed";
-    case serving::attempt_outcome::refused_not_owner:
-        return "refused_not_owner";
-    case serving::attempt_outcome::lost:
-        return "lost";
-    case serving::attempt_outcome::timed_out:
-        return "timed_out";
-    }
-    return "unknown";
+    return {limits.header_bytes, std::min(limits.body_bytes, most_body_bytes)};
 }
 
 } // namespace
@@ -110,26 +87,24 @@
     ingress_surroundings surroundings
 )
     : timers(timers), around(std::move(surroundings)),
-      random(this->around.self.value ^
-             static_cast<std::uint64_t>(
-                 boot_clock::now().time_since_epoch().count()
-             )) {
-    this->events.on_request = [this](
-                                  caller_id caller,
-                                  http::received_request&& request
-                              ) {
-        this->take_request(caller, std::move(request));
-    };
+      random(
+          this->around.self.value ^
+          static_cast<std::uint64_t>(boot_clock::now().time_since_epoch().count(
+          ))
+      ) {
+    this->events.on_request =
+        [this](caller_id caller, http::received_request&& request) {
+            this->take_request(caller, std::move(request));
+        };
     this->events.on_gone = [this](caller_id caller) {
         this->caller_gone(caller);
     };
-    this->listener =
-        std::make_unique<net::acceptor>(
-            listen,
-            [this](int descriptor, const address& peer) {
-                this->accepted(descriptor, peer);
-            }
-        );
+    this->listener = std::make_unique<net::acceptor>(
+        listen,
+        [this](int descriptor, const address& peer) {
+            this->accepted(descriptor, peer);
+        }
+    );
     this->timers.every(scan_interval, [this] {
         if (!this->table) {
             return;
@@ -187,9 +162,7 @@
     }
 }
 
-void ingress::take_request(
-    caller_id caller, http::received_request&& request
-) {
+void ingress::take_request(caller_id caller, http::received_request&& request) {
     ++this->counted.requests;
     if (!this->table) {
         this->refuse_unrouted(
@@ -235,8 +208,8 @@
     item.progress.deadline = now + std::min(caller_left, where->timeout);
     item.received = std::move(request);
     const auto service = this->table->config.services.find(item.service);
-    const bool keyed = service != this->table->config.services.end() &&
-                       service->second.keyed;
+    const bool keyed =
+        service != this->table->config.services.end() && service->second.keyed;
     if (keyed) {
         const auto key =
             number_in(http::header_value(item.received.headers, names.key));
@@ -285,9 +258,7 @@
             continue;
         }
         candidates.push_back(
-            {one->host,
-             this->distance_to(one->where),
-             &this->views[one->host]}
+            {one->host, this->distance_to(one->where), &this->views[one->host]}
         );
     }
     return serving::choose_instance(
@@ -330,9 +301,8 @@
     const std::uint64_t number = ++request.attempt;
     if (!host) {
         routed_response none;
-        none.outcome = request.key
-                           ? serving::attempt_outcome::refused_not_owner
-                           : serving::attempt_outcome::refused_closed;
+        none.outcome = request.key ? serving::attempt_outcome::refused_not_owner
+                                   : serving::attempt_outcome::refused_closed;
         request.progress.refusals = this->progress.max_refusals;
         this->attempt_ended(caller, number, host_id{}, std::move(none));
         return;
@@ -395,22 +365,17 @@
         "{}{}:{}",
         request.trail.empty() ? "" : ",",
         host_text(host),
-        name_of(response.outcome)
+        serving::name_of(response.outcome)
     );
     serving::attempt_end end;
     end.outcome = response.outcome;
     end.host = host;
     end.failed = response.status >= first_server_error;
     end.retry_after = response.retry_after;
-    const serving::next_step step = serving::after(
-        request.progress,
-        end,
-        this->progress,
-        now,
-        [&] {
+    const serving::next_step step =
+        serving::after(request.progress, end, this->progress, now, [&] {
             return this->may_repeat(request);
-        }
-    );
+        });
     this->perform(request, step, std::move(response));
 }
 
@@ -438,22 +403,17 @@
         break;
     case serving::next_step::try_later:
         request.progress.tried.clear();
-        request.pause_timer = this->timers.after(
-            this->progress.key_move_pause,
-            [this, caller] {
+        request.pause_timer =
+            this->timers.after(this->progress.key_move_pause, [this, caller] {
                 const auto found = this->requests.find(caller);
                 if (found != this->requests.end()) {
                     this->attempt(*found->second);
                 }
-            }
-        );
+            });
         break;
     case serving::next_step::refuse:
         this->answer_own(
-            request,
-            status_unavailable,
-            "not_run",
-            request.progress.retry_after
+            request, status_unavailable, "not_run", request.progress.retry_after
         );
         break;
     case serving::next_step::fail:
@@ -632,9 +592,7 @@
             continue;
         }
         found->second->cancel();
-        this->attempt_ended(
-            caller, number, host, routed_response{}
-        );
+        this->attempt_ended(caller, number, host, routed_response{});
     }
 }
 
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -47,8 +47,8 @@
     using response_handler = std::function<void(routed_response&&)>;
     /// Hands a request to the daemon of a host, this one included; returns
     /// what cancels it.
-    std::function<std::function<
-        void()>(host_id, routed_request&&, response_handler)>
+    std::function<
+        std::function<void()>(host_id, routed_request&&, response_handler)>
         hand_over;
 };
 
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -78,6 +78,9 @@
     this->timers.every(balance_interval, [this] {
         this->balance();
     });
+    this->timers.after(0ms, [this] {
+        this->ask_promises();
+    });
     this->read_rows();
 }
 
@@ -93,6 +96,9 @@
     if (!had_lease && keys::has_lease(this->keeper, now)) {
         log::write(log::level::info, log_prefix, "Lease acquired.");
     }
+    if (new_life) {
+        this->ask_promises();
+    }
     this->pump();
     return answer;
 }
@@ -103,7 +109,8 @@
     }
     this->departing = true;
     this->release(
-        keys::plan_departure(this->keeper, this->around.view()), "instance leaves"
+        keys::plan_departure(this->keeper, this->around.view()),
+        "instance leaves"
     );
 }
 
@@ -155,9 +162,8 @@
     keys::retarget_releases(this->keeper, view);
     const keys::wanted_changes wanted =
         keys::plan_takeover(this->keeper, this->policy, view, now);
-    const auto work = keys::next_transaction(
-        this->keeper, wanted, lives_of(view), now
-    );
+    const auto work =
+        keys::next_transaction(this->keeper, wanted, lives_of(view), now);
     if (!work) {
         return;
     }
@@ -174,21 +180,18 @@
 
 void key_desk::submit(const platform::transaction& work) {
     this->table.submit(work, [this](const platform::commit_result& result) {
-        const bool had_lease =
-            keys::has_lease(this->keeper, boot_clock::now());
+        const bool had_lease = keys::has_lease(this->keeper, boot_clock::now());
         keys::take_result(this->keeper, result);
         if (result.status != platform::commit_status::committed) {
             log::write(
                 log::level::warning,
                 log_prefix,
                 "Change of leases or owners was not committed.",
-                {{"status",
-                  std::to_string(static_cast<int>(result.status))}}
+                {{"status", std::to_string(static_cast<int>(result.status))}}
             );
-            this->retry_at =
-                result.status == platform::commit_status::conflict
-                    ? instant{}
-                    : boot_clock::now() + failed_call_pause;
+            this->retry_at = result.status == platform::commit_status::conflict
+                                 ? instant{}
+                                 : boot_clock::now() + failed_call_pause;
         }
         if (!had_lease && keys::has_lease(this->keeper, boot_clock::now())) {
             log::write(log::level::info, log_prefix, "Lease acquired.");
@@ -215,9 +218,7 @@
             }
             this->table.read(
                 "keys/" + service,
-                [this, rows = leases.rows](
-                    const platform::read_result& maps
-                ) {
+                [this, rows = leases.rows](const platform::read_result& maps) {
                     this->reading = false;
                     if (!maps.answered) {
                         this->retry_at = boot_clock::now() + failed_call_pause;
@@ -226,9 +227,7 @@
                     std::vector<platform::row> all = rows;
                     all.insert(all.end(), maps.rows.begin(), maps.rows.end());
                     try {
-                        keys::take_rows(
-                            this->keeper, all, boot_clock::now()
-                        );
+                        keys::take_rows(this->keeper, all, boot_clock::now());
                     } catch (const decode_error& error) {
                         log::write(
                             log::level::error,
@@ -267,9 +266,7 @@
                 return;
             }
             try {
-                keys::take_rows(
-                    this->keeper, leases.rows, boot_clock::now()
-                );
+                keys::take_rows(this->keeper, leases.rows, boot_clock::now());
             } catch (const decode_error& error) {
                 log::write(
                     log::level::error,
@@ -306,9 +303,8 @@
             this->unreached.try_emplace(one.host, now);
         }
         const bool is_kept =
-            is_reached ||
-            (!has_another_run(one) &&
-             now - this->unreached[one.host] < guardian_patience);
+            is_reached || (!has_another_run(one) &&
+                           now - this->unreached[one.host] < guardian_patience);
         if (is_kept) {
             chosen.push_back(one);
         }
@@ -362,7 +358,8 @@
             log::write(
                 log::level::warning,
                 log_prefix,
-                "Owner isn't reached; its guardians are asked to end its lease.",
+                "Owner isn't reached; its guardians are asked to end its "
+                "lease.",
                 {{"owner", text_of(host)},
                  {"lease", std::to_string(lease.version.value)},
                  {"guardians", text_of(lease.guardians)}}
@@ -422,8 +419,8 @@
 
 void key_desk::balance() {
     keys::decay(this->load);
-    this->mean_pressure += pressure_smoothing *
-                           (this->around.pressure() - this->mean_pressure);
+    this->mean_pressure +=
+        pressure_smoothing * (this->around.pressure() - this->mean_pressure);
     const instant now = boot_clock::now();
     if (this->departing || !this->keeper.life ||
         !keys::has_lease(this->keeper, now) ||
@@ -431,7 +428,10 @@
         return;
     }
     const auto next = keys::plan_move(
-        this->keeper, this->policy, this->around.view(), this->load,
+        this->keeper,
+        this->policy,
+        this->around.view(),
+        this->load,
         this->mean_pressure
     );
     if (next) {
@@ -440,9 +440,7 @@
     }
 }
 
-void key_desk::release(
-    const std::vector<keys::move>& moves, const char* why
-) {
+void key_desk::release(const std::vector<keys::move>& moves, const char* why) {
     for (const keys::move& one : moves) {
         log::write(
             log::level::info,
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -166,9 +166,7 @@
     offered.target = now + item.request.to_target;
     offered.deadline = item.deadline;
     offered.expected = serving::expected(
-        this->times,
-        std::to_string(item.request.route),
-        fallback_service_time
+        this->times, std::to_string(item.request.route), fallback_service_time
     );
     const serving::work_id id = item.id;
     item.timer = this->timers.at(item.deadline, [this, id] {
@@ -201,8 +199,7 @@
             this->finish(
                 item,
                 without_answer(
-                    serving::attempt_outcome::refused_closed,
-                    action.retry_after
+                    serving::attempt_outcome::refused_closed, action.retry_after
                 )
             );
             break;
@@ -272,8 +269,7 @@
     return result;
 }
 
-std::vector<http::header>
-local_instance::headers_for(const work& item) const {
+std::vector<http::header> local_instance::headers_for(const work& item) const {
     const std::array<const std::string*, 3> replaced{
         &this->names.time_left,
         &this->names.caller_service,
@@ -293,8 +289,7 @@
         }
     }
     result.push_back(
-        {this->names.time_left,
-         millis_text(item.deadline - boot_clock::now())}
+        {this->names.time_left, millis_text(item.deadline - boot_clock::now())}
     );
     result.push_back({this->names.caller_service, item.caller_service.value});
     result.push_back({this->names.expected_instance, this->life.id});
@@ -320,8 +315,7 @@
         return;
     }
     http::read_progress progress = on.reader.put(bytes);
-    while (progress == http::read_progress::complete &&
-           on.current != nullptr) {
+    while (progress == http::read_progress::complete && on.current != nullptr) {
         this->answer_complete(on);
         if (on.stream == nullptr) {
             return;
@@ -362,9 +356,8 @@
         );
         return;
     }
-    const bool is_own = !http::header_value(
-                             answer.headers, this->names.signature
-    ).empty();
+    const bool is_own =
+        !http::header_value(answer.headers, this->names.signature).empty();
     const bool is_encoded =
         !http::header_value(answer.headers, "Content-Encoding").empty();
     routed_response response;
@@ -457,10 +450,35 @@
     serving::withdraw(this->queue, taken->id);
     const std::vector<serving::work_action> actions =
         serving::finished(this->queue, taken->id, boot_clock::now());
+    if (response.outcome != serving::attempt_outcome::answered) {
+        this->log_unserved(*taken, response.outcome);
+    }
     taken->done(std::move(response));
     this->perform(actions);
 }
 
+/// The decision, or the loss, with what it rested on.
+void local_instance::log_unserved(
+    const work& item, serving::attempt_outcome outcome
+) const {
+    const instant now = boot_clock::now();
+    const serving::reported_load told = this->load();
+    log::write(
+        log::level::info,
+        log_prefix,
+        "Request not served.",
+        {{"request", item.request_id},
+         {"outcome", std::string{serving::name_of(outcome)}},
+         {"instance", this->life.id},
+         {"key", item.request.key ? std::to_string(*item.request.key) : "none"},
+         {"left_ms", millis_text(item.deadline - now)},
+         {"running", std::to_string(told.running)},
+         {"waiting", std::to_string(told.waiting)},
+         {"slots", std::to_string(told.slots)},
+         {"mean_ms", millis_text(told.mean_service)}}
+    );
+}
+
 void local_instance::deadline_passed(serving::work_id id) {
     const auto found = this->items.find(id);
     if (found == this->items.end()) {
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -37,7 +37,8 @@
 
     /// The instance that requests are for from now on. Requests that wait for
     /// an earlier life are refused.
-    void set_instance(const directory::instance_life& life, std::uint32_t slots);
+    void
+    set_instance(const directory::instance_life& life, std::uint32_t slots);
     /// Whether new requests may go to the instance.
     void set_open(bool open);
     void set_max_connections(std::uint32_t connections);
@@ -76,6 +77,7 @@
     void answer_complete(connection& on);
     void drop(connection& on);
     void finish(work& item, routed_response&& response);
+    void log_unserved(const work& item, serving::attempt_outcome outcome) const;
     void deadline_passed(serving::work_id id);
     std::vector<http::header> headers_for(const work& item) const;
 
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -78,13 +78,12 @@
     const address& listen, net::timer_queue& timers, peer_link_events events
 )
     : timers(timers), events(std::move(events)) {
-    this->listener =
-        std::make_unique<net::acceptor>(
-            listen,
-            [this](int descriptor, const address&) {
-                this->accepted(descriptor);
-            }
-        );
+    this->listener = std::make_unique<net::acceptor>(
+        listen,
+        [this](int descriptor, const address&) {
+            this->accepted(descriptor);
+        }
+    );
     this->timers.every(check_interval, [this] {
         this->check_silence();
     });
@@ -197,7 +196,8 @@
     link.pinged_at.reset();
     link.is_silent = false;
     try {
-        while (const std::optional<frame> one = take_frame(link.received, link.received_headers)) {
+        while (const std::optional<frame> one =
+                   take_frame(link.received, link.received_headers)) {
             if (const auto* const entry = std::get_if<entry_frame>(&*one)) {
                 this->events.on_entry(link.peer, *entry);
                 continue;
@@ -280,7 +280,8 @@
 void peer_links::incoming_data(incoming& link, std::string_view bytes) {
     link.received += bytes;
     try {
-        while (std::optional<frame> one = take_frame(link.received, link.received_headers)) {
+        while (std::optional<frame> one =
+                   take_frame(link.received, link.received_headers)) {
             if (const auto* const entry = std::get_if<entry_frame>(&*one)) {
                 link.is_known = true;
                 link.peer = entry->entry.host;
@@ -295,23 +296,18 @@
                     std::move(request->request),
                     link.caller_service
                 );
-            } else if (const auto* const cancelled =
-                           std::get_if<cancel_frame>(&*one)) {
+            } else if (const auto* const cancelled = std::get_if<cancel_frame>(&*one)) {
                 if (link.unanswered.erase(cancelled->stream) > 0) {
-                    this->events.on_cancel(
-                        {link.connection, cancelled->stream}
+                    this->events.on_cancel({link.connection, cancelled->stream}
                     );
                 }
             } else if (std::holds_alternative<ping_frame>(*one)) {
                 link.stream->write(to_bytes(pong_frame{}, link.sent_headers));
             } else if (link.is_known) {
-                this->events.on_control(
-                    link.peer,
-                    *one,
-                    [&link](const frame& reply) {
+                this->events
+                    .on_control(link.peer, *one, [&link](const frame& reply) {
                         link.stream->write(to_bytes(reply, link.sent_headers));
-                    }
-                );
+                    });
             } else {
                 throw decode_error{"a peer sent a frame before its entry"};
             }
@@ -333,8 +329,7 @@
     if (found == this->incoming_links.end()) {
         return;
     }
-    const std::set<stream_id> unanswered =
-        std::move(found->second->unanswered);
+    const std::set<stream_id> unanswered = std::move(found->second->unanswered);
     this->incoming_links.erase(found);
     for (const stream_id stream : unanswered) {
         this->events.on_cancel({connection, stream});
@@ -387,9 +382,7 @@
         if (!link->pinged_at) {
             if (!link->waiting.empty() && now - link->heard_at > quiet_time) {
                 link->pinged_at = now;
-                link->stream->write(
-                    to_bytes(ping_frame{}, link->sent_headers)
-                );
+                link->stream->write(to_bytes(ping_frame{}, link->sent_headers));
             }
             continue;
         }
--- a/src/apricotstile/router/peer_links.hpp
+++ b/src/apricotstile/router/peer_links.hpp
@@ -63,9 +63,8 @@
     ~peer_links();
 
     /// Sends a request; `done` runs later, once, unless it is cancelled.
-    stream_id send(
-        host_id peer, const routed_request& request, response_handler done
-    );
+    stream_id
+    send(host_id peer, const routed_request& request, response_handler done);
     /// Tells the peer that nobody waits; `done` won't run.
     void cancel(host_id peer, stream_id stream);
     /// Answers a peer's request. Ignored when its connection has ended.
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -114,11 +114,13 @@
     host_id host;
     directory::entry own;
     directory::directory known;
+
     /// Maps of all keyed services.
     struct followed_map {
         platform::row_version version;
         keys::key_map map;
     };
+
     std::map<service_id, followed_map> maps;
     std::shared_ptr<const routing::route_table> routes;
     bool members_known{false};
@@ -224,8 +226,7 @@
             this->promises, peer, asked->version, asked->guardian_run, now
         );
         reply(promise_reply{asked->sequence, asked->guardian_run, result});
-    } else if (const auto* const end =
-                   std::get_if<deposition_request>(&message)) {
+    } else if (const auto* const end = std::get_if<deposition_request>(&message)) {
         const bool agreed = keys::agree_to_depose(
             this->promises, end->holder, end->version, now
         );
@@ -443,9 +444,8 @@
     }
 }
 
-std::optional<host_id> router::parts::owner_of(
-    const service_id& service, keys::key_number key
-) const {
+std::optional<host_id>
+router::parts::owner_of(const service_id& service, keys::key_number key) const {
     const keys::key_map* map = nullptr;
     if (this->keys_here && service == this->settings.service) {
         map = &this->keys_here->state().map;
@@ -474,10 +474,12 @@
         keys::member member{one->host, one->life};
         if (one->host == this->host) {
             member.pressure = this->instance.pressure();
+            member.mean_service = this->instance.load().mean_service;
         } else if (const auto* const seen = this->callers.view_of(one->host)) {
             const serving::reported_load& load = seen->load;
             member.pressure = static_cast<double>(load.running + load.waiting) /
                               std::max<std::uint32_t>(load.slots, 1);
+            member.mean_service = load.mean_service;
         }
         view.rank += one->host < this->host ? 1 : 0;
         view.members.push_back(member);
@@ -529,8 +531,7 @@
     const auto respond = [this, from](routed_response&& response) {
         this->peer_work.erase(from);
         this->links.respond(
-            from,
-            {from.stream, std::move(response), this->instance.load()}
+            from, {from.stream, std::move(response), this->instance.load()}
         );
     };
     if (request.service != name_hash(this->settings.service.value)) {
@@ -554,8 +555,8 @@
 void router::parts::start_keys() {
     const auto service =
         this->routes->config.services.find(this->settings.service);
-    const bool keyed = service != this->routes->config.services.end() &&
-                       service->second.keyed;
+    const bool keyed =
+        service != this->routes->config.services.end() && service->second.keyed;
     if (!keyed || this->keys_here) {
         return;
     }
@@ -568,33 +569,38 @@
     // An earlier run of this daemon may have granted keys right before it
     // ended.
     keeper.held_until = boot_clock::now() + keys::longest_promise(policy.lease);
+    // A heartbeat may have come before the configuration.
+    if (this->own.state == directory::instance_state::ready) {
+        keeper.life = this->own.life;
+    }
     this->keys_here = std::make_unique<key_desk>(
         std::move(keeper),
         this->table,
         this->timers,
-        key_desk::surroundings{[this] {
-             return this->takeover_view();
-         },
-         [this] {
-             return this->instance.pressure();
-         },
-         [this] {
-             return this->guardian_candidates();
-         },
-         [this](host_id peer) {
-             const auto found = this->known.entries.find(peer);
-             return found != this->known.entries.end() &&
-                    found->second.service == this->own.service &&
-                    this->links.is_reachable(peer);
-         },
-         [this](host_id peer, const frame& message) {
-             this->links.tell(peer, message);
-         },
-         [this](host_id holder, platform::row_version version) {
-             return keys::agree_to_depose(
-                 this->promises, holder, version, boot_clock::now()
-             );
-         }}
+        key_desk::surroundings{
+            [this] {
+                return this->takeover_view();
+            },
+            [this] {
+                return this->instance.pressure();
+            },
+            [this] {
+                return this->guardian_candidates();
+            },
+            [this](host_id peer) {
+                const auto found = this->known.entries.find(peer);
+                return found != this->known.entries.end() &&
+                       found->second.service == this->own.service &&
+                       this->links.is_reachable(peer);
+            },
+            [this](host_id peer, const frame& message) {
+                this->links.tell(peer, message);
+            },
+            [this](host_id holder, platform::row_version version) {
+                return keys::agree_to_depose(
+                    this->promises, holder, version, boot_clock::now()
+                );
+            }}
     );
 }
 
@@ -653,9 +659,9 @@
 /// Whether callers and peers had time to turn elsewhere after the order to
 /// stop.
 bool router::parts::notice_over() const {
-    return this->stopping &&
-           boot_clock::now() > this->stop_at - this->settings.stop_grace +
-                                   stop_margin + notice_time;
+    return this->stopping && boot_clock::now() > this->stop_at -
+                                                     this->settings.stop_grace +
+                                                     stop_margin + notice_time;
 }
 
 void router::parts::check_stopped() {
@@ -700,8 +706,7 @@
         routing::make_route_table(std::move(config))
     );
     all.callers.set_config(all.routes);
-    const auto service =
-        all.routes->config.services.find(all.settings.service);
+    const auto service = all.routes->config.services.find(all.settings.service);
     if (service != all.routes->config.services.end()) {
         all.instance.set_max_connections(service->second.max_connections);
     }
@@ -754,9 +759,8 @@
     return heartbeat_verdict::taken;
 }
 
-heartbeat_verdict router::take_departure(
-    const std::string& instance, std::int64_t born_ms
-) {
+heartbeat_verdict
+router::take_departure(const std::string& instance, std::int64_t born_ms) {
     parts& all = *this->self;
     const directory::instance_life& present = all.own.life;
     if (instance != present.id) {
@@ -819,8 +823,7 @@
         {"links", {{"open", all.links.open_links()}}},
         {"directory", {{"members", all.known.entries.size()}}},
         {"config",
-         {{"version",
-           all.routes ? all.routes->config.version.value : 0}}}};
+         {{"version", all.routes ? all.routes->config.version.value : 0}}}};
 }
 
 } // namespace apricotstile::router
--- a/src/apricotstile/serving/instance_choice.cpp
+++ b/src/apricotstile/serving/instance_choice.cpp
@@ -24,17 +24,15 @@
 
 duration expected_latency(const instance_view& view, duration service) {
     // What this daemon has sent or got back since the load was told.
-    const std::int64_t since = static_cast<std::int64_t>(view.in_flight) -
-                               static_cast<std::int64_t>(
-                                   view.in_flight_when_told
-                               );
+    const std::int64_t since =
+        static_cast<std::int64_t>(view.in_flight) -
+        static_cast<std::int64_t>(view.in_flight_when_told);
     const std::int64_t there = std::max<std::int64_t>(
         0,
         static_cast<std::int64_t>(view.load.running) + view.load.waiting + since
     );
-    const auto slots = static_cast<std::int64_t>(
-        std::max<std::uint32_t>(view.load.slots, 1)
-    );
+    const auto slots =
+        static_cast<std::int64_t>(std::max<std::uint32_t>(view.load.slots, 1));
     const std::int64_t beyond = std::max<std::int64_t>(0, there + 1 - slots);
     // A fuller instance is slower even before its slots are used up; this
     // also spreads requests while all have room.
@@ -145,8 +143,9 @@
 
 void note_loss(instance_view& view, const choice_policy& policy, instant now) {
     const std::uint32_t doublings = std::min(view.losses, most_doublings);
-    const duration pause =
-        std::min(policy.longest_loss_pause, policy.loss_pause * (1U << doublings));
+    const duration pause = std::min(
+        policy.longest_loss_pause, policy.loss_pause * (1U << doublings)
+    );
     view.avoided_until = std::max(view.avoided_until, now + pause);
     ++view.losses;
 }
--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -6,6 +6,26 @@
 
 namespace apricotstile::serving {
 
+std::string_view name_of(attempt_outcome outcome) {
+    switch (outcome) {
+    case attempt_outcome::answered:
+        return "answered";
+    case attempt_outcome::not_executed:
+        return "not_executed";
+    case attempt_outcome::refused_busy:
+        return "refused_busy";
+    case attempt_outcome::refused_closed:
+        return "refused_closed";
+    case attempt_outcome::refused_not_owner:
+        return "refused_not_owner";
+    case attempt_outcome::lost:
+        return "lost";
+    case attempt_outcome::timed_out:
+        return "timed_out";
+    }
+    return "unknown";
+}
+
 void begin_attempt(request_progress& request, host_id host) {
     if (std::find(request.tried.begin(), request.tried.end(), host) ==
         request.tried.end()) {
@@ -66,10 +86,10 @@
     // The one owner of a key would fail the request again.
     const bool same_instance =
         request.keyed && end.outcome == attempt_outcome::answered;
-    const bool allowed =
-        !same_instance && (request.idempotent || !request.may_have_run) &&
-        request.sent < request.max_instances &&
-        end.outcome != attempt_outcome::timed_out;
+    const bool allowed = !same_instance &&
+                         (request.idempotent || !request.may_have_run) &&
+                         request.sent < request.max_instances &&
+                         end.outcome != attempt_outcome::timed_out;
     if (!allowed || !has_time(request, policy, now)) {
         return {last};
     }
--- a/src/apricotstile/serving/request_progress.hpp
+++ b/src/apricotstile/serving/request_progress.hpp
@@ -9,6 +9,7 @@
 #include <apricotstile/core/time.hpp>
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 namespace apricotstile::serving {
@@ -31,6 +32,9 @@
     timed_out
 };
 
+/// The outcome's name in logs and metrics.
+[[nodiscard]] std::string_view name_of(attempt_outcome outcome);
+
 struct request_progress {
     bool idempotent{false};
     bool keyed{false};
@@ -86,9 +90,13 @@
 /// An attempt has ended. `may_repeat` asks the retry budget, and is asked only
 /// where a repeat at an instance is wanted.
 template <class MayRepeat>
-[[nodiscard]] next_step
-after(request_progress&, const attempt_end&, const progress_policy&, instant now,
-      MayRepeat&& may_repeat);
+[[nodiscard]] next_step after(
+    request_progress&,
+    const attempt_end&,
+    const progress_policy&,
+    instant now,
+    MayRepeat&& may_repeat
+);
 
 namespace internal {
 
@@ -111,9 +119,13 @@
 } // namespace internal
 
 template <class MayRepeat>
-next_step
-after(request_progress& request, const attempt_end& end,
-      const progress_policy& policy, instant now, MayRepeat&& may_repeat) {
+next_step after(
+    request_progress& request,
+    const attempt_end& end,
+    const progress_policy& policy,
+    instant now,
+    MayRepeat&& may_repeat
+) {
     const internal::wanted_step wanted =
         internal::wanted_after(request, end, policy, now);
     if (wanted.is_repeat && !may_repeat()) {
--- a/src/apricotstile/serving/retry_budget.cpp
+++ b/src/apricotstile/serving/retry_budget.cpp
@@ -15,9 +15,8 @@
 }
 
 retry_budget::counts& counts_of(retry_budget& budget, std::int64_t part) {
-    auto& counts = budget.recent.at(
-        static_cast<std::size_t>(part) % retry_budget::parts
-    );
+    auto& counts =
+        budget.recent.at(static_cast<std::size_t>(part) % retry_budget::parts);
     if (counts.part != part) {
         counts = {part, 0, 0};
     }
@@ -48,8 +47,8 @@
             repeats += counts.repeats;
         }
     }
-    const double share = policy.extra /
-                         static_cast<double>(std::max<std::size_t>(daemons, 1));
+    const double share =
+        policy.extra / static_cast<double>(std::max<std::size_t>(daemons, 1));
     if (repeats + 1 > requests * policy.ratio + share) {
         return false;
     }
--- a/src/apricotstile/serving/retry_budget.hpp
+++ b/src/apricotstile/serving/retry_budget.hpp
@@ -29,6 +29,7 @@
         std::uint32_t requests{0};
         std::uint32_t repeats{0};
     };
+
     /// The last parts of the window, by part number modulo their count.
     std::array<counts, parts> recent{};
 };
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -113,8 +113,7 @@
     return actions;
 }
 
-std::vector<work_action>
-finished(work_queue& queue, work_id id, instant now) {
+std::vector<work_action> finished(work_queue& queue, work_id id, instant now) {
     std::vector<work_action> actions;
     queue.running.erase(id);
     start_waiting(queue, now, actions);
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -55,6 +55,7 @@
         offered_work work;
         instant since;
     };
+
     /// Starts first: nested work, then by priority, then the oldest.
     using order = std::tuple<bool, std::uint32_t, std::uint64_t>;
     std::map<order, waiting_work> waiting;
--- a/src/apricotstile/settings/daemon_settings.cpp
+++ b/src/apricotstile/settings/daemon_settings.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-
 constexpr std::size_t least_secret_length = 16;
 constexpr double largest_weight = 1000.0;
 
--- a/tests/adapter/heartbeat_codec.tests.cpp
+++ b/tests/adapter/heartbeat_codec.tests.cpp
@@ -76,9 +76,7 @@
     answer.grants = true;
     answer.hold = 2500ms;
     answer.keys = {{{0, 9}, {7}, "h"}};
-    CHECK(
-        encode_answer(answer) == R"({"holdMs":2500,"holds":[[0,9,7,"h"]]})"
-    );
+    CHECK(encode_answer(answer) == R"({"holdMs":2500,"holds":[[0,9,7,"h"]]})");
     answer.keys.clear();
     CHECK(encode_answer(answer) == R"({"holdMs":2500,"holds":[]})");
 }
--- a/tests/directory/directory.tests.cpp
+++ b/tests/directory/directory.tests.cpp
@@ -12,9 +12,9 @@
 TEST_CASE("any order of entries ends the same", "[directory][property]") {
     rc::prop("the newest run and change wins", [] {
         const auto told = *rc::gen::nonEmpty(
-            rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
-                rc::gen::inRange(1, 5), rc::gen::inRange(1, 5)
-            ))
+            rc::gen::container<std::vector<std::pair<int, int>>>(
+                rc::gen::pair(rc::gen::inRange(1, 5), rc::gen::inRange(1, 5))
+            )
         );
         directory::directory known;
         for (const auto& [run, change] : told) {
--- a/tests/http/message_reader.tests.cpp
+++ b/tests/http/message_reader.tests.cpp
@@ -37,8 +37,8 @@
     request_reader reader{{}};
     REQUIRE(
         reader.put("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
-                   "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n") ==
-        read_progress::complete
+                   "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+        ) == read_progress::complete
     );
     CHECK(reader.take().target == "/1");
     REQUIRE(reader.progress() == read_progress::complete);
@@ -69,8 +69,8 @@
     request_reader reader{{}};
     CHECK(
         reader.put("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
-                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
-        read_progress::malformed
+                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        ) == read_progress::malformed
     );
 }
 
@@ -101,8 +101,8 @@
     reader.expect("GET");
     REQUIRE(
         reader.put("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n"
-                   "Keep-Alive: timeout=7, max=9\r\n\r\nextra") ==
-        read_progress::complete
+                   "Keep-Alive: timeout=7, max=9\r\n\r\nextra"
+        ) == read_progress::complete
     );
     const received_response response = reader.take();
     CHECK(response.status == 204);
--- a/tests/keys/keeper.tests.cpp
+++ b/tests/keys/keeper.tests.cpp
@@ -66,9 +66,7 @@
     CHECK_FALSE(take_heartbeat(state, beat_of(3), start + 30s).grants);
 }
 
-TEST_CASE(
-    "a lease is acquired only on the map as it is", "[keys][keeper]"
-) {
+TEST_CASE("a lease is acquired only on the map as it is", "[keys][keeper]") {
     keeper state = make_keeper({}, host_id{1}, incarnation{5}, registry);
     take_rows(state, {map_of(host_id{1}, 3)}, start);
     static_cast<void>(take_heartbeat(state, beat_of(1), start));
@@ -84,8 +82,7 @@
     keeper state = holder();
     heartbeat beat = beat_of(1);
     beat.life = {"i-1", 200};
-    const heartbeat_answer answer =
-        take_heartbeat(state, beat, start + 1s);
+    const heartbeat_answer answer = take_heartbeat(state, beat, start + 1s);
     CHECK(answer.keys.empty());
     const auto work = next_transaction(state, {}, {}, start + 1s);
     REQUIRE(work);
@@ -139,12 +136,10 @@
     CHECK_FALSE(agree_to_depose(state, holder, {4}, start + 3s));
     CHECK(agree_to_depose(state, holder, {4}, start + 4s));
     CHECK(
-        promise(state, holder, {4}, run, start + 5s) ==
-        promise_result::given_up
+        promise(state, holder, {4}, run, start + 5s) == promise_result::given_up
     );
     CHECK(
-        promise(state, holder, {5}, run, start + 5s) ==
-        promise_result::promised
+        promise(state, holder, {5}, run, start + 5s) == promise_result::promised
     );
     CHECK(
         promise(state, holder, {5}, incarnation{8}, start + 5s) ==
--- a/tests/keys/key_map.tests.cpp
+++ b/tests/keys/key_map.tests.cpp
@@ -48,9 +48,7 @@
             const auto first = *rc::gen::inRange<key_number>(0, key_count);
             const auto last = *rc::gen::inRange<key_number>(first, key_count);
             const fencing_token before = map.last_fence;
-            apply_transfers(
-                map, {{{first, last}, host_id{9}, {"j", 2}, "h"}}
-            );
+            apply_transfers(map, {{{first, last}, host_id{9}, {"j", 2}, "h"}});
             RC_ASSERT(map.last_fence > before);
             const owned_range* const owner = find_owner(map, first);
             RC_ASSERT(owner != nullptr);
--- a/tests/keys/key_world.cpp
+++ b/tests/keys/key_world.cpp
@@ -241,9 +241,9 @@
         process& self = *this->hosts[index].daemon;
         for (auto& [id, lease] : self.state.watched) {
             const host& owner = this->hosts[this->index_of(id)];
-            const bool suspected =
-                !owner.up || owner.frozen_until > this->now ||
-                (this->options.faults && this->chance(5));
+            const bool suspected = !owner.up ||
+                                   owner.frozen_until > this->now ||
+                                   (this->options.faults && this->chance(5));
             if (id == this->hosts[index].id || !suspected ||
                 keys_of(self.state.map, id) == 0) {
                 continue;
@@ -295,8 +295,7 @@
         }
         const takeover_view view = this->view_of(index);
         retarget_releases(self.state, view);
-        const wanted_changes wanted =
-            plan_takeover(self.state, {}, view, time);
+        const wanted_changes wanted = plan_takeover(self.state, {}, view, time);
         known_lives lives;
         for (const member& other : view.members) {
             lives.emplace(other.host, other.life);
@@ -375,8 +374,7 @@
         });
     }
 
-    void
-    take_rows_read(std::size_t index, const platform::read_result& read) {
+    void take_rows_read(std::size_t index, const platform::read_result& read) {
         host& one = this->hosts[index];
         process& self = *one.daemon;
         self.reading = false;
@@ -391,9 +389,9 @@
         const auto born = (this->now - start_time) / 1ms + 1;
         server = {};
         server.life = {fmt::format("i-{}", index), born};
-        server.rate = 0.98 + 0.02 * static_cast<double>(
-                                        random_below(this->random, 100)
-                                    ) / 100;
+        server.rate =
+            0.98 +
+            0.02 * static_cast<double>(random_below(this->random, 100)) / 100;
         this->beat_later(index, this->between(10ms, beat_interval), born);
     }
 
@@ -426,9 +424,8 @@
         this->after(delay, [=, this] {
             this->in_process(index, run, [=, this] {
                 host& one = this->hosts[index];
-                const heartbeat_answer answer = take_heartbeat(
-                    one.daemon->state, beat, this->clock(one)
-                );
+                const heartbeat_answer answer =
+                    take_heartbeat(one.daemon->state, beat, this->clock(one));
                 this->send([=, this] {
                     this->take_answer(index, beat, sent, answer);
                 });
@@ -617,9 +614,10 @@
         for (std::size_t i = 0; i < host_count; ++i) {
             host added;
             added.id = host_id{i + 1};
-            added.rate = 0.99 + 0.02 * static_cast<double>(
-                                           random_below(this->random, 100)
-                                       ) / 100;
+            added.rate =
+                0.99 +
+                0.02 * static_cast<double>(random_below(this->random, 100)) /
+                    100;
             this->hosts.push_back(std::move(added));
         }
         for (std::size_t i = 0; i < host_count; ++i) {
--- a/tests/keys/ownership.tests.cpp
+++ b/tests/keys/ownership.tests.cpp
@@ -97,15 +97,13 @@
     CHECK(worlds_until_violation(options, 200) <= 200);
 }
 
-TEST_CASE(
-    "seeds that once found two holders find none", "[keys][regression]"
-) {
+TEST_CASE("seeds that once found two holders find none", "[keys][regression]") {
     // 75: a reading older than a later result set the lease's row back.
     // 390: a daemon's new run took an instance that still held keys for a new
     // one. 442: a release was transferred beyond what its daemon still owned.
     // 466: guardians that had started again had forgotten what they gave up.
-    // 194: a transaction of an earlier run was committed late. 3332: a grant that
-    // was still on its way came after the beat that showed its range free.
+    // 194: a transaction of an earlier run was committed late. 3332: a grant
+    // that was still on its way came after the beat that showed its range free.
     for (const std::uint64_t seed : {75, 194, 390, 442, 466, 3332}) {
         key_world_options options;
         options.seed = seed;
--- a/tests/keys/takeover.tests.cpp
+++ b/tests/keys/takeover.tests.cpp
@@ -35,9 +35,7 @@
 
 } // namespace
 
-TEST_CASE(
-    "keys are divided once members have settled", "[keys][takeover]"
-) {
+TEST_CASE("keys are divided once members have settled", "[keys][takeover]") {
     keeper state = make_keeper({}, host_id{1}, incarnation{1}, {"registry"});
     state.rows_known = true;
     const takeover_view view = members(3);
@@ -74,6 +72,29 @@
     CHECK_FALSE(plan_move(state, {}, view, load, 0.5));
 }
 
+TEST_CASE(
+    "a slow instance gives keys to a much faster one that has room",
+    "[keys][takeover]"
+) {
+    const keeper state = owner_among(3);
+    takeover_view view = members(3);
+    view.members[0].mean_service = 300ms;
+    view.members[1].mean_service = 250ms;
+    view.members[2].mean_service = 100ms;
+    key_load load;
+    for (key_number key = 0; key < 20000; key += 10) {
+        count_key(load, key);
+    }
+    const auto next = plan_move(state, {}, view, load, 0.4);
+    REQUIRE(next);
+    CHECK(next->target == host_id{3});
+    view.members[2].pressure = 0.7;
+    CHECK_FALSE(plan_move(state, {}, view, load, 0.4));
+    view.members[2].pressure = 0;
+    view.members[0].mean_service = 140ms;
+    CHECK_FALSE(plan_move(state, {}, view, load, 0.4));
+}
+
 TEST_CASE("all keys of a leaving instance find others", "[keys][takeover]") {
     const keeper state = owner_among(3);
     std::uint64_t moved = 0;
@@ -84,9 +105,7 @@
     CHECK(moved == keys_of(state.map, host_id{1}));
 }
 
-TEST_CASE(
-    "owners are deposed by enough guardians only", "[keys][takeover]"
-) {
+TEST_CASE("owners are deposed by enough guardians only", "[keys][takeover]") {
     keeper state = owner_among(3);
     state.watched[host_id{2}] = {
         {7}, start, {{{1}, {1}}, {{3}, {1}}, {{4}, {1}}}, {}};
@@ -96,17 +115,14 @@
     take_agreement(state, host_id{4}, host_id{2}, {6});
     CHECK(plan_takeover(state, {}, view, start + 1s).voided.empty());
     take_agreement(state, host_id{4}, host_id{2}, {7});
-    const wanted_changes changes =
-        plan_takeover(state, {}, view, start + 1s);
+    const wanted_changes changes = plan_takeover(state, {}, view, start + 1s);
     REQUIRE(changes.voided == std::vector<host_id>{host_id{2}});
     for (const transfer& one : changes.transfers) {
         CHECK(one.owner != host_id{2});
     }
 }
 
-TEST_CASE(
-    "leases don't run out while they can't be read", "[keys][takeover]"
-) {
+TEST_CASE("leases don't run out while they can't be read", "[keys][takeover]") {
     keeper state = owner_among(2);
     state.watched[host_id{2}] = {{7}, start, {}, {}};
     state.last_reading = start + 1s;
--- a/tests/serving/instance_choice.tests.cpp
+++ b/tests/serving/instance_choice.tests.cpp
@@ -23,8 +23,7 @@
 
 host_id choose(const std::vector<candidate>& candidates) {
     random_source random{1};
-    const auto chosen =
-        choose_instance(candidates, {}, 250ms, start, random);
+    const auto chosen = choose_instance(candidates, {}, 250ms, start, random);
     REQUIRE(chosen);
     return *chosen;
 }
@@ -111,7 +110,5 @@
 TEST_CASE("where all are avoided, one is chosen all the same", "[choice]") {
     instance_view lossy = view_with(0, 30ms);
     note_loss(lossy, {}, start);
-    CHECK(
-        choose({{host_id{1}, nearness::region, &lossy}}) == host_id{1}
-    );
+    CHECK(choose({{host_id{1}, nearness::region, &lossy}}) == host_id{1});
 }
--- a/tests/serving/request_progress.tests.cpp
+++ b/tests/serving/request_progress.tests.cpp
@@ -42,15 +42,11 @@
     CHECK(step(state, attempt_outcome::answered) == next_step::deliver);
 }
 
-TEST_CASE(
-    "a request that isn't idempotent goes to one instance", "[serving]"
-) {
+TEST_CASE("a request that isn't idempotent goes to one instance", "[serving]") {
     request_progress state = request(false);
     CHECK(step(state, attempt_outcome::lost) == next_step::fail);
     state = request(false);
-    CHECK(
-        step(state, attempt_outcome::answered, true) == next_step::deliver
-    );
+    CHECK(step(state, attempt_outcome::answered, true) == next_step::deliver);
     state = request(false);
     CHECK(step(state, attempt_outcome::not_executed) == next_step::try_again);
 }
@@ -82,18 +78,15 @@
     CHECK(step(state, attempt_outcome::refused_busy) == next_step::refuse);
 }
 
-TEST_CASE(
-    "what may have run is never called not run", "[serving][property]"
-) {
+TEST_CASE("what may have run is never called not run", "[serving][property]") {
     rc::prop("any ends of attempts", [] {
         request_progress state =
             request(*rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>());
         bool ran = false;
         int sent = 0;
         for (int i = 0; i < 8; ++i) {
-            const auto outcome = static_cast<attempt_outcome>(
-                *rc::gen::inRange(0, 7)
-            );
+            const auto outcome =
+                static_cast<attempt_outcome>(*rc::gen::inRange(0, 7));
             const bool was_sent = outcome == attempt_outcome::answered ||
                                   outcome == attempt_outcome::lost ||
                                   outcome == attempt_outcome::timed_out;
--- a/tests/serving/retry_budget.tests.cpp
+++ b/tests/serving/retry_budget.tests.cpp
@@ -35,7 +35,8 @@
                 repeats.push_back(now);
             }
         }
-        const auto within = [&](const std::vector<instant>& all, duration span) {
+        const auto within = [&](const std::vector<instant>& all,
+                                duration span) {
             return std::count_if(all.begin(), all.end(), [&](instant one) {
                 return one > now - span;
             });
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -20,8 +20,7 @@
 
 offered_work
 work(std::uint64_t id, std::uint32_t priority = 1, bool nested = false) {
-    return {
-        work_id{id}, nested, priority, start + 250ms, start + 600ms, 50ms};
+    return {work_id{id}, nested, priority, start + 250ms, start + 600ms, 50ms};
 }
 
 work_queue open_queue(std::uint32_t slots) {
@@ -51,9 +50,8 @@
     constexpr int total = 4000;
     work_queue queue = open_queue(slots);
     queue.policy.max_waiting = refuses ? 256 : 100000;
-    const auto gap = std::chrono::duration_cast<duration>(
-        service / (slots * factor)
-    );
+    const auto gap =
+        std::chrono::duration_cast<duration>(service / (slots * factor));
     std::multimap<instant, work_id> ends;
     std::unordered_map<work_id, offered_work> offered;
     overload result;
@@ -165,8 +163,7 @@
             const auto choice = random_below(random, 3);
             if (choice == 0 && !queue.running.empty()) {
                 take(finished(queue, queue.running.begin()->first, now));
-            } else if (choice == 1 && !queue.places.empty() &&
-                       random_below(random, 4) == 0) {
+            } else if (choice == 1 && !queue.places.empty() && random_below(random, 4) == 0) {
                 const work_id id = queue.places.begin()->first;
                 RC_ASSERT(withdraw(queue, id));
                 ++outcome[id.value];
