Tell members and maps over links; follow only the configuration in the store

Ruled out: renewals of leases (a call in 6 s for each owner). Daemons write their row, read all rows when they start and now and then, and tell their peers of changes; whoever changes a map tells the others the change, and a gap in the chain has the map read.

--- a/src/apricotstile/keys/keeper.hpp
+++ b/src/apricotstile/keys/keeper.hpp
@@ -22,6 +22,7 @@
 #include <apricotstile/keys/heartbeat.hpp>
 #include <apricotstile/keys/key_map.hpp>
 #include <apricotstile/keys/lease_policy.hpp>
+#include <apricotstile/keys/map_change.hpp>
 #include <apricotstile/platform/transaction.hpp>
 
 #include <map>
@@ -120,6 +121,7 @@
         bool confirms{false};
         guardian_list guardians;
         std::optional<key_map> new_map;
+        std::vector<transfer> transfers;
     };
 
     std::optional<pending> in_flight;
@@ -198,7 +200,9 @@
 );
 
 /// The result of the transaction in flight.
-void take_result(keeper& state, const platform::commit_result& result);
+/// Returns the change of the map that it made, for the other daemons.
+std::optional<map_change>
+take_result(keeper& state, const platform::commit_result& result);
 
 /// All rows of the service, or all of its leases.
 void take_rows(
@@ -209,6 +213,9 @@
 /// Returns whether it was taken.
 bool take_map(keeper& state, const platform::row& row);
 
+/// A change of the map that another daemon made.
+change_result take_change(keeper& state, const map_change& change);
+
 [[nodiscard]] platform::row_key map_row(const service_id& service);
 [[nodiscard]] platform::row_key
 lease_row(const service_id& service, host_id host);
--- a/src/apricotstile/keys/keeper_store.cpp
+++ b/src/apricotstile/keys/keeper_store.cpp
@@ -147,6 +147,7 @@
     apply_transfers(changed, transfers);
     work.mutations.push_back({row, encode(changed)});
     pending.new_map = std::move(changed);
+    pending.transfers = transfers;
 }
 
 /// The row of this daemon's own lease.
@@ -220,14 +221,15 @@
     return work;
 }
 
-void take_result(keeper& state, const platform::commit_result& result) {
+std::optional<map_change>
+take_result(keeper& state, const platform::commit_result& result) {
     if (!state.in_flight) {
-        return;
+        return std::nullopt;
     }
     const keeper::pending done = std::move(*state.in_flight);
     state.in_flight.reset();
     if (result.status == platform::commit_status::unavailable) {
-        return;
+        return std::nullopt;
     }
     if (result.status != platform::commit_status::committed) {
         // It may still be committed, with its guardians.
@@ -236,7 +238,7 @@
             state.doubtful_guardians.push_back(done.guardians);
         }
         state.needs_read = true;
-        return;
+        return std::nullopt;
     }
     if (done.confirms) {
         state.lease_version = result.versions.front();
@@ -247,11 +249,27 @@
             done.sent + state.policy.lease.unconfirmed_limit;
         state.confirm_at = done.sent + state.policy.lease.confirm_interval;
     }
+    std::optional<map_change> change;
     if (done.new_map && result.versions.back() > state.map_version) {
+        change = map_change{
+            state.service,
+            state.map_version,
+            result.versions.back(),
+            done.transfers};
         state.map = *done.new_map;
         state.map_version = result.versions.back();
     }
     drop_settled_releases(state);
+    return change;
+}
+
+change_result take_change(keeper& state, const map_change& change) {
+    versioned_map known{state.map_version, std::move(state.map)};
+    const change_result result = apply_change(known, change);
+    state.map = std::move(known.map);
+    state.map_version = known.version;
+    drop_settled_releases(state);
+    return result;
 }
 
 bool take_map(keeper& state, const platform::row& row) {
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -146,6 +146,11 @@
     archive(value.agreed);
 }
 
+template <class Archive>
+void serialize(Archive& archive, map_change_frame& value) {
+    archive(value.change);
+}
+
 template <class Archive>
 void serialize(Archive&, ping_frame&) {}
 
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -6,7 +6,7 @@
 #include <apricotstile/directory/entry.hpp>
 #include <apricotstile/http/message.hpp>
 #include <apricotstile/keys/guardian.hpp>
-#include <apricotstile/keys/key_map.hpp>
+#include <apricotstile/keys/map_change.hpp>
 #include <apricotstile/platform/transaction.hpp>
 #include <apricotstile/router/compact_codec.hpp>
 #include <apricotstile/router/header_codec.hpp>
@@ -97,6 +97,10 @@
     bool agreed{false};
 };
 
+struct map_change_frame {
+    keys::map_change change;
+};
+
 /// Answered by a `pong_frame` at once.
 struct ping_frame {};
 
@@ -111,6 +115,7 @@
     promise_reply,
     deposition_request,
     deposition_reply,
+    map_change_frame,
     ping_frame,
     pong_frame>;
 
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -402,6 +402,7 @@
         this->attempt(request);
         break;
     case serving::next_step::try_later:
+        this->around.doubt_map(request.service);
         request.progress.tried.clear();
         request.pause_timer =
             this->timers.after(this->progress.key_move_pause, [this, caller] {
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -43,6 +43,8 @@
     /// The owner of a service's key, or nothing while none is known.
     std::function<std::optional<host_id>(const service_id&, keys::key_number)>
         owner_of;
+    /// The map of a service's keys may be old.
+    std::function<void(const service_id&)> doubt_map;
     std::function<bool(host_id)> is_reachable;
     using response_handler = std::function<void(routed_response&&)>;
     /// Hands a request to the daemon of a host, this one included; returns
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -17,6 +17,8 @@
 constexpr duration balance_interval = 1s;
 /// Between readings of the others' leases.
 constexpr duration watch_interval = 3s;
+/// Between readings of a map that requests show to be old.
+constexpr duration doubted_map_pause = 1s;
 constexpr duration deposition_interval = 250ms;
 /// An owner is to be deposed after this time without a way to it; later by
 /// as much for each daemon that acts before this one.
@@ -126,13 +128,21 @@
 
 void key_desk::count_request(keys::key_number key) {
     keys::count_key(this->load, key);
+    const keys::owned_range* const owner =
+        keys::find_owner(this->keeper.map, key);
+    const bool is_own = owner != nullptr && owner->owner == this->keeper.self;
+    // Whoever sent it may know a newer map.
+    if (!is_own && !this->keeper.needs_read && !this->keeper.in_flight &&
+        boot_clock::now() - this->last_read > doubted_map_pause) {
+        this->keeper.needs_read = true;
+        this->pump();
+    }
 }
 
-void key_desk::take_map(const platform::row& row) {
-    if (row.key != keys::map_row(this->keeper.service)) {
-        return;
+void key_desk::take_change(const keys::map_change& change) {
+    if (keys::take_change(this->keeper, change) == keys::change_result::gap) {
+        this->keeper.needs_read = true;
     }
-    keys::take_map(this->keeper, row);
     this->pump();
 }
 
@@ -181,7 +191,10 @@
 void key_desk::submit(const platform::transaction& work) {
     this->table.submit(work, [this](const platform::commit_result& result) {
         const bool had_lease = keys::has_lease(this->keeper, boot_clock::now());
-        keys::take_result(this->keeper, result);
+        const auto change = keys::take_result(this->keeper, result);
+        if (change) {
+            this->around.tell_all(map_change_frame{*change});
+        }
         if (result.status != platform::commit_status::committed) {
             log::write(
                 log::level::warning,
--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -30,6 +30,7 @@
         /// address may have gone to another one.
         std::function<bool(host_id)> is_there;
         std::function<void(host_id, const frame&)> tell;
+        std::function<void(const frame&)> tell_all;
         /// Whether this daemon, as a guardian, lets an owner go.
         std::function<bool(host_id, platform::row_version)> agree_to_depose;
     };
@@ -52,11 +53,12 @@
     /// grant has run out.
     void instance_left();
     [[nodiscard]] bool may_dispatch(keys::key_number key) const;
+    /// A request for `key` came here.
     void count_request(keys::key_number key);
     /// A guardian's reply.
     void take_reply(host_id guardian, const frame& reply);
-    /// A change of the map's row.
-    void take_map(const platform::row& row);
+    /// A change that another daemon made; a gap has the map read.
+    void take_change(const keys::map_change& change);
     [[nodiscard]] const keys::keeper& state() const;
 
 private:
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -369,6 +369,14 @@
     }
 }
 
+void peer_links::tell_all(const frame& message) {
+    for (auto& [peer, link] : this->outgoing_links) {
+        if (link->open) {
+            link->stream->write(to_bytes(message, link->sent_headers));
+        }
+    }
+}
+
 /// Asks quiet peers for a sign, and gives up links that stay silent.
 void peer_links::check_silence() {
     const instant now = boot_clock::now();
--- a/src/apricotstile/router/peer_links.hpp
+++ b/src/apricotstile/router/peer_links.hpp
@@ -71,6 +71,8 @@
     void respond(peer_request_id to, const response_frame& response);
     /// Tells all peers, now and whenever a link opens.
     void publish(const entry_frame& own);
+    /// Sends a message to all peers whose links are open.
+    void tell_all(const frame& message);
     /// Opens the link to `peer` unless it is open or lately failed.
     void connect(host_id peer);
     /// Sends a message that isn't a request, where the link is open.
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -33,8 +33,15 @@
 constexpr duration stop_margin = 500ms;
 /// Requests stop going to a leaving instance this long before they must.
 constexpr duration drain_margin = 400ms;
-constexpr auto members_table = "members";
-constexpr auto keys_table = "keys";
+/// Between readings of members or of a map that aren't known yet.
+constexpr duration first_reading_pause = 300ms;
+/// Daemons that start together may miss each other in their first readings.
+constexpr std::uint32_t early_readings = 3;
+constexpr duration early_reading_pause = 1500ms;
+constexpr duration late_reading_pause = 20s;
+/// Between readings of a map that callers or peers show to be old.
+constexpr duration map_reading_pause = 500ms;
+constexpr duration doubted_map_pause = 1500ms;
 constexpr auto log_prefix = "router";
 
 std::string text_of(host_id host) {
@@ -79,8 +86,13 @@
     void change_state(directory::instance_state state, const char* why);
     void write_entry();
     void take_entry(const directory::entry& told, const char* source);
-    void take_member_rows(const std::vector<platform::row_change>& changes);
-    void take_key_rows(const std::vector<platform::row_change>& changes);
+    void read_members();
+    void take_member_rows(const std::vector<platform::row>& rows);
+    void read_map(const service_id& service);
+    void take_map_row(const service_id& service, const platform::row& row);
+    void take_map_change(const keys::map_change& change);
+    void read_what_is_due();
+    void doubt_map(const service_id& service);
     void upkeep();
     void check_instance();
     keys::takeover_view takeover_view();
@@ -117,11 +129,14 @@
 
     /// Maps of all keyed services.
     struct followed_map {
-        platform::row_version version;
-        keys::key_map map;
+        keys::versioned_map known;
+        /// When it was last asked for.
+        instant asked_at;
     };
 
     std::map<service_id, followed_map> maps;
+    instant members_asked_at;
+    std::uint32_t member_readings{0};
     std::shared_ptr<const routing::route_table> routes;
     bool members_known{false};
 
@@ -164,6 +179,9 @@
     result.owner_of = [this](const service_id& service, keys::key_number key) {
         return this->owner_of(service, key);
     };
+    result.doubt_map = [this](const service_id& service) {
+        this->doubt_map(service);
+    };
     result.is_reachable = [this](host_id peer) {
         return peer == this->host || this->links.is_reachable(peer);
     };
@@ -231,6 +249,9 @@
             this->promises, end->holder, end->version, now
         );
         reply(deposition_reply{end->holder, end->version, agreed});
+    } else if (const auto* const changed =
+                   std::get_if<map_change_frame>(&message)) {
+        this->take_map_change(changed->change);
     } else if (this->keys_here) {
         this->keys_here->take_reply(peer, message);
     }
@@ -257,18 +278,7 @@
     this->own.run = new_run();
     this->promises.run = this->own.run;
     directory::apply(this->known, this->own);
-    this->table.follow(
-        members_table,
-        [this](const std::vector<platform::row_change>& changes) {
-            this->take_member_rows(changes);
-        }
-    );
-    this->table.follow(
-        keys_table,
-        [this](const std::vector<platform::row_change>& changes) {
-            this->take_key_rows(changes);
-        }
-    );
+    this->read_members();
     this->timers.every(upkeep_interval, [this] {
         this->upkeep();
     });
@@ -284,7 +294,7 @@
 }
 
 /// Writes this daemon's row where it has changed; a lost answer is settled by
-/// the row that the follower gives.
+/// reading the row.
 void router::parts::write_entry() {
     if (!this->entry_dirty || this->entry_in_flight || !this->members_known ||
         boot_clock::now() < this->entry_retry_at) {
@@ -376,74 +386,134 @@
     this->links.connect(told.host);
 }
 
-void router::parts::take_member_rows(
-    const std::vector<platform::row_change>& changes
-) {
+/// Reads all members. Peers tell of themselves over their links; the table is
+/// for those that aren't linked yet.
+void router::parts::read_members() {
+    this->members_asked_at = boot_clock::now();
+    this->table.read("members/", [this](const platform::read_result& read) {
+        if (read.answered) {
+            ++this->member_readings;
+            this->take_member_rows(read.rows);
+        }
+    });
+}
+
+void router::parts::take_member_rows(const std::vector<platform::row>& rows) {
     this->members_known = true;
-    for (const platform::row_change& change : changes) {
+    for (const platform::row& row : rows) {
         try {
-            if (change.changed.key == member_row(this->host)) {
-                this->entry_version =
-                    std::max(this->entry_version, change.changed.version);
-                if (!change.erased) {
-                    const auto told =
-                        decode<directory::entry>(change.changed.value);
-                    // An earlier run of this host must not look newer.
-                    if (told.run > this->own.run) {
-                        this->own.run = next(told.run);
-                        this->promises.run = this->own.run;
-                        this->publish_entry();
-                    }
-                }
+            const auto told = decode<directory::entry>(row.value);
+            if (row.key != member_row(this->host)) {
+                this->take_entry(told, "table");
                 continue;
             }
-            if (change.erased) {
-                continue;
+            this->entry_version = std::max(this->entry_version, row.version);
+            // An earlier run of this host must not look newer.
+            if (told.run > this->own.run) {
+                this->own.run = next(told.run);
+                this->promises.run = this->own.run;
+                this->publish_entry();
             }
-            this->take_entry(
-                decode<directory::entry>(change.changed.value), "table"
-            );
         } catch (const decode_error& error) {
             log::write(
                 log::level::error,
                 log_prefix,
                 "A member's row is malformed and left alone.",
-                {{"row", change.changed.key.value}, {"reason", error.what()}}
+                {{"row", row.key.value}, {"reason", error.what()}}
             );
         }
     }
     this->write_entry();
 }
 
-void router::parts::take_key_rows(
-    const std::vector<platform::row_change>& changes
+void router::parts::read_map(const service_id& service) {
+    this->maps[service].asked_at = boot_clock::now();
+    this->table.read(
+        "keys/" + service.value,
+        [this, service](const platform::read_result& read) {
+            for (const platform::row& row : read.rows) {
+                this->take_map_row(service, row);
+            }
+        }
+    );
+}
+
+void router::parts::take_map_row(
+    const service_id& service, const platform::row& row
 ) {
-    for (const platform::row_change& change : changes) {
-        const std::string& row = change.changed.key.value;
-        const std::size_t first = row.find('/');
-        const std::size_t second = row.find('/', first + 1);
-        const service_id service{row.substr(first + 1, second - first - 1)};
-        followed_map& followed = this->maps[service];
-        if (change.erased || change.changed.version <= followed.version) {
+    keys::versioned_map& known = this->maps[service].known;
+    if (row.version <= known.version) {
+        return;
+    }
+    try {
+        known.map = keys::decode_map(row.value);
+        known.version = row.version;
+    } catch (const decode_error& error) {
+        log::write(
+            log::level::error,
+            log_prefix,
+            "A map of keys is malformed and left alone.",
+            {{"service", service.value}, {"reason", error.what()}}
+        );
+    }
+}
+
+void router::parts::take_map_change(const keys::map_change& change) {
+    if (this->keys_here && change.service == this->settings.service) {
+        this->keys_here->take_change(change);
+        return;
+    }
+    followed_map& followed = this->maps[change.service];
+    const keys::change_result result =
+        keys::apply_change(followed.known, change);
+    if (result == keys::change_result::gap &&
+        boot_clock::now() - followed.asked_at > map_reading_pause) {
+        this->read_map(change.service);
+    }
+}
+
+/// Reads what wasn't read yet, and all of it now and then for what links lost.
+void router::parts::read_what_is_due() {
+    const instant now = boot_clock::now();
+    duration members_pause = late_reading_pause;
+    if (!this->members_known) {
+        members_pause = first_reading_pause;
+    } else if (this->member_readings < early_readings) {
+        members_pause = early_reading_pause;
+    }
+    if (now - this->members_asked_at > members_pause) {
+        this->read_members();
+    }
+    if (!this->routes) {
+        return;
+    }
+    for (const auto& [service, settings] : this->routes->config.services) {
+        const bool is_own = this->keys_here != nullptr &&
+                            service == this->settings.service;
+        if (!settings.keyed || is_own) {
             continue;
         }
-        try {
-            followed.map = keys::decode_map(change.changed.value);
-            followed.version = change.changed.version;
-            if (this->keys_here && service == this->settings.service) {
-                this->keys_here->take_map(change.changed);
-            }
-        } catch (const decode_error& error) {
-            log::write(
-                log::level::error,
-                log_prefix,
-                "A map of keys is malformed and left alone.",
-                {{"row", row}, {"reason", error.what()}}
-            );
+        const followed_map& followed = this->maps[service];
+        const bool is_known =
+            followed.known.version != platform::row_version{};
+        const duration pause =
+            is_known ? late_reading_pause : first_reading_pause;
+        if (now - followed.asked_at > pause) {
+            this->read_map(service);
         }
     }
 }
 
+/// A request was refused by the owner that the map names: it may be old.
+void router::parts::doubt_map(const service_id& service) {
+    const bool is_own =
+        this->keys_here != nullptr && service == this->settings.service;
+    if (!is_own && boot_clock::now() - this->maps[service].asked_at >
+                       doubted_map_pause) {
+        this->read_map(service);
+    }
+}
+
 std::optional<host_id>
 router::parts::owner_of(const service_id& service, keys::key_number key) const {
     const keys::key_map* map = nullptr;
@@ -451,7 +521,7 @@
         map = &this->keys_here->state().map;
     } else {
         const auto found = this->maps.find(service);
-        map = found == this->maps.end() ? nullptr : &found->second.map;
+        map = found == this->maps.end() ? nullptr : &found->second.known.map;
     }
     if (map == nullptr) {
         return std::nullopt;
@@ -596,6 +666,9 @@
             [this](host_id peer, const frame& message) {
                 this->links.tell(peer, message);
             },
+            [this](const frame& message) {
+                this->links.tell_all(message);
+            },
             [this](host_id holder, platform::row_version version) {
                 return keys::agree_to_depose(
                     this->promises, holder, version, boot_clock::now()
@@ -630,6 +703,7 @@
 }
 
 void router::parts::upkeep() {
+    this->read_what_is_due();
     this->write_entry();
     this->check_instance();
     for (const auto& [peer, entry] : this->known.entries) {
