--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -249,8 +249,7 @@
             this->promises, end->holder, end->version, now
         );
         reply(deposition_reply{end->holder, end->version, agreed});
-    } else if (const auto* const changed =
-                   std::get_if<map_change_frame>(&message)) {
+    } else if (const auto* const changed = std::get_if<map_change_frame>(&message)) {
         this->take_map_change(changed->change);
     } else if (this->keys_here) {
         this->keys_here->take_reply(peer, message);
@@ -488,14 +487,13 @@
         return;
     }
     for (const auto& [service, settings] : this->routes->config.services) {
-        const bool is_own = this->keys_here != nullptr &&
-                            service == this->settings.service;
+        const bool is_own =
+            this->keys_here != nullptr && service == this->settings.service;
         if (!settings.keyed || is_own) {
             continue;
         }
         const followed_map& followed = this->maps[service];
-        const bool is_known =
-            followed.known.version != platform::row_version{};
+        const bool is_known = followed.known.version != platform::row_version{};
         const duration pause =
             is_known ? late_reading_pause : first_reading_pause;
         if (now - followed.asked_at > pause) {
@@ -508,8 +506,8 @@
 void router::parts::doubt_map(const service_id& service) {
     const bool is_own =
         this->keys_here != nullptr && service == this->settings.service;
-    if (!is_own && boot_clock::now() - this->maps[service].asked_at >
-                       doubted_map_pause) {
+    if (!is_own &&
+        boot_clock::now() - this->maps[service].asked_at > doubted_map_pause) {
         this->read_map(service);
     }
 }
