Split the router's large files by their duties

router.cpp (901 lines) into start and state, members, keys and requests; ingress.cpp into connections and attempts; local_instance.cpp into work and exchanges; the states' names stand once, in directory. No behaviour changed.

--- a/src/apricotstile/directory/directory.cpp
+++ b/src/apricotstile/directory/directory.cpp
@@ -6,6 +6,18 @@
 
 namespace apricotstile::directory {
 
+std::string_view name_of(instance_state state) {
+    switch (state) {
+    case instance_state::absent:
+        return "absent";
+    case instance_state::ready:
+        return "ready";
+    case instance_state::draining:
+        return "draining";
+    }
+    return "unknown";
+}
+
 bool is_newer(const entry& left, const entry& right) {
     return std::tie(left.run, left.change) > std::tie(right.run, right.change);
 }
--- a/src/apricotstile/directory/entry.hpp
+++ b/src/apricotstile/directory/entry.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace apricotstile::directory {
 
@@ -26,6 +27,9 @@
 
 enum class instance_state : std::uint8_t { absent, ready, draining };
 
+/// The state's name in logs.
+[[nodiscard]] std::string_view name_of(instance_state state);
+
 struct entry {
     host_id host;
     location where;
--- /dev/null
+++ b/src/apricotstile/router/ingress_attempts.cpp
@@ -0,0 +1,355 @@
+// Attempts to have a request served, and the answer to its caller.
+
+#include <apricotstile/router/internal/pending_request.hpp>
+
+#include <apricotstile/log/logger.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace apricotstile::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t status_bad_gateway = 502;
+
+constexpr std::uint16_t status_unavailable = 503;
+
+constexpr std::uint16_t status_gateway_timeout = 504;
+
+constexpr std::uint16_t first_server_error = 500;
+
+constexpr auto log_prefix = "ingress";
+
+std::string seconds_text(duration value) {
+    return fmt::format("{:.3f}", std::chrono::duration<double>(value).count());
+}
+
+std::string millis_text(duration value) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count()
+    );
+}
+
+std::string host_text(host_id host) {
+    return host == host_id{} ? "none" : to_string(peer_address(host));
+}
+
+} // namespace
+
+serving::nearness ingress::distance_to(const location& where) const {
+    if (where.failure_domain == this->around.where.failure_domain) {
+        return serving::nearness::failure_domain;
+    }
+    return where.region == this->around.where.region
+               ? serving::nearness::region
+               : serving::nearness::elsewhere;
+}
+
+std::optional<host_id> ingress::choose_host(pending& request) {
+    if (request.key) {
+        return this->around.owner_of(request.service, *request.key);
+    }
+    std::vector<serving::candidate> candidates;
+    for (const directory::entry* const one :
+         directory::ready_instances(*this->around.known, request.service)) {
+        const auto& tried = request.progress.tried;
+        if (std::find(tried.begin(), tried.end(), one->host) != tried.end() ||
+            (one->stopping && one->host != this->around.self) ||
+            !this->around.is_reachable(one->host)) {
+            continue;
+        }
+        candidates.push_back(
+            {one->host, this->distance_to(one->where), &this->views[one->host]}
+        );
+    }
+    return serving::choose_instance(
+        candidates,
+        this->choice,
+        request.where->target_latency,
+        boot_clock::now(),
+        this->random
+    );
+}
+
+routed_request ingress::to_routed(const pending& request) const {
+    const instant now = boot_clock::now();
+    routed_request result;
+    result.service = name_hash(request.service.value);
+    result.route = name_hash(request.where->name);
+    result.method = request.received.method;
+    result.target = request.received.target;
+    for (const http::header& one : request.received.headers) {
+        const bool is_own =
+            http::same_name(one.name, this->around.names.time_left) ||
+            http::same_name(one.name, this->around.names.caller_service) ||
+            http::same_name(one.name, this->around.names.expected_instance);
+        if (!is_own) {
+            result.headers.push_back(one);
+        }
+    }
+    result.body = request.received.body;
+    result.key = request.key;
+    result.nested = request.nested;
+    result.priority = request.where->priority;
+    result.to_target = request.progress.target - now;
+    result.to_deadline = request.progress.deadline - now;
+    return result;
+}
+
+void ingress::attempt(pending& request) {
+    const std::optional<host_id> host = this->choose_host(request);
+    const caller_id caller = request.caller;
+    const std::uint64_t number = ++request.attempt;
+    if (!host) {
+        routed_response none;
+        none.outcome = request.key ? serving::attempt_outcome::refused_not_owner
+                                   : serving::attempt_outcome::refused_closed;
+        request.progress.refusals = this->progress.max_refusals;
+        this->attempt_ended(caller, number, host_id{}, std::move(none));
+        return;
+    }
+    serving::begin_attempt(request.progress, *host);
+    request.host = *host;
+    ++this->views[*host].in_flight;
+    std::function<void()> cancel = this->around.hand_over(
+        *host,
+        this->to_routed(request),
+        [this, caller, number, host = *host](routed_response&& response) {
+            this->attempt_ended(caller, number, host, std::move(response));
+        }
+    );
+    // The attempt may have ended by now, and the request with it.
+    const auto found = this->requests.find(caller);
+    if (found != this->requests.end() && found->second->attempt == number &&
+        found->second->host == *host) {
+        found->second->cancel = std::move(cancel);
+    }
+}
+
+void ingress::attempt_ended(
+    caller_id caller,
+    std::uint64_t number,
+    host_id host,
+    routed_response&& response
+) {
+    const instant now = boot_clock::now();
+    if (host != host_id{}) {
+        serving::instance_view& view = this->views[host];
+        view.in_flight -= view.in_flight > 0 ? 1 : 0;
+        switch (response.outcome) {
+        case serving::attempt_outcome::answered:
+            serving::note_answer(view);
+            break;
+        case serving::attempt_outcome::not_executed:
+        case serving::attempt_outcome::refused_busy:
+            serving::note_refusal(
+                view, this->choice, response.retry_after, now
+            );
+            break;
+        case serving::attempt_outcome::refused_closed:
+        case serving::attempt_outcome::lost:
+        case serving::attempt_outcome::timed_out:
+            serving::note_loss(view, this->choice, now);
+            break;
+        case serving::attempt_outcome::refused_not_owner:
+            break;
+        }
+    }
+    const auto found = this->requests.find(caller);
+    if (found == this->requests.end() || found->second->attempt != number) {
+        return;
+    }
+    pending& request = *found->second;
+    request.cancel = nullptr;
+    request.host = host_id{};
+    request.trail += fmt::format(
+        "{}{}:{}",
+        request.trail.empty() ? "" : ",",
+        host_text(host),
+        serving::name_of(response.outcome)
+    );
+    serving::attempt_end end;
+    end.outcome = response.outcome;
+    end.host = host;
+    end.failed = response.status >= first_server_error;
+    end.retry_after = response.retry_after;
+    const serving::next_step step =
+        serving::after(request.progress, end, this->progress, now, [&] {
+            return this->may_repeat(request);
+        });
+    this->perform(request, step, std::move(response));
+}
+
+bool ingress::may_repeat(const pending& request) {
+    const bool allowed = serving::take_repeat(
+        this->budgets[{request.service, request.nested}],
+        request.nested ? this->around.nested_retries : this->around.retries,
+        this->around.known->entries.size(),
+        boot_clock::now()
+    );
+    this->counted.repeats += allowed ? 1 : 0;
+    return allowed;
+}
+
+void ingress::perform(
+    pending& request, serving::next_step step, routed_response&& response
+) {
+    const caller_id caller = request.caller;
+    switch (step) {
+    case serving::next_step::deliver:
+        this->deliver(request, std::move(response));
+        break;
+    case serving::next_step::try_again:
+        this->attempt(request);
+        break;
+    case serving::next_step::try_later:
+        this->around.doubt_map(request.service);
+        request.progress.tried.clear();
+        request.pause_timer =
+            this->timers.after(this->progress.key_move_pause, [this, caller] {
+                const auto found = this->requests.find(caller);
+                if (found != this->requests.end()) {
+                    this->attempt(*found->second);
+                }
+            });
+        break;
+    case serving::next_step::refuse:
+        this->answer_own(
+            request, status_unavailable, "not_run", request.progress.retry_after
+        );
+        break;
+    case serving::next_step::fail:
+        this->answer_own(
+            request,
+            response.outcome == serving::attempt_outcome::timed_out
+                ? status_gateway_timeout
+                : status_bad_gateway,
+            "outcome_unknown",
+            duration{0}
+        );
+        break;
+    }
+}
+
+void ingress::deadline_passed(caller_id caller) {
+    const auto found = this->requests.find(caller);
+    if (found == this->requests.end()) {
+        return;
+    }
+    pending& request = *found->second;
+    const bool in_progress = request.cancel != nullptr;
+    if (in_progress) {
+        request.cancel();
+        request.cancel = nullptr;
+        serving::instance_view& view = this->views[request.host];
+        view.in_flight -= view.in_flight > 0 ? 1 : 0;
+        serving::note_loss(view, this->choice, boot_clock::now());
+    }
+    const bool may_have_run = in_progress || request.progress.may_have_run;
+    this->answer_own(
+        request,
+        may_have_run ? status_gateway_timeout : status_unavailable,
+        "deadline",
+        duration{0}
+    );
+}
+
+void ingress::answer_own(
+    pending& request,
+    std::uint16_t status,
+    const char* reason,
+    duration retry_after
+) {
+    std::vector<http::header> headers;
+    if (!request.id.empty()) {
+        headers.push_back({this->around.names.request_id, request.id});
+    }
+    if (status == status_unavailable) {
+        ++this->counted.refused;
+        constexpr duration least = 30ms;
+        headers.push_back(
+            {"Retry-After", seconds_text(std::max(retry_after, least))}
+        );
+    } else {
+        ++this->counted.failed;
+    }
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "Request not answered by an instance.",
+        {{"request", request.id},
+         {"route", request.where->name},
+         {"service", request.service.value},
+         {"key", request.key ? std::to_string(*request.key) : "none"},
+         {"status", std::to_string(status)},
+         {"reason", reason},
+         {"attempts", request.trail},
+         {"after_ms",
+          millis_text(boot_clock::now() - request.progress.arrived)},
+         {"config", std::to_string(request.table->config.version.value)}}
+    );
+    const caller_id caller = request.caller;
+    this->finish(caller);
+    const auto connection = this->callers.find(caller);
+    if (connection != this->callers.end()) {
+        connection->second->respond(status, headers, {}, this->closing);
+    }
+}
+
+void ingress::deliver(pending& request, routed_response&& response) {
+    ++this->counted.answered;
+    std::vector<http::header> headers = std::move(response.headers);
+    if (!request.id.empty()) {
+        headers.push_back({this->around.names.request_id, request.id});
+    }
+    if (response.status >= first_server_error) {
+        log::write(
+            log::level::info,
+            log_prefix,
+            "Instance failed a request.",
+            {{"request", request.id},
+             {"route", request.where->name},
+             {"status", std::to_string(response.status)},
+             {"attempts", request.trail}}
+        );
+    }
+    const caller_id caller = request.caller;
+    this->finish(caller);
+    const auto connection = this->callers.find(caller);
+    if (connection != this->callers.end()) {
+        connection->second->respond(
+            response.status, headers, response.body, this->closing
+        );
+    }
+}
+
+void ingress::finish(caller_id caller) {
+    const auto found = this->requests.find(caller);
+    this->timers.cancel(found->second->deadline_timer);
+    this->timers.cancel(found->second->pause_timer);
+    this->requests.erase(found);
+}
+
+void ingress::peer_silent(host_id host) {
+    std::vector<std::pair<caller_id, std::uint64_t>> stuck;
+    for (const auto& [caller, request] : this->requests) {
+        if (request->host == host && request->progress.idempotent &&
+            !request->progress.keyed) {
+            stuck.emplace_back(caller, request->attempt);
+        }
+    }
+    for (const auto& [caller, number] : stuck) {
+        const auto found = this->requests.find(caller);
+        if (found == this->requests.end() || !found->second->cancel) {
+            continue;
+        }
+        found->second->cancel();
+        this->attempt_ended(caller, number, host, routed_response{});
+    }
+}
+
+} // namespace apricotstile::router
--- /dev/null
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -0,0 +1,66 @@
+// Work at the instance beside this daemon, and the connections that carry it.
+
+#ifndef APRICOTSTILE_ROUTER_INTERNAL_LOCAL_WORK_HPP
+#define APRICOTSTILE_ROUTER_INTERNAL_LOCAL_WORK_HPP
+
+#include <apricotstile/http/message_reader.hpp>
+#include <apricotstile/net/stream.hpp>
+#include <apricotstile/router/local_instance.hpp>
+
+namespace apricotstile::router {
+
+namespace internal {
+
+inline constexpr std::uint64_t max_answer_bytes = 16U << 20U;
+/// Where an instance doesn't say how long it keeps idle connections.
+inline constexpr duration assumed_idle_timeout = std::chrono::seconds{4};
+
+/// A response for work that the instance didn't answer.
+[[nodiscard]] inline routed_response without_answer(
+    serving::attempt_outcome outcome, duration retry_after = duration{0}
+) {
+    routed_response response;
+    response.outcome = outcome;
+    response.retry_after = retry_after;
+    return response;
+}
+
+/// Whole milliseconds, at least one.
+[[nodiscard]] inline std::string millis_text(duration value) {
+    const auto millis =
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    return std::to_string(std::max<std::int64_t>(millis, 1));
+}
+
+} // namespace internal
+
+struct local_instance::work {
+    serving::work_id id;
+    routed_request request;
+    service_id caller_service;
+    response_handler done;
+    std::string request_id;
+    instant deadline;
+    instant started;
+    net::timer_id timer;
+    /// While it runs.
+    connection* on{nullptr};
+};
+
+struct local_instance::connection {
+    net::stream* stream{nullptr};
+    http::response_reader reader{internal::max_answer_bytes};
+    /// The work whose answer is awaited; null while idle.
+    work* current{nullptr};
+    bool open{false};
+    /// Whether an earlier exchange was made on it.
+    bool used{false};
+    /// Whether it may carry another exchange.
+    bool reusable{true};
+    duration idle_timeout{internal::assumed_idle_timeout};
+    instant idle_since;
+};
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/router/internal/pending_request.hpp
@@ -0,0 +1,33 @@
+// A caller's request on its way.
+
+#ifndef APRICOTSTILE_ROUTER_INTERNAL_PENDING_REQUEST_HPP
+#define APRICOTSTILE_ROUTER_INTERNAL_PENDING_REQUEST_HPP
+
+#include <apricotstile/router/ingress.hpp>
+
+namespace apricotstile::router {
+
+struct ingress::pending {
+    caller_id caller;
+    std::string id;
+    http::received_request received;
+    /// Keeps `where` alive.
+    std::shared_ptr<const routing::route_table> table;
+    const routing::route* where{nullptr};
+    service_id service;
+    std::optional<keys::key_number> key;
+    /// Whether it comes from the instance beside this daemon.
+    bool nested{false};
+    serving::request_progress progress;
+    /// The attempt in progress; rises, so that late ends are told apart.
+    std::uint64_t attempt{0};
+    host_id host;
+    std::function<void()> cancel;
+    net::timer_id deadline_timer;
+    net::timer_id pause_timer;
+    std::string trail;
+};
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/router/internal/router_parts.hpp
@@ -0,0 +1,111 @@
+// The parts of a daemon and what they know, for the files that implement them.
+
+#ifndef APRICOTSTILE_ROUTER_INTERNAL_ROUTER_PARTS_HPP
+#define APRICOTSTILE_ROUTER_INTERNAL_ROUTER_PARTS_HPP
+
+#include <apricotstile/directory/directory.hpp>
+#include <apricotstile/keys/guardian.hpp>
+#include <apricotstile/keys/map_change.hpp>
+#include <apricotstile/router/ingress.hpp>
+#include <apricotstile/router/key_desk.hpp>
+#include <apricotstile/router/local_instance.hpp>
+#include <apricotstile/router/peer_links.hpp>
+#include <apricotstile/router/router.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace apricotstile::router {
+
+struct router::parts {
+    parts(const router_settings& settings, platform::shared_table& table);
+
+    void publish_entry();
+    void change_state(directory::instance_state state, const char* why);
+    void write_entry();
+    void take_entry(const directory::entry& told, const char* source);
+    void read_members();
+    void take_member_rows(const std::vector<platform::row>& rows);
+    void read_map(const service_id& service);
+    void take_map_row(const service_id& service, const platform::row& row);
+    void take_map_change(const keys::map_change& change);
+    void read_what_is_due();
+    void doubt_map(const service_id& service);
+    void upkeep();
+    void check_instance();
+    keys::takeover_view takeover_view();
+    keys::guardian_list guardian_candidates();
+    void take_control(
+        host_id peer,
+        const frame& message,
+        const std::function<void(const frame&)>& reply
+    );
+    std::optional<host_id>
+    owner_of(const service_id& service, keys::key_number key) const;
+    std::function<void()> hand_over(
+        host_id host,
+        routed_request&& request,
+        local_instance::response_handler done
+    );
+    void peer_request(
+        peer_request_id from,
+        routed_request&& request,
+        const service_id& caller_service
+    );
+    void start_keys();
+    bool notice_over() const;
+    void check_stopped();
+    ingress_surroundings surroundings();
+    peer_link_events link_events();
+
+    router_settings settings;
+    platform::shared_table& table;
+    net::timer_queue timers;
+    host_id host;
+    directory::entry own;
+    directory::directory known;
+
+    /// Maps of all keyed services.
+    struct followed_map {
+        keys::versioned_map known;
+        /// When it was last asked for.
+        instant asked_at;
+    };
+
+    std::map<service_id, followed_map> maps;
+    instant members_asked_at;
+    std::uint32_t member_readings{0};
+    std::shared_ptr<const routing::route_table> routes;
+    bool members_known{false};
+
+    /// This daemon's promises to others.
+    keys::guardian promises;
+    std::unique_ptr<key_desk> keys_here;
+    local_instance instance;
+    peer_links links;
+    ingress callers;
+
+    std::uint64_t last_sequence{0};
+    instant last_beat;
+    /// Instances that said that they end; they are never used again.
+    directory::instance_life departed;
+    std::map<peer_request_id, serving::work_id> peer_work;
+
+    platform::row_version entry_version;
+    bool entry_dirty{false};
+    bool entry_in_flight{false};
+    instant entry_retry_at;
+
+    std::vector<host_id> last_members;
+    instant members_since;
+
+    bool stopping{false};
+    instant stop_at;
+    std::function<void()> stopped;
+};
+
+} // namespace apricotstile::router
+
+#endif
--- /dev/null
+++ b/src/apricotstile/router/router_keys.cpp
@@ -0,0 +1,210 @@
+// Maps of keys, their owners, and the desk of the service beside this daemon.
+
+#include <apricotstile/router/internal/router_parts.hpp>
+
+#include <apricotstile/core/codec.hpp>
+#include <apricotstile/log/logger.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Between readings of a map that callers or peers show to be old.
+constexpr duration map_reading_pause = 500ms;
+
+constexpr duration doubted_map_pause = 1500ms;
+
+constexpr auto log_prefix = "router";
+
+} // namespace
+
+void router::parts::start_keys() {
+    const auto service =
+        this->routes->config.services.find(this->settings.service);
+    const bool keyed =
+        service != this->routes->config.services.end() && service->second.keyed;
+    if (!keyed || this->keys_here) {
+        return;
+    }
+    keys::keeper_policy policy;
+    policy.longest_hold =
+        std::min(policy.longest_hold, this->settings.longest_hold);
+    keys::keeper keeper = keys::make_keeper(
+        policy, this->host, this->own.run, this->settings.service
+    );
+    // An earlier run of this daemon may have granted keys right before it
+    // ended.
+    keeper.held_until = boot_clock::now() + keys::longest_promise(policy.lease);
+    // A heartbeat may have come before the configuration.
+    if (this->own.state == directory::instance_state::ready) {
+        keeper.life = this->own.life;
+    }
+    this->keys_here = std::make_unique<key_desk>(
+        std::move(keeper),
+        this->table,
+        this->timers,
+        key_desk::surroundings{
+            [this] {
+                return this->takeover_view();
+            },
+            [this] {
+                return this->instance.pressure();
+            },
+            [this] {
+                return this->guardian_candidates();
+            },
+            [this](host_id peer) {
+                const auto found = this->known.entries.find(peer);
+                return found != this->known.entries.end() &&
+                       found->second.service == this->own.service &&
+                       this->links.is_reachable(peer);
+            },
+            [this](host_id peer, const frame& message) {
+                this->links.tell(peer, message);
+            },
+            [this](const frame& message) {
+                this->links.tell_all(message);
+            },
+            [this](host_id holder, platform::row_version version) {
+                return keys::agree_to_depose(
+                    this->promises, holder, version, boot_clock::now()
+                );
+            }}
+    );
+}
+
+keys::takeover_view router::parts::takeover_view() {
+    keys::takeover_view view;
+    std::vector<host_id> hosts;
+    for (const directory::entry* const one :
+         directory::ready_instances(this->known, this->settings.service)) {
+        const bool usable =
+            one->host == this->host ||
+            (!one->stopping && this->links.is_reachable(one->host));
+        if (!usable) {
+            continue;
+        }
+        keys::member member{one->host, one->life};
+        if (one->host == this->host) {
+            member.pressure = this->instance.pressure();
+            member.mean_service = this->instance.load().mean_service;
+        } else if (const auto* const seen = this->callers.view_of(one->host)) {
+            const serving::reported_load& load = seen->load;
+            member.pressure = static_cast<double>(load.running + load.waiting) /
+                              std::max<std::uint32_t>(load.slots, 1);
+            member.mean_service = load.mean_service;
+        }
+        view.rank += one->host < this->host ? 1 : 0;
+        view.members.push_back(member);
+        hosts.push_back(one->host);
+    }
+    if (hosts != this->last_members) {
+        this->last_members = hosts;
+        this->members_since = boot_clock::now();
+    }
+    view.members_since = this->members_since;
+    return view;
+}
+
+/// Other daemons that may promise this one's lease, the best first. Those of
+/// other services come first, since the hosts of one service are often replaced
+/// together, and those of this region before the rest.
+keys::guardian_list router::parts::guardian_candidates() {
+    constexpr int same_service = 2;
+    constexpr int other_region = 1;
+    std::vector<std::pair<int, keys::guardian_id>> ranked;
+    for (const auto& [peer, entry] : this->known.entries) {
+        if (peer == this->host || entry.stopping ||
+            !this->links.is_reachable(peer)) {
+            continue;
+        }
+        const int rank =
+            (entry.service == this->own.service ? same_service : 0) +
+            (entry.where.region == this->own.where.region ? 0 : other_region);
+        ranked.emplace_back(rank, keys::guardian_id{peer, entry.run});
+    }
+    std::sort(ranked.begin(), ranked.end());
+    keys::guardian_list result;
+    for (const auto& [rank, peer] : ranked) {
+        result.push_back(peer);
+    }
+    return result;
+}
+
+std::optional<host_id>
+router::parts::owner_of(const service_id& service, keys::key_number key) const {
+    const keys::key_map* map = nullptr;
+    if (this->keys_here && service == this->settings.service) {
+        map = &this->keys_here->state().map;
+    } else {
+        const auto found = this->maps.find(service);
+        map = found == this->maps.end() ? nullptr : &found->second.known.map;
+    }
+    if (map == nullptr) {
+        return std::nullopt;
+    }
+    const keys::owned_range* const owner = keys::find_owner(*map, key);
+    return owner == nullptr ? std::nullopt : std::optional{owner->owner};
+}
+
+void router::parts::read_map(const service_id& service) {
+    this->maps[service].asked_at = boot_clock::now();
+    this->table.read(
+        "keys/" + service.value,
+        [this, service](const platform::read_result& read) {
+            for (const platform::row& row : read.rows) {
+                this->take_map_row(service, row);
+            }
+        }
+    );
+}
+
+void router::parts::take_map_row(
+    const service_id& service, const platform::row& row
+) {
+    keys::versioned_map& known = this->maps[service].known;
+    if (row.version <= known.version) {
+        return;
+    }
+    try {
+        known.map = keys::decode_map(row.value);
+        known.version = row.version;
+    } catch (const decode_error& error) {
+        log::write(
+            log::level::error,
+            log_prefix,
+            "A map of keys is malformed and left alone.",
+            {{"service", service.value}, {"reason", error.what()}}
+        );
+    }
+}
+
+void router::parts::take_map_change(const keys::map_change& change) {
+    if (this->keys_here && change.service == this->settings.service) {
+        this->keys_here->take_change(change);
+        return;
+    }
+    followed_map& followed = this->maps[change.service];
+    const keys::change_result result =
+        keys::apply_change(followed.known, change);
+    if (result == keys::change_result::gap &&
+        boot_clock::now() - followed.asked_at > map_reading_pause) {
+        this->read_map(change.service);
+    }
+}
+
+/// A request was refused by the owner that the map names: it may be old.
+void router::parts::doubt_map(const service_id& service) {
+    const bool is_own =
+        this->keys_here != nullptr && service == this->settings.service;
+    if (!is_own &&
+        boot_clock::now() - this->maps[service].asked_at > doubted_map_pause) {
+        this->read_map(service);
+    }
+}
+
+} // namespace apricotstile::router
--- /dev/null
+++ b/src/apricotstile/router/router_requests.cpp
@@ -0,0 +1,156 @@
+// Requests between the ingress, peers and the instance.
+
+#include <apricotstile/router/internal/router_parts.hpp>
+
+namespace apricotstile::router {
+
+ingress_surroundings router::parts::surroundings() {
+    ingress_surroundings result;
+    result.self = host_at(this->settings.peers);
+    result.where = this->settings.where;
+    result.local_service = this->settings.service;
+    result.names = this->settings.names;
+    result.instance = this->settings.instance;
+    result.retries = this->settings.retries;
+    result.nested_retries = this->settings.nested_retries;
+    result.known = &this->known;
+    result.owner_of = [this](const service_id& service, keys::key_number key) {
+        return this->owner_of(service, key);
+    };
+    result.doubt_map = [this](const service_id& service) {
+        this->doubt_map(service);
+    };
+    result.is_reachable = [this](host_id peer) {
+        return peer == this->host || this->links.is_reachable(peer);
+    };
+    result.hand_over = [this](
+                           host_id peer,
+                           routed_request&& request,
+                           ingress_surroundings::response_handler done
+                       ) {
+        return this->hand_over(peer, std::move(request), std::move(done));
+    };
+    return result;
+}
+
+peer_link_events router::parts::link_events() {
+    peer_link_events result;
+    result.on_request = [this](
+                            peer_request_id from,
+                            routed_request&& request,
+                            const service_id& caller_service
+                        ) {
+        this->peer_request(from, std::move(request), caller_service);
+    };
+    result.on_cancel = [this](peer_request_id from) {
+        const auto found = this->peer_work.find(from);
+        if (found != this->peer_work.end()) {
+            const serving::work_id work = found->second;
+            this->peer_work.erase(found);
+            this->instance.withdraw(work);
+        }
+    };
+    result.on_entry = [this](host_id, const entry_frame& told) {
+        this->callers.take_load(told.entry.host, told.load);
+        this->take_entry(told.entry, "link");
+    };
+    result.on_control = [this](
+                            host_id peer,
+                            const frame& message,
+                            const std::function<void(const frame&)>& reply
+                        ) {
+        this->take_control(peer, message, reply);
+    };
+    result.on_silent = [this](host_id peer) {
+        this->callers.peer_silent(peer);
+    };
+    result.on_load = [this](host_id peer, const serving::reported_load& load) {
+        this->callers.take_load(peer, load);
+    };
+    return result;
+}
+
+/// Requests to this daemon as a guardian, and replies to its own requests.
+void router::parts::take_control(
+    host_id peer,
+    const frame& message,
+    const std::function<void(const frame&)>& reply
+) {
+    const instant now = boot_clock::now();
+    if (const auto* const asked = std::get_if<promise_request>(&message)) {
+        const keys::promise_result result = keys::promise(
+            this->promises, peer, asked->version, asked->guardian_run, now
+        );
+        reply(promise_reply{asked->sequence, asked->guardian_run, result});
+    } else if (const auto* const end = std::get_if<deposition_request>(&message)) {
+        const bool agreed = keys::agree_to_depose(
+            this->promises, end->holder, end->version, now
+        );
+        reply(deposition_reply{end->holder, end->version, agreed});
+    } else if (const auto* const changed = std::get_if<map_change_frame>(&message)) {
+        this->take_map_change(changed->change);
+    } else if (this->keys_here) {
+        this->keys_here->take_reply(peer, message);
+    }
+}
+
+std::function<void()> router::parts::hand_over(
+    host_id peer,
+    routed_request&& request,
+    local_instance::response_handler done
+) {
+    if (peer != this->host) {
+        const stream_id stream =
+            this->links.send(peer, request, std::move(done));
+        return [this, peer, stream] {
+            this->links.cancel(peer, stream);
+        };
+    }
+    if (request.key && this->keys_here) {
+        this->keys_here->count_request(*request.key);
+    }
+    // The service may differ from the one that a stale entry names.
+    if (request.service != name_hash(this->settings.service.value)) {
+        routed_response refused;
+        refused.outcome = serving::attempt_outcome::refused_closed;
+        done(std::move(refused));
+        return nullptr;
+    }
+    const serving::work_id work = this->instance.submit(
+        std::move(request), this->settings.service, std::move(done)
+    );
+    return [this, work] {
+        this->instance.withdraw(work);
+    };
+}
+
+void router::parts::peer_request(
+    peer_request_id from,
+    routed_request&& request,
+    const service_id& caller_service
+) {
+    const auto respond = [this, from](routed_response&& response) {
+        this->peer_work.erase(from);
+        this->links.respond(
+            from, {from.stream, std::move(response), this->instance.load()}
+        );
+    };
+    if (request.service != name_hash(this->settings.service.value)) {
+        routed_response refused;
+        refused.outcome = serving::attempt_outcome::refused_closed;
+        respond(std::move(refused));
+        return;
+    }
+    if (request.key && this->keys_here) {
+        this->keys_here->count_request(*request.key);
+    }
+    this->peer_work[from] = serving::work_id{};
+    const serving::work_id work =
+        this->instance.submit(std::move(request), caller_service, respond);
+    const auto found = this->peer_work.find(from);
+    if (found != this->peer_work.end()) {
+        found->second = work;
+    }
+}
+
+} // namespace apricotstile::router
