Remove code that nothing calls and a set-up that stood twice

Read-through: directory::forget, the ingress's local service, and a stream's drain handler and pause of reading had no caller; the write notifier of a stream was set up in two places. No behaviour changed.

--- a/src/apricotstile/directory/directory.cpp
+++ b/src/apricotstile/directory/directory.cpp
@@ -35,10 +35,6 @@
     return true;
 }
 
-void forget(directory& known, host_id host) {
-    known.entries.erase(host);
-}
-
 std::vector<const entry*>
 ready_instances(const directory& known, const service_id& service) {
     std::vector<const entry*> result;
--- a/src/apricotstile/directory/directory.hpp
+++ b/src/apricotstile/directory/directory.hpp
@@ -21,8 +21,6 @@
 /// repetition is harmless. Returns whether it was taken.
 bool apply(directory& known, const entry& told);
 
-void forget(directory& known, host_id host);
-
 /// Daemons beside a ready instance of `service`, by host.
 [[nodiscard]] std::vector<const entry*>
 ready_instances(const directory& known, const service_id& service);
--- a/src/apricotstile/net/stream.cpp
+++ b/src/apricotstile/net/stream.cpp
@@ -62,17 +62,7 @@
         fail_later();
         return;
     }
-    this->self->write_notifier = std::make_unique<QSocketNotifier>(
-        this->self->descriptor, QSocketNotifier::Write
-    );
-    QObject::connect(
-        this->self->write_notifier.get(),
-        &QSocketNotifier::activated,
-        this,
-        [this] {
-            this->writable();
-        }
-    );
+    this->watch_writes();
     this->self->open_timer = std::make_unique<QTimer>();
     this->self->open_timer->setSingleShot(true);
     this->self->open_timer->callOnTimeout(this, [this] {
@@ -93,6 +83,20 @@
     this->release();
 }
 
+void stream::watch_writes() {
+    this->self->write_notifier = std::make_unique<QSocketNotifier>(
+        this->self->descriptor, QSocketNotifier::Write
+    );
+    QObject::connect(
+        this->self->write_notifier.get(),
+        &QSocketNotifier::activated,
+        this,
+        [this] {
+            this->writable();
+        }
+    );
+}
+
 void stream::opened() {
     this->self->open = true;
     this->self->open_timer.reset();
@@ -129,17 +133,7 @@
     }
     this->self->unsent = bytes;
     if (!this->self->write_notifier) {
-        this->self->write_notifier = std::make_unique<QSocketNotifier>(
-            this->self->descriptor, QSocketNotifier::Write
-        );
-        QObject::connect(
-            this->self->write_notifier.get(),
-            &QSocketNotifier::activated,
-            this,
-            [this] {
-                this->writable();
-            }
-        );
+        this->watch_writes();
     }
     this->self->write_notifier->setEnabled(true);
 }
@@ -185,9 +179,6 @@
         this->deleteLater();
         return;
     }
-    if (this->on_drained) {
-        this->on_drained();
-    }
 }
 
 void stream::readable() {
@@ -235,7 +226,6 @@
 void stream::close() {
     this->on_open = nullptr;
     this->on_end = nullptr;
-    this->on_drained = nullptr;
     if (this->self->descriptor < 0 || this->self->closing) {
         return;
     }
@@ -250,7 +240,6 @@
 void stream::abort() {
     this->on_open = nullptr;
     this->on_end = nullptr;
-    this->on_drained = nullptr;
     if (this->self->descriptor < 0) {
         return;
     }
@@ -262,12 +251,6 @@
     this->deleteLater();
 }
 
-void stream::pause_reading(bool paused) {
-    if (this->self->read_notifier) {
-        this->self->read_notifier->setEnabled(!paused);
-    }
-}
-
 bool stream::is_open() const {
     return this->self->open && this->self->descriptor >= 0 &&
            !this->self->closing;
--- a/src/apricotstile/net/stream.hpp
+++ b/src/apricotstile/net/stream.hpp
@@ -42,8 +42,6 @@
     std::function<void(std::string_view)> on_data;
     /// Runs once, never from inside `write` or `close`.
     std::function<void(stream_end)> on_end;
-    /// Runs when all written bytes are with the kernel after some had to wait.
-    std::function<void()> on_drained;
 
     /// Sends `bytes`, at once where the kernel takes them.
     void write(std::string_view bytes);
@@ -51,8 +49,6 @@
     void close();
     /// Closes with a reset, dropping what is unsent; no handler runs any more.
     void abort();
-    /// Stops reading, so that the peer is slowed down.
-    void pause_reading(bool paused);
 
     [[nodiscard]] bool is_open() const;
     [[nodiscard]] std::size_t unsent_bytes() const;
@@ -60,6 +56,7 @@
 private:
     struct state;
 
+    void watch_writes();
     void opened();
     void readable();
     void writable();
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -32,7 +32,6 @@
 struct ingress_surroundings {
     host_id self;
     location where;
-    service_id local_service;
     wire_names names;
     /// The instance beside this daemon.
     address instance;
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -8,7 +8,6 @@
     ingress_surroundings result;
     result.self = host_at(this->settings.peers);
     result.where = this->settings.where;
-    result.local_service = this->settings.service;
     result.names = this->settings.names;
     result.instance = this->settings.instance;
     result.retries = this->settings.retries;
