--- a/src/apricotstile/keys/key_load.cpp
+++ b/src/apricotstile/keys/key_load.cpp
@@ -8,15 +8,16 @@
 
 namespace {
 
-constexpr float decay_factor = 0.5F;
+/// Halves the past within a second.
+constexpr float decay_factor = 0.7071F;
 
 } // namespace
 
-void count_key(key_load& load, key_number key) {
+void count_key(key_load& load, key_number key, duration work) {
     if (load.by_key.empty()) {
         load.by_key.resize(key_count);
     }
-    load.by_key[key] += 1;
+    load.by_key[key] += std::chrono::duration<float>(work).count();
 }
 
 void decay(key_load& load) {
@@ -25,6 +26,14 @@
     }
 }
 
+double slots_for(double load) {
+    // A steady rate adds up to this many seconds of it.
+    const double seconds =
+        std::chrono::duration<double>(decay_interval).count() * decay_factor /
+        (1 - decay_factor);
+    return load / seconds;
+}
+
 double load_of(const key_load& load, const key_range& keys) {
     if (load.by_key.empty()) {
         return 0;
--- a/src/apricotstile/keys/key_load.hpp
+++ b/src/apricotstile/keys/key_load.hpp
@@ -1,4 +1,4 @@
-// How often each key was asked for lately, and which keys to move so that a
+// How much work each key brought lately, and which keys to move so that a
 // given load moves with them. Answers hot keys that lie close to one another.
 
 #ifndef APRICOTSTILE_KEYS_KEY_LOAD_HPP
@@ -12,15 +12,22 @@
 namespace apricotstile::keys {
 
 struct key_load {
-    /// Requests by key, decaying; empty before the first.
+    /// Expected seconds of work by key, decaying; empty before the first.
     std::vector<float> by_key;
 };
 
-void count_key(key_load& load, key_number key);
+/// Between two calls of `decay`.
+inline constexpr duration decay_interval = std::chrono::milliseconds{500};
 
-/// Halves all counts. Call it at a fixed interval.
+void count_key(key_load& load, key_number key, duration work);
+
+/// Lets the past weigh less. Call it at `decay_interval`.
 void decay(key_load& load);
 
+/// The slots that a load right after `decay` keeps busy.
+[[nodiscard]] double slots_for(double load);
+
+
 [[nodiscard]] double load_of(const key_load& load, const key_range& keys);
 
 /// The fewest neighbouring keys within one of `ranges` that carry `wanted` of
--- /dev/null
+++ b/src/apricotstile/keys/relief.cpp
@@ -0,0 +1,116 @@
+// Offers of room and their division.
+
+#include <apricotstile/keys/relief.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::keys {
+
+namespace {
+
+/// Mean service times say this much at most about speed, since the mix of
+/// requests differs too.
+constexpr double most_speed_ratio = 2.5;
+
+/// The member's slots for one of the owner's.
+double speed_ratio(duration member, duration owner) {
+    if (member <= duration{0} || owner <= duration{0}) {
+        return 1;
+    }
+    return std::clamp(
+        static_cast<double>(member.count()) /
+            static_cast<double>(owner.count()),
+        1 / most_speed_ratio,
+        most_speed_ratio
+    );
+}
+
+} // namespace
+
+double wanted_relief(const relief_policy& policy, const key_service_load& load) {
+    const bool has_backlog = load.work > load.slots * policy.crowded_pressure;
+    if (load.demand <= load.slots * policy.crowded && !has_backlog) {
+        return 0;
+    }
+    const double excess = load.demand - load.slots * policy.aim;
+    const double least = has_backlog ? load.demand * policy.least_part : 0;
+    const double wanted = std::max(excess, least);
+    return wanted < policy.least_slots ? 0 : wanted;
+}
+
+double offer_room(
+    room_book& book,
+    const relief_policy& policy,
+    const key_service_load& load,
+    const room_key& asked,
+    double wanted,
+    instant now
+) {
+    double reserved = 0;
+    for (auto one = book.reserved.begin(); one != book.reserved.end();) {
+        if (one->second.until <= now) {
+            one = book.reserved.erase(one);
+            continue;
+        }
+        reserved += one->second.slots;
+        ++one;
+    }
+    const double used = std::max(load.demand, load.work);
+    const double room = load.slots * policy.aim - used - reserved;
+    const double offered = std::min(room, wanted);
+    if (offered < policy.least_slots) {
+        return 0;
+    }
+    book.reserved[asked] = {offered, now + policy.offer_lifetime};
+    return offered;
+}
+
+void claim_room(
+    room_book& book,
+    const relief_policy& policy,
+    const room_key& asked,
+    double slots,
+    instant now
+) {
+    const auto found = book.reserved.find(asked);
+    if (found == book.reserved.end()) {
+        return;
+    }
+    if (slots <= 0) {
+        book.reserved.erase(found);
+        return;
+    }
+    found->second = {slots, now + policy.claim_lifetime};
+}
+
+std::vector<relief_part> divide_relief(
+    const relief_policy& policy,
+    const key_service_load& load,
+    double wanted,
+    std::vector<room_offer> offers
+) {
+    const auto given_for = [&](const room_offer& one) {
+        return one.slots / speed_ratio(one.mean_service, load.mean_service);
+    };
+    std::stable_sort(
+        offers.begin(),
+        offers.end(),
+        [&](const room_offer& left, const room_offer& right) {
+            return given_for(left) > given_for(right);
+        }
+    );
+    std::vector<relief_part> result;
+    for (const room_offer& one : offers) {
+        const double given = std::min(wanted, given_for(one));
+        if (result.size() >= policy.receivers || given < policy.least_slots) {
+            break;
+        }
+        const double ratio =
+            speed_ratio(one.mean_service, load.mean_service);
+        result.push_back({one.member, given, given * ratio});
+        wanted -= given;
+    }
+    return result;
+}
+
+} // namespace apricotstile::keys
--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -143,71 +143,6 @@
     return key_range{largest->keys.last - part + 1, largest->keys.last};
 }
 
-const member* least_pressed(const takeover_view& view, host_id self) {
-    const member* best = nullptr;
-    for (const member& one : view.members) {
-        if (one.host != self &&
-            (best == nullptr || one.pressure < best->pressure)) {
-            best = &one;
-        }
-    }
-    return best;
-}
-
-/// A member with room whose instance is much faster than this daemon's, while
-/// that one still has a good share of the keys.
-const member* much_faster(
-    const keeper& state,
-    const takeover_policy& policy,
-    const takeover_view& view
-) {
-    const auto self = std::find_if(
-        view.members.begin(),
-        view.members.end(),
-        [&](const member& one) {
-            return one.host == state.self;
-        }
-    );
-    const auto least_keys = static_cast<std::uint64_t>(
-        policy.slow_share * key_count / static_cast<double>(view.members.size())
-    );
-    if (self == view.members.end() || self->mean_service == duration{0} ||
-        keys_of(state.map, state.self) <= least_keys) {
-        return nullptr;
-    }
-    const member* best = nullptr;
-    for (const member& one : view.members) {
-        const bool is_faster =
-            one.mean_service > duration{0} &&
-            scaled(one.mean_service, policy.slow_factor) < self->mean_service;
-        if (is_faster && one.pressure < policy.roomy_pressure &&
-            (best == nullptr || one.pressure < best->pressure)) {
-            best = &one;
-        }
-    }
-    return best;
-}
-
-/// Keys that carry `part` of this daemon's load, for `target`.
-std::optional<move> part_of_load(
-    const keeper& state, const key_load& load, double part, host_id target
-) {
-    constexpr double least = 0.8;
-    constexpr double most = 1.3;
-    std::vector<key_range> ranges;
-    double total = 0;
-    for (const owned_range& one : kept_ranges(state)) {
-        ranges.push_back(one.keys);
-        total += load_of(load, one.keys);
-    }
-    const auto keys =
-        keys_with_load(load, ranges, total * part * least, total * part * most);
-    if (!keys) {
-        return std::nullopt;
-    }
-    return move{*keys, target};
-}
-
 } // namespace
 
 wanted_changes plan_takeover(
@@ -248,33 +183,71 @@
     return result;
 }
 
-std::optional<move> plan_move(
+std::optional<move>
+plan_welcome(const keeper& state, const takeover_view& view) {
+    if (!state.releases.empty() || view.members.size() < 2) {
+        return std::nullopt;
+    }
+    const member* const joined = newcomer(state, view);
+    if (joined == nullptr) {
+        return std::nullopt;
+    }
+    const auto part = part_for_newcomer(state, view.members.size());
+    return part ? std::optional{move{*part, joined->host}} : std::nullopt;
+}
+
+std::optional<host_id> much_faster(
     const keeper& state,
     const takeover_policy& policy,
-    const takeover_view& view,
-    const key_load& load,
-    double pressure
+    const takeover_view& view
 ) {
-    if (!state.releases.empty() || view.members.size() < 2) {
+    const auto self = std::find_if(
+        view.members.begin(),
+        view.members.end(),
+        [&](const member& one) {
+            return one.host == state.self;
+        }
+    );
+    if (self == view.members.end() || self->mean_service == duration{0}) {
         return std::nullopt;
     }
-    if (const member* const joined = newcomer(state, view)) {
-        const auto part = part_for_newcomer(state, view.members.size());
-        if (part) {
-            return move{*part, joined->host};
+    const auto least_keys = static_cast<std::uint64_t>(
+        policy.slow_share * key_count / static_cast<double>(view.members.size())
+    );
+    if (keys_of(state.map, state.self) <= least_keys) {
+        return std::nullopt;
+    }
+    const member* best = nullptr;
+    for (const member& one : view.members) {
+        const bool is_faster =
+            one.mean_service > duration{0} &&
+            scaled(one.mean_service, policy.slow_factor) < self->mean_service;
+        if (is_faster && one.pressure < policy.roomy_pressure &&
+            (best == nullptr || one.pressure < best->pressure)) {
+            best = &one;
         }
     }
-    const member* const target = least_pressed(view, state.self);
-    if (pressure >= policy.crowded_pressure &&
-        target->pressure <= pressure * policy.relief) {
-        const double part = (pressure - target->pressure) / (2 * pressure);
-        return part_of_load(state, load, part, target->host);
+    return best == nullptr ? std::nullopt : std::optional{best->host};
+}
+
+std::optional<key_range>
+keys_worth(const keeper& state, const key_load& load, double slots) {
+    constexpr double least = 0.8;
+    constexpr double most = 1.3;
+    std::vector<key_range> ranges;
+    for (const owned_range& one : kept_ranges(state)) {
+        ranges.push_back(one.keys);
     }
-    const member* const faster = much_faster(state, policy, view);
-    if (faster != nullptr) {
-        return part_of_load(state, load, policy.slow_part, faster->host);
+    const double wanted = slots / slots_for(1);
+    return keys_with_load(load, ranges, wanted * least, wanted * most);
+}
+
+double demand_of(const keeper& state, const key_load& load) {
+    double total = 0;
+    for (const owned_range& one : kept_ranges(state)) {
+        total += load_of(load, one.keys);
     }
-    return std::nullopt;
+    return slots_for(total);
 }
 
 std::vector<move>
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -1,5 +1,6 @@
 // Which keys get which owner: the first division, keys of owners whose leases
-// have run out, and moves that even out load.
+// have run out, and those that newcomers and faster instances are given. How
+// crowded owners find room is in `keys/relief.hpp`.
 
 #ifndef APRICOTSTILE_KEYS_TAKEOVER_HPP
 #define APRICOTSTILE_KEYS_TAKEOVER_HPP
@@ -25,10 +26,6 @@
     /// A daemon acts this much later for each one before it, so that as a
     /// rule only one acts.
     duration delay_by_rank{std::chrono::milliseconds{1500}};
-    /// Keys move away from an instance with more work for each slot than this.
-    double crowded_pressure{0.9};
-    /// They move to one that has less than this part of it.
-    double relief{0.6};
     /// An instance this many times slower than another, which has room, gives
     /// keys away until it has this part of an even share.
     double slow_factor{1.5};
@@ -62,16 +59,27 @@
     host_id target;
 };
 
-/// The next move away from this daemon's instance, or nothing. `pressure` is
-/// its work for each slot.
-[[nodiscard]] std::optional<move> plan_move(
+/// The part of this daemon's keys that a newcomer is to have, or nothing.
+[[nodiscard]] std::optional<move>
+plan_welcome(const keeper& state, const takeover_view& view);
+
+/// A member with room whose instance is much faster than this daemon's, while
+/// this one still has a good share of the keys.
+[[nodiscard]] std::optional<host_id> much_faster(
     const keeper& state,
     const takeover_policy& policy,
-    const takeover_view& view,
-    const key_load& load,
-    double pressure
+    const takeover_view& view
 );
 
+/// Keys of this daemon that keep about `slots` of its instance busy, or
+/// nothing where no neighbouring ones do.
+[[nodiscard]] std::optional<key_range>
+keys_worth(const keeper& state, const key_load& load, double slots);
+
+/// The slots that the keys which this daemon keeps are worth.
+[[nodiscard]] double
+demand_of(const keeper& state, const key_load& load);
+
 /// Moves for all keys of this daemon, whose instance leaves.
 [[nodiscard]] std::vector<move>
 plan_departure(const keeper& state, const takeover_view& view);
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -157,6 +157,25 @@
 template <class Archive>
 void serialize(Archive&, pong_frame&) {}
 
+template <class Archive>
+void serialize(Archive& archive, room_request& value) {
+    serialize_number(archive, value.sequence);
+    serialize_number(archive, value.wanted);
+}
+
+template <class Archive>
+void serialize(Archive& archive, room_reply& value) {
+    serialize_number(archive, value.sequence);
+    serialize_number(archive, value.offered);
+    serialize_millis(archive, value.mean_service);
+}
+
+template <class Archive>
+void serialize(Archive& archive, room_claim& value) {
+    serialize_number(archive, value.sequence);
+    serialize_number(archive, value.taken);
+}
+
 namespace {
 
 /// The frame whose kind is the `Index`th of the variant, by its number.
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -101,6 +101,25 @@
     keys::map_change change;
 };
 
+/// An owner of keys asks a member of its service for room, in thousandths of
+/// a slot; see `keys/relief.hpp`.
+struct room_request {
+    std::uint64_t sequence{0};
+    std::uint64_t wanted{0};
+};
+
+struct room_reply {
+    std::uint64_t sequence{0};
+    std::uint64_t offered{0};
+    duration mean_service{0};
+};
+
+/// What the owner takes of the offer; none of it where `taken` is zero.
+struct room_claim {
+    std::uint64_t sequence{0};
+    std::uint64_t taken{0};
+};
+
 /// Answered by a `pong_frame` at once.
 struct ping_frame {};
 
@@ -117,7 +136,10 @@
     deposition_reply,
     map_change_frame,
     ping_frame,
-    pong_frame>;
+    pong_frame,
+    room_request,
+    room_reply,
+    room_claim>;
 
 /// The bytes of a frame with its length before it. `headers` is the table of
 /// the direction that it is sent in, and each frame made is to be sent.
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -188,19 +188,27 @@
         item.key = static_cast<keys::key_number>(*key);
         item.progress.keyed = true;
     }
-    item.deadline_timer = this->timers.at(
-        item.progress.deadline + deadline_slack,
-        [this, caller] {
-            this->deadline_passed(caller);
-        }
-    );
     this->requests.emplace(caller, std::move(added));
+    this->watch_deadline(item);
     serving::count_request(
         this->budgets[{item.service, item.nested}], this->around.retries, now
     );
     this->attempt(item);
 }
 
+/// Answers the request itself at its deadline.
+void ingress::watch_deadline(pending& request) {
+    this->timers.cancel(request.deadline_timer);
+    request.progress.deadline =
+        std::min(request.progress.deadline, this->last_answer);
+    request.deadline_timer = this->timers.at(
+        request.progress.deadline + deadline_slack,
+        [this, caller = request.caller] {
+            this->deadline_passed(caller);
+        }
+    );
+}
+
 void ingress::refuse_unrouted(
     caller_id caller,
     const http::received_request& request,
@@ -251,8 +259,12 @@
     this->timers.after(0ms, [last] {});
 }
 
-void ingress::start_closing() {
+void ingress::start_closing(instant end) {
     this->closing = true;
+    this->last_answer = end;
+    for (auto& [caller, request] : this->requests) {
+        this->watch_deadline(*request);
+    }
 }
 
 void ingress::stop_accepting() {
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -83,8 +83,9 @@
     void take_load(host_id host, const serving::reported_load& load);
     /// Requests that may run elsewhere don't wait for a silent peer.
     void peer_silent(host_id host);
-    /// Tells callers to close their connections from now on.
-    void start_closing();
+    /// Tells callers to close their connections from now on. Every request,
+    /// also those still to come, has its answer by `end`.
+    void start_closing(instant end);
     /// Takes no new connections, and closes idle ones.
     void stop_accepting();
 
@@ -102,6 +103,7 @@
     void take_request(caller_id caller, http::received_request&& request);
     void caller_gone(caller_id caller);
     void attempt(pending& request);
+    void leave_silent(pending& request);
     std::optional<host_id> choose_host(pending& request);
     serving::nearness distance_to(const location& where) const;
     void attempt_ended(
@@ -113,6 +115,7 @@
     void perform(
         pending& request, serving::next_step step, routed_response&& response
     );
+    void watch_deadline(pending& request);
     void deadline_passed(caller_id caller);
     void answer_own(
         pending& request,
@@ -136,6 +139,8 @@
     std::shared_ptr<const routing::route_table> table;
     bool config_current{false};
     bool closing{false};
+    /// The latest instant at which a request may still wait.
+    instant last_answer{instant::max()};
     std::unique_ptr<net::acceptor> listener;
     caller_events events;
     caller_id last_caller;
--- a/src/apricotstile/router/ingress_attempts.cpp
+++ b/src/apricotstile/router/ingress_attempts.cpp
@@ -335,21 +335,40 @@
 }
 
 void ingress::peer_silent(host_id host) {
-    std::vector<std::pair<caller_id, std::uint64_t>> stuck;
+    std::vector<caller_id> stuck;
     for (const auto& [caller, request] : this->requests) {
-        if (request->host == host && request->progress.idempotent &&
-            !request->progress.keyed) {
-            stuck.emplace_back(caller, request->attempt);
+        if (request->host == host && request->cancel) {
+            stuck.push_back(caller);
         }
     }
-    for (const auto& [caller, number] : stuck) {
+    for (const caller_id caller : stuck) {
         const auto found = this->requests.find(caller);
-        if (found == this->requests.end() || !found->second->cancel) {
-            continue;
+        if (found != this->requests.end()) {
+            this->leave_silent(*found->second);
         }
-        found->second->cancel();
-        this->attempt_ended(caller, number, host, routed_response{});
     }
 }
 
+/// Sends a request to another instance where there is one and the budget
+/// allows; else its answer is still waited for.
+void ingress::leave_silent(pending& request) {
+    const instant now = boot_clock::now();
+    if (!serving::may_leave_silent(request.progress, this->progress, now) ||
+        !this->choose_host(request) || !this->may_repeat(request)) {
+        return;
+    }
+    request.cancel();
+    request.cancel = nullptr;
+    serving::instance_view& view = this->views[request.host];
+    view.in_flight -= view.in_flight > 0 ? 1 : 0;
+    serving::note_loss(view, this->choice, now);
+    request.trail += fmt::format(
+        "{}{}:silent",
+        request.trail.empty() ? "" : ",",
+        host_text(request.host)
+    );
+    serving::leave_silent(request.progress);
+    this->attempt(request);
+}
+
 } // namespace apricotstile::router
--- a/src/apricotstile/router/internal/router_parts.hpp
+++ b/src/apricotstile/router/internal/router_parts.hpp
@@ -54,6 +54,7 @@
         routed_request&& request,
         const service_id& caller_service
     );
+    void count_key(const routed_request& request);
     void start_keys();
     bool notice_over() const;
     void check_stopped();
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -14,7 +14,13 @@
 using namespace std::chrono_literals;
 
 constexpr duration tick_interval = 200ms;
-constexpr duration balance_interval = 1s;
+constexpr duration balance_interval = keys::decay_interval;
+/// For the replies of members that were asked for room.
+constexpr duration offer_wait = 80ms;
+/// Relief that isn't to be had in one piece is sought in this many steps, each
+/// of half the load.
+constexpr int most_halvings = 3;
+constexpr double thousandth = 0.001;
 /// Between readings of the others' leases.
 constexpr duration watch_interval = 3s;
 /// Between readings of a map that requests show to be old.
@@ -27,11 +33,11 @@
 constexpr duration guardian_patience = 2s;
 /// Requests for promises that may be answered at one time.
 constexpr std::size_t max_asked = 16;
-constexpr duration move_interval = 2s;
+constexpr duration move_interval = 1s;
 constexpr duration failed_call_pause = 200ms;
 /// Daemons, by rank, that watch the others' leases.
 constexpr std::size_t watching_ranks = 2;
-constexpr double pressure_smoothing = 0.3;
+constexpr double work_smoothing = 0.3;
 constexpr auto log_prefix = "keys";
 
 std::string text_of(const keys::key_range& range) {
@@ -67,7 +73,7 @@
     surroundings around
 )
     : keeper(std::move(keeper)), table(table), timers(timers),
-      around(std::move(around)) {
+      around(std::move(around)), random(this->keeper.run.value) {
     this->timers.every(this->keeper.policy.lease.promise_interval, [this] {
         this->ask_promises();
     });
@@ -126,8 +132,8 @@
     return keys::may_dispatch(this->keeper, key, boot_clock::now());
 }
 
-void key_desk::count_request(keys::key_number key) {
-    keys::count_key(this->load, key);
+void key_desk::count_request(keys::key_number key, duration work) {
+    keys::count_key(this->load, key, work);
     const keys::owned_range* const owner =
         keys::find_owner(this->keeper.map, key);
     const bool is_own = owner != nullptr && owner->owner == this->keeper.self;
@@ -400,7 +406,7 @@
     }
 }
 
-void key_desk::take_reply(host_id guardian, const frame& reply) {
+void key_desk::take_reply(host_id peer, const frame& reply) {
     if (const auto* const promised = std::get_if<promise_reply>(&reply)) {
         const auto sent = this->asked.find(promised->sequence);
         if (sent == this->asked.end()) {
@@ -409,7 +415,7 @@
         switch (promised->result) {
         case keys::promise_result::promised:
             keys::take_promise(
-                this->keeper, {guardian, promised->guardian_run}, sent->second
+                this->keeper, {peer, promised->guardian_run}, sent->second
             );
             break;
         case keys::promise_result::given_up:
@@ -423,34 +429,157 @@
     } else if (const auto* const end = std::get_if<deposition_reply>(&reply)) {
         if (end->agreed) {
             keys::take_agreement(
-                this->keeper, guardian, end->holder, end->version
+                this->keeper, peer, end->holder, end->version
             );
             this->pump();
         }
+    } else if (const auto* const room = std::get_if<room_reply>(&reply)) {
+        if (room->sequence == this->last_room_request) {
+            this->offers.push_back(
+                {peer,
+                 static_cast<double>(room->offered) * thousandth,
+                 room->mean_service}
+            );
+        }
     }
 }
 
+/// What the keys that are kept bring, and what the instance has to do.
+keys::key_service_load key_desk::present_load() const {
+    keys::key_service_load result = this->around.load();
+    result.work = this->mean_work;
+    result.demand = keys::demand_of(this->keeper, this->load);
+    return result;
+}
+
 void key_desk::balance() {
     keys::decay(this->load);
-    this->mean_pressure +=
-        pressure_smoothing * (this->around.pressure() - this->mean_pressure);
+    this->mean_work +=
+        work_smoothing * (this->around.load().work - this->mean_work);
     const instant now = boot_clock::now();
     if (this->departing || !this->keeper.life ||
         !keys::has_lease(this->keeper, now) ||
         now < this->last_move + move_interval) {
         return;
     }
-    const auto next = keys::plan_move(
-        this->keeper,
-        this->policy,
-        this->around.view(),
-        this->load,
-        this->mean_pressure
-    );
-    if (next) {
+    const keys::takeover_view view = this->around.view();
+    if (const auto next = keys::plan_welcome(this->keeper, view)) {
         this->last_move = now;
-        this->release({*next}, "balance");
+        this->release({*next}, "newcomer");
+        return;
+    }
+    const keys::key_service_load present = this->present_load();
+    const double wanted = keys::wanted_relief(this->relief, present);
+    if (wanted > 0) {
+        std::vector<host_id> members;
+        for (const keys::member& one : view.members) {
+            if (one.host != this->keeper.self) {
+                members.push_back(one.host);
+            }
+        }
+        std::shuffle(members.begin(), members.end(), this->random);
+        members.resize(std::min(members.size(), this->relief.asked));
+        this->ask_for_room(wanted, std::move(members));
+    } else if (const auto faster = keys::much_faster(this->keeper, this->policy, view)) {
+        this->ask_for_room(present.demand * this->policy.slow_part, {*faster});
+    }
+}
+
+void key_desk::ask_for_room(double wanted, std::vector<host_id> members) {
+    this->last_move = boot_clock::now();
+    this->wanted_room = wanted;
+    this->offers.clear();
+    const room_request asked{
+        ++this->last_room_request,
+        static_cast<std::uint64_t>(wanted / thousandth)};
+    for (const host_id member : members) {
+        this->around.tell(member, asked);
+    }
+    this->timers.after(offer_wait, [this] {
+        this->take_offers();
+    });
+}
+
+/// Gives keys to the members that have offered room, and tells each what is
+/// taken of its offer.
+void key_desk::take_offers() {
+    std::map<host_id, double> claims;
+    for (const keys::room_offer& one : this->offers) {
+        claims[one.member] = 0;
     }
+    if (!this->departing) {
+        for (const keys::relief_part& part : keys::divide_relief(
+                 this->relief,
+                 this->present_load(),
+                 this->wanted_room,
+                 this->offers
+             )) {
+            if (this->give_keys(part) > 0) {
+                claims[part.member] = part.taken;
+            }
+        }
+    }
+    for (const auto& [member, taken] : claims) {
+        this->around.tell(
+            member,
+            room_claim{
+                this->last_room_request,
+                static_cast<std::uint64_t>(taken / thousandth)}
+        );
+    }
+    this->offers.clear();
+}
+
+/// Returns how many ranges are given. A hot key that is worth more than `part`
+/// stays; then smaller parts are sought beside it.
+std::size_t key_desk::give_keys(const keys::relief_part& part) {
+    std::size_t given = 0;
+    double slots = part.given;
+    for (int halvings = 0; halvings <= most_halvings; ++halvings) {
+        const auto keys = keys::keys_worth(this->keeper, this->load, slots);
+        if (!keys) {
+            slots /= 2;
+            continue;
+        }
+        this->release({{*keys, part.member}}, "load");
+        ++given;
+        if (halvings == 0) {
+            break;
+        }
+    }
+    return given;
+}
+
+room_reply
+key_desk::offer_room(host_id owner, const room_request& asked) {
+    const keys::key_service_load present = this->present_load();
+    const bool can_hold =
+        !this->departing && this->keeper.life &&
+        keys::has_lease(this->keeper, boot_clock::now());
+    const double offered =
+        can_hold ? keys::offer_room(
+                       this->room,
+                       this->relief,
+                       present,
+                       {owner, asked.sequence},
+                       static_cast<double>(asked.wanted) * thousandth,
+                       boot_clock::now()
+                   )
+                 : 0;
+    return {
+        asked.sequence,
+        static_cast<std::uint64_t>(offered / thousandth),
+        present.mean_service};
+}
+
+void key_desk::take_claim(host_id owner, const room_claim& claim) {
+    keys::claim_room(
+        this->room,
+        this->relief,
+        {owner, claim.sequence},
+        static_cast<double>(claim.taken) * thousandth,
+        boot_clock::now()
+    );
 }
 
 void key_desk::release(const std::vector<keys::move>& moves, const char* why) {
--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -6,7 +6,9 @@
 
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/keys/keeper.hpp>
+#include <apricotstile/keys/relief.hpp>
 #include <apricotstile/keys/takeover.hpp>
+#include <apricotstile/core/random.hpp>
 #include <apricotstile/net/timer_queue.hpp>
 #include <apricotstile/platform/shared_table.hpp>
 #include <apricotstile/router/frames.hpp>
@@ -22,8 +24,8 @@
     struct surroundings {
         /// The members as this daemon sees them now.
         std::function<keys::takeover_view()> view;
-        /// Work at the instance for each slot.
-        std::function<double()> pressure;
+        /// The instance's load, but for what its keys are worth.
+        std::function<keys::key_service_load()> load;
         /// Daemons that may promise this one's lease, the best first.
         std::function<keys::guardian_list()> guardian_candidates;
         /// Whether a daemon is reached and is still beside this service: its
@@ -53,10 +55,14 @@
     /// grant has run out.
     void instance_left();
     [[nodiscard]] bool may_dispatch(keys::key_number key) const;
-    /// A request for `key` came here.
-    void count_request(keys::key_number key);
-    /// A guardian's reply.
-    void take_reply(host_id guardian, const frame& reply);
+    /// A request for `key` came here, which is expected to take `work`.
+    void count_request(keys::key_number key, duration work);
+    /// A reply of a guardian, or of a member that was asked for room.
+    void take_reply(host_id peer, const frame& reply);
+    /// A member asks for room for its keys.
+    [[nodiscard]] room_reply
+    offer_room(host_id owner, const room_request& asked);
+    void take_claim(host_id owner, const room_claim& claim);
     /// A change that another daemon made; a gap has the map read.
     void take_change(const keys::map_change& change);
     [[nodiscard]] const keys::keeper& state() const;
@@ -71,6 +77,10 @@
     void ask_promises();
     void ask_depositions();
     void balance();
+    [[nodiscard]] keys::key_service_load present_load() const;
+    void ask_for_room(double wanted, std::vector<host_id> members);
+    void take_offers();
+    std::size_t give_keys(const keys::relief_part& part);
     void release(const std::vector<keys::move>& moves, const char* why);
 
     keys::keeper keeper;
@@ -83,8 +93,16 @@
     bool reading{false};
     instant last_read;
     instant last_move;
-    /// Moving mean of the pressure.
-    double mean_pressure{0};
+    /// Moving mean of the work at the instance.
+    double mean_work{0};
+    keys::relief_policy relief;
+    /// What this daemon has offered to owners.
+    keys::room_book room;
+    std::uint64_t last_room_request{0};
+    /// What is wanted of the members that were asked last.
+    double wanted_room{0};
+    std::vector<keys::room_offer> offers;
+    random_source random;
     instant retry_at;
     /// When each request for promises was sent, by its sequence.
     std::map<std::uint64_t, instant> asked;
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -109,9 +109,7 @@
     offered.priority = item.request.priority;
     offered.target = now + item.request.to_target;
     offered.deadline = item.deadline;
-    offered.expected = serving::expected(
-        this->times, std::to_string(item.request.route), fallback_service_time
-    );
+    offered.expected = this->expected_time(item.request.route);
     const serving::work_id id = item.id;
     item.timer = this->timers.at(item.deadline, [this, id] {
         this->deadline_passed(id);
@@ -253,6 +251,12 @@
     return result;
 }
 
+duration local_instance::expected_time(std::uint32_t route) const {
+    return serving::expected(
+        this->times, std::to_string(route), fallback_service_time
+    );
+}
+
 std::size_t local_instance::unfinished() const {
     return this->items.size();
 }
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -55,6 +55,8 @@
     void withdraw(serving::work_id id);
 
     [[nodiscard]] serving::reported_load load() const;
+    /// How long a request of a route takes, by the hash of its name.
+    [[nodiscard]] duration expected_time(std::uint32_t route) const;
     /// Requests that wait or run.
     [[nodiscard]] std::size_t unfinished() const;
     /// Work for each slot.
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -19,10 +19,12 @@
 
 constexpr duration open_timeout = 300ms;
 /// A link with unanswered requests is asked for a sign after this time
-/// without one, counts as silent when none comes, and is then given up.
+/// without one, counts as silent when none comes, and is then given up. The
+/// socket's own probes find a lost host earlier; a daemon that is merely busy
+/// still answers.
 constexpr duration quiet_time = 250ms;
 constexpr duration silent_time = 300ms;
-constexpr duration lost_time = 1500ms;
+constexpr duration lost_time = 4s;
 constexpr duration check_interval = 100ms;
 constexpr duration first_reopen_pause = 200ms;
 constexpr duration longest_reopen_pause = 1s;
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -27,6 +27,9 @@
 /// Kept for closing connections at the end of the grace.
 constexpr duration stop_margin = 500ms;
 
+/// Requests are answered this long before connections are closed.
+constexpr duration last_answers_margin = 200ms;
+
 /// Requests stop going to a leaving instance this long before they must.
 constexpr duration drain_margin = 400ms;
 
@@ -276,7 +279,7 @@
     all.stop_at = boot_clock::now() + all.settings.stop_grace - stop_margin;
     all.stopped = std::move(stopped);
     all.own.stopping = true;
-    all.callers.start_closing();
+    all.callers.start_closing(all.stop_at - last_answers_margin);
     if (all.keys_here) {
         all.keys_here->start_departure();
     }
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -52,7 +52,12 @@
                 return this->takeover_view();
             },
             [this] {
-                return this->instance.pressure();
+                const serving::reported_load load = this->instance.load();
+                return keys::key_service_load{
+                    static_cast<double>(load.slots),
+                    0,
+                    static_cast<double>(load.running + load.waiting),
+                    load.mean_service};
             },
             [this] {
                 return this->guardian_candidates();
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -88,6 +88,13 @@
         reply(deposition_reply{end->holder, end->version, agreed});
     } else if (const auto* const changed = std::get_if<map_change_frame>(&message)) {
         this->take_map_change(changed->change);
+    } else if (const auto* const asks = std::get_if<room_request>(&message)) {
+        reply(this->keys_here ? this->keys_here->offer_room(peer, *asks)
+                              : room_reply{asks->sequence});
+    } else if (const auto* const claim = std::get_if<room_claim>(&message)) {
+        if (this->keys_here) {
+            this->keys_here->take_claim(peer, *claim);
+        }
     } else if (this->keys_here) {
         this->keys_here->take_reply(peer, message);
     }
@@ -105,9 +112,7 @@
             this->links.cancel(peer, stream);
         };
     }
-    if (request.key && this->keys_here) {
-        this->keys_here->count_request(*request.key);
-    }
+    this->count_key(request);
     // The service may differ from the one that a stale entry names.
     if (request.service != name_hash(this->settings.service.value)) {
         routed_response refused;
@@ -123,6 +128,14 @@
     };
 }
 
+void router::parts::count_key(const routed_request& request) {
+    if (request.key && this->keys_here) {
+        this->keys_here->count_request(
+            *request.key, this->instance.expected_time(request.route)
+        );
+    }
+}
+
 void router::parts::peer_request(
     peer_request_id from,
     routed_request&& request,
@@ -140,9 +153,7 @@
         respond(std::move(refused));
         return;
     }
-    if (request.key && this->keys_here) {
-        this->keys_here->count_request(*request.key);
-    }
+    this->count_key(request);
     this->peer_work[from] = serving::work_id{};
     const serving::work_id work =
         this->instance.submit(std::move(request), caller_service, respond);
--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -48,6 +48,27 @@
     return request.may_have_run ? next_step::fail : next_step::refuse;
 }
 
+} // namespace
+
+} // namespace internal
+
+bool may_leave_silent(
+    const request_progress& request, const progress_policy& policy, instant now
+) {
+    return request.idempotent && !request.keyed &&
+           request.sent + 1 < request.max_instances &&
+           internal::has_time(request, policy, now);
+}
+
+void leave_silent(request_progress& request) {
+    ++request.sent;
+    request.may_have_run = true;
+}
+
+namespace internal {
+
+namespace {
+
 wanted_step after_refusal(
     request_progress& request,
     const attempt_end& end,
--- a/src/apricotstile/serving/request_progress.hpp
+++ b/src/apricotstile/serving/request_progress.hpp
@@ -87,6 +87,16 @@
 /// The request is about to be handed to `host`.
 void begin_attempt(request_progress& request, host_id host);
 
+/// Whether a request that is in progress at a silent host may be sent to
+/// another instance instead: an answer may still come, so it is left alone
+/// unless it may run twice and its owner isn't the only one.
+[[nodiscard]] bool may_leave_silent(
+    const request_progress& request, const progress_policy& policy, instant now
+);
+
+/// The request waits for its host no more, though it may run there.
+void leave_silent(request_progress& request);
+
 /// An attempt has ended. `may_repeat` asks the retry budget, and is asked only
 /// where a repeat at an instance is wanted.
 template <class MayRepeat>
--- /dev/null
+++ b/tests/keys/relief.tests.cpp
@@ -0,0 +1,107 @@
+// Load that crowded owners give away, and the room that others offer.
+
+#include <apricotstile/keys/relief.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace apricotstile;
+using namespace apricotstile::keys;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant start{24h};
+
+key_service_load load_of(double demand, double work) {
+    return {18, demand, work, 100ms};
+}
+
+} // namespace
+
+TEST_CASE("an owner with room to spare keeps its keys", "[keys][relief]") {
+    CHECK(wanted_relief({}, load_of(14, 14)) == 0);
+}
+
+TEST_CASE("a crowded owner gives away what it can't serve", "[keys][relief]") {
+    const relief_policy policy;
+    CHECK(
+        wanted_relief(policy, load_of(30, 18)) ==
+        Approx(30 - 18 * policy.aim)
+    );
+}
+
+TEST_CASE(
+    "a backlog alone makes an owner give a part away", "[keys][relief]"
+) {
+    const relief_policy policy;
+    CHECK(
+        wanted_relief(policy, load_of(10, 60)) ==
+        Approx(10 * policy.least_part)
+    );
+}
+
+TEST_CASE(
+    "many crowded owners together don't fill a member beyond its aim",
+    "[keys][relief]"
+) {
+    const relief_policy policy;
+    room_book book;
+    double offered = 0;
+    for (std::uint64_t owner = 1; owner <= 20; ++owner) {
+        offered += offer_room(
+            book, policy, load_of(4, 2), {host_id{owner}, 1}, 3, start
+        );
+    }
+    CHECK(offered <= 18 * policy.aim - 4 + 1e-9);
+    CHECK(offered > 18 * policy.aim - 4 - policy.least_slots);
+}
+
+TEST_CASE("room that isn't claimed is free again", "[keys][relief]") {
+    const relief_policy policy;
+    room_book book;
+    const room_key first{host_id{1}, 1};
+    const room_key second{host_id{2}, 1};
+    const auto ask = [&](const room_key& asked, instant now) {
+        return offer_room(book, policy, load_of(0, 0), asked, 100, now);
+    };
+    CHECK(ask(first, start) == Approx(18 * policy.aim));
+    CHECK(ask(second, start) == 0);
+    claim_room(book, policy, first, 2, start);
+    CHECK(ask(second, start) == Approx(18 * policy.aim - 2));
+    claim_room(book, policy, second, 0, start);
+    CHECK(ask(second, start) == Approx(18 * policy.aim - 2));
+    CHECK(
+        ask(second, start + policy.claim_lifetime) == Approx(18 * policy.aim)
+    );
+}
+
+TEST_CASE("relief is divided by what members offer", "[keys][relief]") {
+    const auto parts = divide_relief(
+        {},
+        load_of(40, 18),
+        12,
+        {{host_id{2}, 0, 100ms},
+         {host_id{3}, 4, 100ms},
+         {host_id{4}, 9, 100ms},
+         {host_id{5}, 3, 100ms}}
+    );
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0].member == host_id{4});
+    CHECK(parts[0].given == Approx(9));
+    CHECK(parts[1].member == host_id{3});
+    CHECK(parts[1].given == Approx(3));
+}
+
+TEST_CASE("a faster member takes more for the same room", "[keys][relief]") {
+    const auto parts = divide_relief(
+        {},
+        load_of(40, 18),
+        30,
+        {{host_id{2}, 5, 50ms}, {host_id{3}, 5, 200ms}}
+    );
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0].member == host_id{2});
+    CHECK(parts[0].given == Approx(10));
+    CHECK(parts[0].taken == Approx(5));
+    CHECK(parts[1].given == Approx(2.5));
+}
--- /dev/null
+++ b/tests/router/ingress.tests.cpp
@@ -0,0 +1,167 @@
+// Callers' requests from the socket to the choice of a host, with the rest of
+// the daemon replaced by what a test wants of it.
+
+#include <apricotstile/router/ingress.hpp>
+
+#include <tests/http/event_loop.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+using namespace apricotstile;
+using namespace apricotstile::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t loopback = 0x7F000001;
+
+address free_address() {
+    QTcpServer probe;
+    REQUIRE(probe.listen(QHostAddress::LocalHost));
+    return {loopback, probe.serverPort()};
+}
+
+/// An ingress whose requests go to hosts that never answer by themselves.
+struct ingress_with_hosts {
+    struct handed {
+        host_id host;
+        ingress_surroundings::response_handler done;
+        bool cancelled{false};
+    };
+
+    explicit ingress_with_hosts(std::uint64_t hosts, bool idempotent = true)
+        : listen(free_address()) {
+        tests::need_application();
+        for (std::uint64_t id = 1; id <= hosts; ++id) {
+            directory::entry entry;
+            entry.host = host_id{id};
+            entry.run = incarnation{1};
+            entry.change = 1;
+            entry.service = {"s"};
+            entry.state = directory::instance_state::ready;
+            entry.slots = 4;
+            entry.life = {"i", 1};
+            directory::apply(this->known, entry);
+        }
+        ingress_surroundings around;
+        around.names.request_id = "Request-Id";
+        around.names.time_left = "Time-Left";
+        around.instance = {loopback + 1, 1};
+        around.known = &this->known;
+        around.is_reachable = [this](host_id host) {
+            return host != this->silent;
+        };
+        around.doubt_map = [](const service_id&) {};
+        around.hand_over = [this](
+                               host_id host,
+                               routed_request&&,
+                               ingress_surroundings::response_handler done
+                           ) {
+            const std::size_t index = this->requests.size();
+            this->requests.push_back({host, std::move(done)});
+            return [this, index] {
+                this->requests[index].cancelled = true;
+            };
+        };
+        this->callers =
+            std::make_unique<ingress>(this->listen, this->timers, around);
+        routing::routing_config config;
+        config.version = {1};
+        routing::route route;
+        route.name = "r";
+        route.host = "a.example";
+        route.prefix = "/x/";
+        route.idempotent = idempotent;
+        route.timeout = 20s;
+        route.target_latency = 1s;
+        route.max_instances = 2;
+        route.services = {{{"s"}, 1}};
+        config.routes.push_back(route);
+        config.services[{"s"}] = {};
+        this->callers->set_config(
+            std::make_shared<const routing::route_table>(
+                routing::make_route_table(config)
+            )
+        );
+    }
+
+    /// Sends a request and waits until it was handed over.
+    void request(QTcpSocket& caller) {
+        const std::size_t before = this->requests.size();
+        caller.connectToHost(QHostAddress::LocalHost, this->listen.port);
+        caller.write("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                     "Request-Id: 1\r\nTime-Left: 10000\r\n\r\n");
+        REQUIRE(tests::wait_until([&] {
+            return this->requests.size() > before;
+        }));
+    }
+
+    directory::directory known;
+    address listen;
+    net::timer_queue timers;
+    host_id silent;
+    std::vector<handed> requests;
+    std::unique_ptr<ingress> callers;
+};
+
+/// The status line of the answer that comes.
+std::string status_line(QTcpSocket& caller) {
+    REQUIRE(tests::wait_until([&] {
+        return caller.canReadLine();
+    }));
+    return caller.readLine().trimmed().toStdString();
+}
+
+} // namespace
+
+TEST_CASE(
+    "a stopping daemon answers what still waits before it ends",
+    "[router][ingress]"
+) {
+    ingress_with_hosts world{1};
+    QTcpSocket early;
+    world.request(early);
+    world.callers->start_closing(boot_clock::now() + 50ms);
+    QTcpSocket late;
+    world.request(late);
+    CHECK(status_line(early).starts_with("HTTP/1.1 504"));
+    CHECK(status_line(late).starts_with("HTTP/1.1 504"));
+    CHECK(world.requests.at(0).cancelled);
+    CHECK(world.callers->waiting() == 0);
+}
+
+TEST_CASE(
+    "a request leaves a silent host for another one", "[router][ingress]"
+) {
+    ingress_with_hosts world{2};
+    QTcpSocket caller;
+    world.request(caller);
+    world.silent = world.requests.at(0).host;
+    world.callers->peer_silent(world.silent);
+    REQUIRE(world.requests.size() == 2);
+    CHECK(world.requests.at(0).cancelled);
+    CHECK(world.requests.at(1).host != world.silent);
+}
+
+TEST_CASE(
+    "a request waits on for a silent host that has no equal",
+    "[router][ingress]"
+) {
+    const bool idempotent = GENERATE(true, false);
+    ingress_with_hosts world{idempotent ? 1U : 2U, idempotent};
+    QTcpSocket caller;
+    world.request(caller);
+    world.silent = world.requests.at(0).host;
+    world.callers->peer_silent(world.silent);
+    CHECK(world.requests.size() == 1);
+    CHECK_FALSE(world.requests.at(0).cancelled);
+    routed_response answer;
+    answer.outcome = serving::attempt_outcome::answered;
+    answer.status = 200;
+    world.requests.at(0).done(std::move(answer));
+    CHECK(status_line(caller).starts_with("HTTP/1.1 200"));
+}
--- a/tests/serving/request_progress.tests.cpp
+++ b/tests/serving/request_progress.tests.cpp
@@ -106,3 +106,17 @@
         RC_ASSERT(sent <= 2);
     });
 }
+
+TEST_CASE(
+    "only a request that may run twice leaves a silent host",
+    "[serving][progress]"
+) {
+    request_progress state = request(true);
+    CHECK(may_leave_silent(state, {}, start));
+    CHECK_FALSE(may_leave_silent(state, {}, state.deadline));
+    leave_silent(state);
+    CHECK_FALSE(may_leave_silent(state, {}, start));
+    CHECK(state.may_have_run);
+    CHECK_FALSE(may_leave_silent(request(false), {}, start));
+    CHECK_FALSE(may_leave_silent(request(true, true), {}, start));
+}
