Learn from refused transactions and wait for overtaken map changes

A conflict cost two readings though its answer holds the rows, and a change told over links that overtook another one cost each follower a reading. Both are taken from what is there; a gap that lasts 300 ms is still read.

The random worlds of ownership now tell changes of the map between daemons, some late, some never, and conflicts show their rows.

--- a/src/apricotstile/keys/keeper.hpp
+++ b/src/apricotstile/keys/keeper.hpp
@@ -102,6 +102,8 @@
     bool needs_read{true};
     platform::row_version map_version;
     key_map map;
+    /// Changes of the map that came too early.
+    early_changes early;
 
     std::vector<release> releases;
     /// What the last answer granted.
@@ -201,8 +203,9 @@
 
 /// The result of the transaction in flight.
 /// Returns the change of the map that it made, for the other daemons.
-std::optional<map_change>
-take_result(keeper& state, const platform::commit_result& result);
+std::optional<map_change> take_result(
+    keeper& state, const platform::commit_result& result, instant now
+);
 
 /// All rows of the service, or all of its leases.
 void take_rows(
@@ -213,7 +216,8 @@
 /// Returns whether it was taken.
 bool take_map(keeper& state, const platform::row& row);
 
-/// A change of the map that another daemon made.
+/// A change of the map that another daemon made. After a gap that lasts the
+/// rows are to be read.
 change_result take_change(keeper& state, const map_change& change);
 
 [[nodiscard]] platform::row_key map_row(const service_id& service);
--- a/src/apricotstile/keys/keeper_store.cpp
+++ b/src/apricotstile/keys/keeper_store.cpp
@@ -186,6 +186,39 @@
     );
 }
 
+void replace_map(
+    keeper& state, key_map map, platform::row_version version
+) {
+    versioned_map known{version, std::move(map), std::move(state.early)};
+    apply_early(known);
+    state.map = std::move(known.map);
+    state.map_version = known.version;
+    state.early = std::move(known.early);
+}
+
+/// A row of the service as it is now, or was a moment ago.
+void take_row(keeper& state, const platform::row& row, instant now) {
+    const std::string lease_prefix = "leases/" + state.service.value + "/";
+    if (row.key == map_row(state.service)) {
+        take_map(state, row);
+    } else if (row.key == lease_row(state.service, state.self)) {
+        take_own_row(state, row);
+    } else if (row.key.value.starts_with(lease_prefix)) {
+        const host_id host{
+            std::stoull(row.key.value.substr(lease_prefix.size()))};
+        const auto known = state.watched.find(host);
+        if (known == state.watched.end() ||
+            known->second.version < row.version) {
+            // The confirmation may have been sent until the rows came.
+            state.watched[host] = {
+                row.version,
+                now,
+                decode<lease_record>(row.value).guardians,
+                {}};
+        }
+    }
+}
+
 } // namespace
 
 std::optional<platform::transaction> next_transaction(
@@ -221,8 +254,9 @@
     return work;
 }
 
-std::optional<map_change>
-take_result(keeper& state, const platform::commit_result& result) {
+std::optional<map_change> take_result(
+    keeper& state, const platform::commit_result& result, instant now
+) {
     if (!state.in_flight) {
         return std::nullopt;
     }
@@ -231,6 +265,14 @@
     if (result.status == platform::commit_status::unavailable) {
         return std::nullopt;
     }
+    if (result.status == platform::commit_status::conflict &&
+        !result.current.empty()) {
+        // The answer shows what the transaction met.
+        for (const platform::row& row : result.current) {
+            take_row(state, row, now);
+        }
+        return std::nullopt;
+    }
     if (result.status != platform::commit_status::committed) {
         // It may still be committed, with its guardians.
         if (done.confirms &&
@@ -256,18 +298,19 @@
             state.map_version,
             result.versions.back(),
             done.transfers};
-        state.map = *done.new_map;
-        state.map_version = result.versions.back();
+        replace_map(state, *done.new_map, result.versions.back());
     }
     drop_settled_releases(state);
     return change;
 }
 
 change_result take_change(keeper& state, const map_change& change) {
-    versioned_map known{state.map_version, std::move(state.map)};
+    versioned_map known{
+        state.map_version, std::move(state.map), std::move(state.early)};
     const change_result result = apply_change(known, change);
     state.map = std::move(known.map);
     state.map_version = known.version;
+    state.early = std::move(known.early);
     drop_settled_releases(state);
     return result;
 }
@@ -276,8 +319,7 @@
     if (row.version <= state.map_version) {
         return false;
     }
-    state.map = decode_map(row.value);
-    state.map_version = row.version;
+    replace_map(state, decode_map(row.value), row.version);
     drop_settled_releases(state);
     return true;
 }
@@ -289,28 +331,8 @@
         state.grace_until = now + state.policy.confirm_grace;
     }
     state.last_reading = now;
-    const platform::row_key own = lease_row(state.service, state.self);
-    const platform::row_key map = map_row(state.service);
-    const std::string lease_prefix = "leases/" + state.service.value + "/";
     for (const platform::row& row : rows) {
-        if (row.key == map) {
-            take_map(state, row);
-        } else if (row.key == own) {
-            take_own_row(state, row);
-        } else if (row.key.value.starts_with(lease_prefix)) {
-            const host_id host{
-                std::stoull(row.key.value.substr(lease_prefix.size()))};
-            const auto known = state.watched.find(host);
-            if (known == state.watched.end() ||
-                known->second.version < row.version) {
-                // The confirmation may have been sent until the rows came.
-                state.watched[host] = {
-                    row.version,
-                    now,
-                    decode<lease_record>(row.value).guardians,
-                    {}};
-            }
-        }
+        take_row(state, row, now);
     }
     for (const owned_range& one : state.map.ranges) {
         state.watched.try_emplace(one.owner, watched_lease{{}, now, {}, {}});
--- a/src/apricotstile/keys/map_change.cpp
+++ b/src/apricotstile/keys/map_change.cpp
@@ -4,16 +4,41 @@
 
 namespace apricotstile::keys {
 
+namespace {
+
+/// More changes than this aren't kept; the map is read instead.
+constexpr std::size_t max_early = 64;
+
+} // namespace
+
 change_result apply_change(versioned_map& known, const map_change& change) {
     if (change.to <= known.version) {
         return change_result::known;
     }
     if (change.from != known.version) {
+        if (known.early.size() < max_early) {
+            known.early.emplace(change.from, change);
+        }
         return change_result::gap;
     }
     apply_transfers(known.map, change.transfers);
     known.version = change.to;
+    apply_early(known);
     return change_result::applied;
 }
 
+void apply_early(versioned_map& known) {
+    while (!known.early.empty()) {
+        const auto first = known.early.begin();
+        if (first->first > known.version) {
+            return;
+        }
+        if (first->first == known.version) {
+            apply_transfers(known.map, first->second.transfers);
+            known.version = first->second.to;
+        }
+        known.early.erase(first);
+    }
+}
+
 } // namespace apricotstile::keys
--- a/src/apricotstile/platform/transaction.hpp
+++ b/src/apricotstile/platform/transaction.hpp
@@ -61,6 +61,9 @@
     commit_status status{commit_status::unavailable};
     /// With `committed`: the new version of each mutated row, in order.
     std::vector<row_version> versions;
+    /// With `conflict`, where the service tells it: the rows that the
+    /// conditions name, as they are.
+    std::vector<row> current;
 };
 
 /// Rows whose keys start with a prefix, in key order, or nothing when the
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -34,6 +34,8 @@
 /// Requests for promises that may be answered at one time.
 constexpr std::size_t max_asked = 16;
 constexpr duration move_interval = 1s;
+/// A change that was overtaken by a later one comes within this time.
+constexpr duration change_patience = 300ms;
 constexpr duration failed_call_pause = 200ms;
 /// Daemons, by rank, that watch the others' leases.
 constexpr std::size_t watching_ranks = 2;
@@ -147,7 +149,12 @@
 
 void key_desk::take_change(const keys::map_change& change) {
     if (keys::take_change(this->keeper, change) == keys::change_result::gap) {
-        this->keeper.needs_read = true;
+        this->timers.after(change_patience, [this, missing = change.from] {
+            if (this->keeper.map_version < missing) {
+                this->keeper.needs_read = true;
+                this->pump();
+            }
+        });
     }
     this->pump();
 }
@@ -197,7 +204,8 @@
 void key_desk::submit(const platform::transaction& work) {
     this->table.submit(work, [this](const platform::commit_result& result) {
         const bool had_lease = keys::has_lease(this->keeper, boot_clock::now());
-        const auto change = keys::take_result(this->keeper, result);
+        const auto change =
+            keys::take_result(this->keeper, result, boot_clock::now());
         if (change) {
             this->around.tell_all(map_change_frame{*change});
         }
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -18,6 +18,9 @@
 
 constexpr duration doubted_map_pause = 1500ms;
 
+/// A change that was overtaken by a later one comes within this time.
+constexpr duration change_patience = 300ms;
+
 constexpr auto log_prefix = "router";
 
 } // namespace
@@ -178,6 +181,7 @@
     try {
         known.map = keys::decode_map(row.value);
         known.version = row.version;
+        keys::apply_early(known);
     } catch (const decode_error& error) {
         log::write(
             log::level::error,
@@ -196,9 +200,17 @@
     followed_map& followed = this->maps[change.service];
     const keys::change_result result =
         keys::apply_change(followed.known, change);
-    if (result == keys::change_result::gap &&
-        boot_clock::now() - followed.asked_at > map_reading_pause) {
-        this->read_map(change.service);
+    if (result == keys::change_result::gap) {
+        this->timers.after(
+            change_patience,
+            [this, service = change.service, missing = change.from] {
+                const followed_map& known = this->maps[service];
+                if (known.known.version < missing &&
+                    boot_clock::now() - known.asked_at > map_reading_pause) {
+                    this->read_map(service);
+                }
+            }
+        );
     }
 }
 
--- a/tests/keys/keeper.tests.cpp
+++ b/tests/keys/keeper.tests.cpp
@@ -38,7 +38,7 @@
     static_cast<void>(take_heartbeat(state, beat_of(1), start));
     const auto work = next_transaction(state, {}, {}, start);
     REQUIRE(work);
-    take_result(state, {platform::commit_status::committed, {{4}}});
+    take_result(state, {platform::commit_status::committed, {{4}}, {}}, start);
     return state;
 }
 
--- a/tests/keys/key_world.cpp
+++ b/tests/keys/key_world.cpp
@@ -347,13 +347,40 @@
             this->in_process(index, run, [=, this] {
                 platform::commit_result told = *done;
                 if (answer_lost) {
-                    told = {platform::commit_status::unknown, {}};
+                    told = {platform::commit_status::unknown, {}, {}};
+                }
+                const auto change = take_result(
+                    this->hosts[index].daemon->state,
+                    told,
+                    this->clock(this->hosts[index])
+                );
+                if (change) {
+                    this->tell_change(index, *change);
                 }
-                take_result(this->hosts[index].daemon->state, told);
             });
         });
     }
 
+    /// Some hear of it late, some never.
+    void tell_change(std::size_t from, const map_change& change) {
+        constexpr std::uint64_t lost_in = 10;
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            if (index == from || !this->hosts[index].daemon ||
+                random_below(this->random, lost_in) == 0) {
+                continue;
+            }
+            const std::uint64_t run = this->hosts[index].run;
+            this->after(this->between(1ms, 80ms), [=, this] {
+                this->in_process(index, run, [=, this] {
+                    keeper& state = this->hosts[index].daemon->state;
+                    if (take_change(state, change) == change_result::gap) {
+                        state.needs_read = true;
+                    }
+                });
+            });
+        }
+    }
+
     void read(std::size_t index) {
         const std::uint64_t run = this->hosts[index].run;
         this->hosts[index].daemon->reading = true;
--- a/tests/keys/map_change.tests.cpp
+++ b/tests/keys/map_change.tests.cpp
@@ -30,6 +30,39 @@
     CHECK(known.version == platform::row_version{7});
 }
 
+TEST_CASE("changes that overtake each other close their gap", "[keys]") {
+    versioned_map known;
+    static_cast<void>(apply_change(known, change(0, 3, {0, 99})));
+    CHECK(apply_change(known, change(9, 12, {7, 8})) == change_result::gap);
+    CHECK(apply_change(known, change(5, 9, {50, 59})) == change_result::gap);
+    CHECK_FALSE(known.early.empty());
+    CHECK(apply_change(known, change(3, 5, {40, 70})) == change_result::applied);
+    CHECK(known.version == platform::row_version{12});
+    CHECK(known.early.empty());
+    key_map written;
+    for (const map_change& one :
+         {change(0, 3, {0, 99}),
+          change(3, 5, {40, 70}),
+          change(5, 9, {50, 59}),
+          change(9, 12, {7, 8})}) {
+        apply_transfers(written, one.transfers);
+    }
+    CHECK(known.map.ranges == written.ranges);
+}
+
+TEST_CASE("a newer map forgets the changes that it has", "[keys][change]") {
+    versioned_map known;
+    CHECK(apply_change(known, change(5, 9, {50, 59})) == change_result::gap);
+    CHECK(apply_change(known, change(12, 14, {0, 9})) == change_result::gap);
+    known.version = {10};
+    apply_early(known);
+    CHECK(known.early.size() == 1);
+    known.version = {12};
+    apply_early(known);
+    CHECK(known.version == platform::row_version{14});
+    CHECK(known.early.empty());
+}
+
 TEST_CASE("a gap changes nothing, and old changes are known", "[keys]") {
     versioned_map known;
     static_cast<void>(apply_change(known, change(0, 3, {0, 99})));
--- a/tests/support/fake_table.cpp
+++ b/tests/support/fake_table.cpp
@@ -16,6 +16,23 @@
                    : wanted.version == platform::row_version{};
 }
 
+/// The rows that `conditions` name, as they are.
+std::vector<platform::row> rows_of(
+    const fake_table& table,
+    const std::vector<platform::condition>& conditions
+) {
+    std::vector<platform::row> result;
+    for (const platform::condition& one : conditions) {
+        const auto found = table.rows.find(one.key.value);
+        if (found != table.rows.end() && found->second.value) {
+            result.push_back(
+                {one.key, found->second.version, *found->second.value}
+            );
+        }
+    }
+    return result;
+}
+
 platform::row_version
 apply(fake_table& table, const platform::mutation& change) {
     fake_table::stored_row& stored = table.rows[change.key.value];
@@ -29,7 +46,7 @@
 platform::commit_result
 commit(fake_table& table, const platform::transaction& work) {
     if (table.down) {
-        return {platform::commit_status::unavailable, {}};
+        return {platform::commit_status::unavailable, {}, {}};
     }
     const bool all_hold = std::all_of(
         work.conditions.begin(),
@@ -39,18 +56,21 @@
         }
     );
     if (!all_hold) {
+        if (table.loses_answers) {
+            return {platform::commit_status::unknown, {}, {}};
+        }
         return {
-            table.loses_answers ? platform::commit_status::unknown
-                                : platform::commit_status::conflict,
-            {}};
+            platform::commit_status::conflict,
+            {},
+            rows_of(table, work.conditions)};
     }
-    platform::commit_result result{platform::commit_status::committed, {}};
+    platform::commit_result result{platform::commit_status::committed, {}, {}};
     for (const platform::mutation& change : work.mutations) {
         result.versions.push_back(apply(table, change));
     }
     ++table.committed;
     if (table.loses_answers) {
-        return {platform::commit_status::unknown, {}};
+        return {platform::commit_status::unknown, {}, {}};
     }
     return result;
 }
