Serve timely work before late work; avoid instances that fail requests

What callers say of their deadlines tells how long ago their first attempt was. An instance with a good health check that failed its requests fast drew more of them; its daemon tells the part that failed.

--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -60,6 +60,7 @@
     serialize_number(archive, load.running);
     serialize_number(archive, load.waiting);
     serialize_millis(archive, load.mean_service);
+    serialize_number(archive, load.failing);
 }
 
 } // namespace
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -97,6 +97,7 @@
 
 void ingress::set_config(std::shared_ptr<const routing::route_table> changed) {
     this->table = std::move(changed);
+    this->patience.clear();
     for (const auto& [id, one] : this->callers) {
         one->set_limits(limits_of(this->table->config.limits));
     }
@@ -170,7 +171,9 @@
     item.progress.idempotent = where->idempotent;
     item.progress.max_instances = where->max_instances;
     item.progress.arrived = now;
-    item.progress.target = now + where->target_latency;
+    item.progress.target =
+        now + where->target_latency -
+        this->waited_before(*where, caller_left, item.nested);
     item.progress.deadline = now + std::min(caller_left, where->timeout);
     item.received = std::move(request);
     const auto service = this->table->config.services.find(item.service);
@@ -196,6 +199,19 @@
     this->attempt(item);
 }
 
+/// How long ago the caller's first attempt was. Nested requests have the
+/// deadlines of those that they belong to, which tell nothing.
+duration ingress::waited_before(
+    const routing::route& route, duration caller_left, bool nested
+) {
+    if (nested) {
+        return duration{0};
+    }
+    serving::caller_patience& known = this->patience[route.name];
+    serving::note_patience(known, caller_left);
+    return serving::time_since_first_attempt(known, caller_left);
+}
+
 /// Answers the request itself at its deadline.
 void ingress::watch_deadline(pending& request) {
     this->timers.cancel(request.deadline_timer);
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -10,6 +10,7 @@
 #include <apricotstile/router/frames.hpp>
 #include <apricotstile/router/wire_names.hpp>
 #include <apricotstile/routing/route_table.hpp>
+#include <apricotstile/serving/caller_patience.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/request_progress.hpp>
 #include <apricotstile/serving/retry_budget.hpp>
@@ -115,6 +116,9 @@
     void perform(
         pending& request, serving::next_step step, routed_response&& response
     );
+    [[nodiscard]] duration waited_before(
+        const routing::route& route, duration caller_left, bool nested
+    );
     void watch_deadline(pending& request);
     void deadline_passed(caller_id caller);
     void answer_own(
@@ -152,6 +156,8 @@
     std::unordered_map<host_id, serving::instance_view> views;
     /// By service, for callers' and nested requests apart.
     std::map<std::pair<service_id, bool>, serving::retry_budget> budgets;
+    /// By route name.
+    std::unordered_map<std::string, serving::caller_patience> patience;
     serving::choice_policy choice;
     serving::progress_policy progress;
     random_source random;
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -27,6 +27,8 @@
 
 constexpr std::uint16_t first_success = 200;
 
+constexpr std::uint16_t first_server_error = 500;
+
 constexpr auto log_prefix = "instance";
 
 bool is_success(std::uint16_t status) {
@@ -177,11 +179,15 @@
     } else {
         response.outcome = serving::attempt_outcome::answered;
         this->answered_at = boot_clock::now();
-        serving::record(
-            this->times,
-            std::to_string(item.request.route),
-            this->answered_at - item.started
-        );
+        const bool failed = answer.status >= first_server_error;
+        serving::record_result(this->times, failed);
+        if (!failed) {
+            serving::record(
+                this->times,
+                std::to_string(item.request.route),
+                this->answered_at - item.started
+            );
+        }
     }
     for (http::header& one : answer.headers) {
         if (!http::same_name(one.name, this->names.load) &&
--- a/src/apricotstile/serving/instance_choice.cpp
+++ b/src/apricotstile/serving/instance_choice.cpp
@@ -76,6 +76,26 @@
     return is_stale ? std::min(told, usual) : told;
 }
 
+/// What an instance's failures count as. An instance whose health check is good
+/// may still fail all that it gets, and fast.
+duration reluctance_to(
+    const instance_view& view,
+    const choice_policy& policy,
+    duration target_latency,
+    instant now
+) {
+    constexpr double thousand = 1000;
+    const double half_lives =
+        std::chrono::duration<double>(now - view.told).count() /
+        std::chrono::duration<double>(policy.failure_half_life).count();
+    const double failing =
+        view.load.failing / thousand * std::exp2(-std::max(half_lives, 0.0));
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(target_latency) *
+        (policy.failure_reluctance * failing)
+    );
+}
+
 } // namespace
 
 std::optional<host_id> choose_instance(
@@ -100,6 +120,8 @@
         entry.latency = expected_latency(
             *one.view, service_of(*one.view, usual, policy, now)
         );
+        entry.latency +=
+            reluctance_to(*one.view, policy, target_latency, now);
         entry.avoided = now < one.view->avoided_until;
         entry.far = one.distance == nearness::elsewhere;
         if (entry.far) {
--- a/src/apricotstile/serving/instance_choice.hpp
+++ b/src/apricotstile/serving/instance_choice.hpp
@@ -25,6 +25,8 @@
     std::uint32_t running{0};
     std::uint32_t waiting{0};
     duration mean_service{0};
+    /// Of a thousand answers lately, those that were failures of the instance.
+    std::uint32_t failing{0};
 };
 
 /// What this daemon knows of one instance beside a peer.
@@ -54,6 +56,12 @@
     /// What a nearer instance may be slower before a farther one is taken, as
     /// a part of the target latency.
     double far_reluctance{0.5};
+    /// What an instance that fails all requests may be slower, in target
+    /// latencies; one that fails a part of them that part of it.
+    double failure_reluctance{3};
+    /// A told share of failures is halved after each such time without news, so
+    /// that an instance is tried again now and then.
+    duration failure_half_life{std::chrono::seconds{3}};
     /// After this time a told load says little.
     duration load_lifetime{std::chrono::milliseconds{1500}};
     /// How long a refusal or a first loss keeps requests away.
--- a/src/apricotstile/serving/service_times.hpp
+++ b/src/apricotstile/serving/service_times.hpp
@@ -1,4 +1,5 @@
-// Moving means of how long an instance works on each route's requests.
+// Moving means of how long an instance works on each route's requests, and of
+// how many it fails.
 
 #ifndef APRICOTSTILE_SERVING_SERVICE_TIMES_HPP
 #define APRICOTSTILE_SERVING_SERVICE_TIMES_HPP
@@ -15,8 +16,13 @@
     std::unordered_map<std::string, duration> means;
     /// Over all requests; zero before the first.
     duration overall{0};
+    /// The part of the answers that were failures.
+    double failing{0};
 };
 
+/// An answer came; a failure says nothing of how long requests take.
+void record_result(service_times& times, bool failed);
+
 void record(service_times& times, const std::string& route, duration took);
 
 /// The mean of `route`, else the mean of all, else `fallback`.
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -15,17 +15,40 @@
     return queue.open && queue.running.size() < queue.policy.slots;
 }
 
-/// The latest expected end for which work may wait.
-instant latest_useful_end(
-    const work_queue& queue, const offered_work& work, instant now
+/// Whether callers' work would miss its target even if it started now.
+bool is_late(const offered_work& work, instant now) {
+    return !work.nested && now + work.expected > work.target;
+}
+
+work_queue::order
+place_of(const work_queue& queue, const offered_work& work, instant now) {
+    return {!work.nested, work.priority, is_late(work, now), queue.arrivals};
+}
+
+duration part_of(duration whole, double part) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(whole) * part
+    );
+}
+
+/// Whether work that starts after `wait` may wait for it.
+bool may_wait(
+    const work_queue& queue,
+    const offered_work& work,
+    duration wait,
+    instant now
 ) {
-    const instant end =
-        work.nested ? work.deadline : std::min(work.target, work.deadline);
-    const double part =
-        work.nested ? queue.policy.nested_part : queue.policy.useful_part;
-    const std::chrono::duration<double, duration::period> left =
-        (end - now) * part;
-    return now + std::chrono::duration_cast<duration>(left);
+    const work_queue_policy& policy = queue.policy;
+    const duration end = wait + work.expected;
+    if (work.nested) {
+        return end <= part_of(work.deadline - now, policy.nested_part);
+    }
+    if (is_late(work, now)) {
+        return wait <= part_of(work.deadline - now, policy.late_part) &&
+               end <= part_of(work.deadline - now, policy.useful_part);
+    }
+    const instant useful = std::min(work.target, work.deadline);
+    return end <= part_of(useful - now, policy.useful_part);
 }
 
 void start(
@@ -59,11 +82,11 @@
 } // namespace
 
 duration
-expected_wait(const work_queue& queue, bool nested, std::uint32_t priority) {
+expected_wait(const work_queue& queue, const offered_work& work, instant now) {
     if (queue.running.size() < queue.policy.slots && queue.waiting.empty()) {
         return duration{0};
     }
-    const work_queue::order place{!nested, priority, queue.arrivals};
+    const work_queue::order place = place_of(queue, work, now);
     duration ahead{0};
     for (const auto& [order, one] : queue.waiting) {
         if (order > place) {
@@ -72,8 +95,8 @@
         ahead += one.work.expected;
     }
     duration running{0};
-    for (const auto& [id, work] : queue.running) {
-        running += work.expected;
+    for (const auto& [id, one] : queue.running) {
+        running += one.expected;
     }
     // On average running work is half done, and one slot of many ends first.
     const auto slots = static_cast<duration::rep>(queue.policy.slots);
@@ -96,9 +119,9 @@
         start(queue, work, actions);
         return actions;
     }
-    const duration wait = expected_wait(queue, work.nested, work.priority);
+    const duration wait = expected_wait(queue, work, now);
     if (queue.waiting.size() >= queue.policy.max_waiting ||
-        now + wait + work.expected > latest_useful_end(queue, work, now)) {
+        !may_wait(queue, work, wait, now)) {
         actions.push_back(
             {work.id,
              work_decision::refuse_busy,
@@ -106,8 +129,8 @@
         );
         return actions;
     }
-    const work_queue::order place{
-        !work.nested, work.priority, queue.arrivals++};
+    const work_queue::order place = place_of(queue, work, now);
+    ++queue.arrivals;
     queue.places.emplace(work.id, place);
     queue.waiting.emplace(place, work_queue::waiting_work{work, now});
     return actions;
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -1,7 +1,10 @@
 // Work for the one instance beside this daemon: what starts, what waits and
 // what is refused at once. Answers loads above the instance's slots: what
 // would finish too late to be of use is refused while its caller can still
-// turn elsewhere, and what waits starts in order of urgency.
+// turn elsewhere, and what waits starts in order of urgency. Work of callers
+// that were refused before and are late by now starts after the timely work of
+// its urgency: served first, it would make that late in its turn, until nearly
+// all is late though little is too much.
 
 #ifndef APRICOTSTILE_SERVING_WORK_QUEUE_HPP
 #define APRICOTSTILE_SERVING_WORK_QUEUE_HPP
@@ -44,6 +47,9 @@
     /// The same part of the time to the deadline for nested work, since the
     /// work that waits for it is lost without it.
     double nested_part{0.9};
+    /// Late work waits only where it is expected to start within this part of
+    /// the time to its deadline; else its caller is told at once.
+    double late_part{0.15};
 };
 
 struct work_queue {
@@ -56,8 +62,9 @@
         instant since;
     };
 
-    /// Starts first: nested work, then by priority, then the oldest.
-    using order = std::tuple<bool, std::uint32_t, std::uint64_t>;
+    /// Starts first: nested work, then by priority, then what isn't late, then
+    /// the oldest.
+    using order = std::tuple<bool, std::uint32_t, bool, std::uint64_t>;
     std::map<order, waiting_work> waiting;
     std::unordered_map<work_id, order> places;
     /// Work that runs, with its expected time.
@@ -99,9 +106,9 @@
 /// Refuses what waits for longer than its caller does.
 [[nodiscard]] std::vector<work_action> expire(work_queue& queue, instant now);
 
-/// How long work that comes now would wait.
+/// How long `work` would wait if it came now.
 [[nodiscard]] duration
-expected_wait(const work_queue& queue, bool nested, std::uint32_t priority);
+expected_wait(const work_queue& queue, const offered_work& work, instant now);
 
 } // namespace apricotstile::serving
 
--- a/tests/serving/instance_choice.tests.cpp
+++ b/tests/serving/instance_choice.tests.cpp
@@ -112,3 +112,35 @@
     note_loss(lossy, {}, start);
     CHECK(choose({{host_id{1}, nearness::region, &lossy}}) == host_id{1});
 }
+
+TEST_CASE("an instance that fails requests fast isn't preferred", "[serving]") {
+    instance_view good;
+    good.load = {4, 4, 2, 100ms};
+    good.told = start;
+    instance_view failing;
+    failing.load = {4, 0, 0, 100ms, 600};
+    failing.told = start;
+    const std::vector<candidate> both{
+        {host_id{1}, nearness::region, &good},
+        {host_id{2}, nearness::region, &failing}};
+    random_source random{7};
+    const auto chosen = [&](instant now) {
+        return choose_instance(both, {}, 250ms, now, random);
+    };
+    CHECK(chosen(start) == host_id{1});
+    // It is tried again once that is long ago.
+    CHECK(chosen(start + 20s) == host_id{2});
+}
+
+TEST_CASE("instances that all fail are chosen as before", "[serving]") {
+    instance_view idle;
+    idle.load = {4, 0, 0, 100ms, 500};
+    idle.told = start;
+    instance_view busy = idle;
+    busy.load.running = 6;
+    const std::vector<candidate> both{
+        {host_id{1}, nearness::region, &busy},
+        {host_id{2}, nearness::region, &idle}};
+    random_source random{7};
+    CHECK(choose_instance(both, {}, 250ms, start, random) == host_id{2});
+}
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -88,6 +88,64 @@
     return result;
 }
 
+/// Callers that come back twice after a refusal, a little above an instance's
+/// capacity. Returns the part that is answered within its target, counted from
+/// the first attempt.
+double run_returning(double factor, bool knows_first_attempt) {
+    constexpr int slots = 18;
+    constexpr duration service = 260ms;
+    constexpr duration target = 800ms;
+    constexpr duration patience = 5s;
+    constexpr int total = 6000;
+    constexpr int attempts = 3;
+    work_queue queue = open_queue(slots);
+    struct caller {
+        instant first;
+        int attempts{0};
+    };
+    std::vector<caller> callers(total);
+    std::multimap<instant, std::size_t> arrivals;
+    const auto gap =
+        std::chrono::duration_cast<duration>(service / (slots * factor));
+    for (int i = 0; i < total; ++i) {
+        callers[static_cast<std::size_t>(i)].first = start + gap * i;
+        arrivals.emplace(start + gap * i, i);
+    }
+    std::multimap<instant, work_id> ends;
+    double timely = 0;
+    const auto take = [&](const std::vector<work_action>& actions, instant at) {
+        for (const work_action& one : actions) {
+            const std::size_t index = one.id.value - 1;
+            if (one.decision == work_decision::start) {
+                ends.emplace(at + service, one.id);
+            } else if (callers[index].attempts < attempts) {
+                arrivals.emplace(at + one.retry_after, index);
+            }
+        }
+    };
+    while (!arrivals.empty() || !ends.empty()) {
+        if (arrivals.empty() ||
+            (!ends.empty() && ends.begin()->first <= arrivals.begin()->first)) {
+            const auto [at, id] = *ends.begin();
+            ends.erase(ends.begin());
+            timely += at <= callers[id.value - 1].first + target ? 1 : 0;
+            take(finished(queue, id, at), at);
+            continue;
+        }
+        const auto [now, index] = *arrivals.begin();
+        arrivals.erase(arrivals.begin());
+        caller& one = callers[index];
+        ++one.attempts;
+        offered_work offered;
+        offered.id = work_id{index + 1};
+        offered.target = (knows_first_attempt ? one.first : now) + target;
+        offered.deadline = one.first + patience;
+        offered.expected = service;
+        take(offer(queue, offered, now), now);
+    }
+    return timely / total;
+}
+
 } // namespace
 
 TEST_CASE("work starts while slots are free", "[serving][queue]") {
@@ -193,3 +251,26 @@
     CHECK(shed.useful > 0.45);
     CHECK(shed.useful > 5 * fifo.useful);
 }
+
+TEST_CASE(
+    "callers that come back late don't make the new ones late",
+    "[serving][queue][overload]"
+) {
+    const double equal = run_returning(1.2, false);
+    const double timely_first = run_returning(1.2, true);
+    INFO("timely " << equal << " where all count as new, " << timely_first);
+    CHECK(timely_first > 0.75);
+    CHECK(timely_first > equal * 1.2);
+}
+
+TEST_CASE("late work starts after timely work", "[serving][queue]") {
+    work_queue queue = open_queue(1);
+    static_cast<void>(offer(queue, work(1), start));
+    offered_work late = work(2);
+    late.target = start;
+    CHECK(offer(queue, late, start).empty());
+    CHECK(offer(queue, work(3), start).empty());
+    const auto next = finished(queue, work_id{1}, start + 1ms);
+    REQUIRE(next.size() == 1);
+    CHECK(next.front().id == work_id{3});
+}
