Quarantine requests that crash instances, across daemons

The daemons beside a service's instances tell each other what was in flight when an instance went down (connections lost since its last answer, then a refused connection or another life). A request that was there at two crashes runs alone, and after a third is refused as not run. upstream/quarantine decides as before; upstream/crash_watch tells crashes from single lost answers. Owners whose changes conflict take turns by chance.

--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -158,6 +158,11 @@
 template <class Archive>
 void serialize(Archive&, pong_frame&) {}
 
+template <class Archive>
+void serialize(Archive& archive, suspicions_frame& value) {
+    archive(value.reports);
+}
+
 template <class Archive>
 void serialize(Archive& archive, room_request& value) {
     serialize_number(archive, value.sequence);
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -12,6 +12,7 @@
 #include <apricotstile/router/header_codec.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/request_progress.hpp>
+#include <apricotstile/upstream/suspicion.hpp>
 
 #include <optional>
 #include <variant>
@@ -120,6 +121,11 @@
     std::uint64_t taken{0};
 };
 
+/// What a daemon holds against requests of its service, without labels.
+struct suspicions_frame {
+    std::vector<upstream::suspicion_report> reports;
+};
+
 /// Answered by a `pong_frame` at once.
 struct ping_frame {};
 
@@ -139,7 +145,8 @@
     pong_frame,
     room_request,
     room_reply,
-    room_claim>;
+    room_claim,
+    suspicions_frame>;
 
 /// The bytes of a frame with its length before it. `headers` is the table of
 /// the direction that it is sent in, and each frame made is to be sent.
--- a/src/apricotstile/router/ingress_attempts.cpp
+++ b/src/apricotstile/router/ingress_attempts.cpp
@@ -156,6 +156,7 @@
             serving::note_loss(view, this->choice, now);
             break;
         case serving::attempt_outcome::refused_not_owner:
+        case serving::attempt_outcome::refused_quarantined:
             break;
         }
     }
--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -40,6 +40,8 @@
     service_id caller_service;
     response_handler done;
     std::string request_id;
+    /// The same for all sends of the same request.
+    upstream::fingerprint content;
     instant deadline;
     instant started;
     net::timer_id timer;
--- a/src/apricotstile/router/internal/router_parts.hpp
+++ b/src/apricotstile/router/internal/router_parts.hpp
@@ -54,6 +54,7 @@
         routed_request&& request,
         const service_id& caller_service
     );
+    void tell_suspicions(std::vector<upstream::suspicion_report>&& reports);
     void count_key(const routed_request& request);
     void start_keys();
     bool notice_over() const;
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -37,6 +37,7 @@
 /// A change that was overtaken by a later one comes within this time.
 constexpr duration change_patience = 300ms;
 constexpr duration failed_call_pause = 200ms;
+constexpr std::chrono::milliseconds longest_conflict_pause{40};
 /// Daemons, by rank, that watch the others' leases.
 constexpr std::size_t watching_ranks = 2;
 constexpr double work_smoothing = 0.3;
@@ -216,9 +217,13 @@
                 "Change of leases or owners was not committed.",
                 {{"status", std::to_string(static_cast<int>(result.status))}}
             );
-            this->retry_at = result.status == platform::commit_status::conflict
-                                 ? instant{}
-                                 : boot_clock::now() + failed_call_pause;
+            this->retry_at = boot_clock::now() +
+                             (result.status == platform::commit_status::conflict
+                                  ? this->conflict_pause()
+                                  : failed_call_pause);
+            this->timers.at(this->retry_at, [this] {
+                this->pump();
+            });
         }
         if (!had_lease && keys::has_lease(this->keeper, boot_clock::now())) {
             log::write(log::level::info, log_prefix, "Lease acquired.");
@@ -227,6 +232,12 @@
     });
 }
 
+/// Owners that change the map at one time take turns by chance.
+duration key_desk::conflict_pause() {
+    return std::chrono::milliseconds{
+        random_below(this->random, longest_conflict_pause.count())};
+}
+
 void key_desk::read_rows() {
     if (this->reading) {
         return;
--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -70,6 +70,7 @@
 private:
     void pump();
     void submit(const platform::transaction& work);
+    [[nodiscard]] duration conflict_pause();
     void read_rows();
     void read_leases();
     void watch();
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -179,6 +179,12 @@
     } else {
         response.outcome = serving::attempt_outcome::answered;
         this->answered_at = boot_clock::now();
+        auto reports = upstream::note_answered(
+            this->crashes, item.content, this->answered_at
+        );
+        if (!reports.empty()) {
+            this->on_suspicion(std::move(reports));
+        }
         const bool failed = answer.status >= first_server_error;
         serving::record_result(this->times, failed);
         if (!failed) {
@@ -224,6 +230,13 @@
         return;
     }
     item->on = nullptr;
+    if (was_open) {
+        upstream::note_lost(
+            this->crashes, {item->content, {}}, boot_clock::now()
+        );
+    } else {
+        this->instance_down();
+    }
     this->finish(
         *item,
         without_answer(
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -2,6 +2,7 @@
 
 #include <apricotstile/router/internal/local_work.hpp>
 
+#include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
 
 #include <algorithm>
@@ -20,16 +21,29 @@
 
 constexpr auto log_prefix = "instance";
 
+/// The path, the caller and the body make the same request, whoever sends it.
+upstream::fingerprint
+content_of(const routed_request& request, const service_id& caller) {
+    constexpr std::uint64_t odd_multiplier = 0x9E3779B97F4A7C15ULL;
+    std::uint64_t hash = stable_hash(request.method);
+    for (const std::string* const part :
+         {&request.target, &request.body, &caller.value}) {
+        hash = (hash ^ stable_hash(*part)) * odd_multiplier;
+    }
+    return {hash};
+}
+
 } // namespace
 
 local_instance::local_instance(
     const address& where,
     const wire_names& names,
     net::timer_queue& timers,
-    key_check holds_key
+    key_check holds_key,
+    suspicion_handler on_suspicion
 )
     : where(where), names(names), timers(timers),
-      holds_key(std::move(holds_key)),
+      holds_key(std::move(holds_key)), on_suspicion(std::move(on_suspicion)),
       max_connections(assumed_max_connections) {}
 
 local_instance::~local_instance() {
@@ -48,6 +62,7 @@
         return;
     }
     this->life = life;
+    this->instance_down();
     this->perform(serving::close(this->queue));
     this->times = {};
     // Connections to an earlier life lead nowhere.
@@ -103,7 +118,22 @@
         );
         return id;
     }
+    item.content = content_of(item.request, caller_service);
+    const upstream::judgement judged =
+        upstream::judge(this->crashes.suspects, item.content, now);
+    if (judged.verdict == upstream::verdict::refuse) {
+        const serving::work_id id = item.id;
+        this->finish(
+            item,
+            without_answer(
+                serving::attempt_outcome::refused_quarantined,
+                judged.retry_after
+            )
+        );
+        return id;
+    }
     serving::offered_work offered;
+    offered.alone = judged.verdict == upstream::verdict::run_alone;
     offered.id = item.id;
     offered.nested = item.request.nested;
     offered.priority = item.request.priority;
@@ -118,6 +148,31 @@
     return id;
 }
 
+void local_instance::set_self(const member::member_ref& self) {
+    this->crashes.suspects.self = self;
+}
+
+void local_instance::take_suspicion(const upstream::suspicion_report& report) {
+    upstream::merge(this->crashes.suspects, report, boot_clock::now());
+}
+
+/// What was in flight when the instance went down may have been the cause.
+void local_instance::instance_down() {
+    auto reports = upstream::note_down(this->crashes, boot_clock::now());
+    if (reports.empty()) {
+        return;
+    }
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "Instance went down with requests in flight.",
+        {{"instance", this->life.id},
+         {"requests", std::to_string(reports.size())}}
+    );
+    upstream::forget_expired(this->crashes.suspects, boot_clock::now());
+    this->on_suspicion(std::move(reports));
+}
+
 void local_instance::perform(const std::vector<serving::work_action>& actions) {
     for (const serving::work_action& action : actions) {
         const auto found = this->items.find(action.id);
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -11,6 +11,7 @@
 #include <apricotstile/router/wire_names.hpp>
 #include <apricotstile/serving/service_times.hpp>
 #include <apricotstile/serving/work_queue.hpp>
+#include <apricotstile/upstream/crash_watch.hpp>
 
 #include <functional>
 #include <memory>
@@ -24,12 +25,16 @@
     using response_handler = std::function<void(routed_response&&)>;
     /// Whether the instance holds `key` now.
     using key_check = std::function<bool(keys::key_number)>;
+    /// Tells the other daemons what is held against requests.
+    using suspicion_handler =
+        std::function<void(std::vector<upstream::suspicion_report>&&)>;
 
     local_instance(
         const address& where,
         const wire_names& names,
         net::timer_queue& timers,
-        key_check holds_key
+        key_check holds_key,
+        suspicion_handler on_suspicion
     );
     local_instance(const local_instance&) = delete;
     local_instance& operator=(const local_instance&) = delete;
@@ -50,6 +55,10 @@
         const service_id& caller_service,
         response_handler done
     );
+    /// What another daemon holds against a request.
+    void take_suspicion(const upstream::suspicion_report& report);
+    /// Names this daemon in what it reports.
+    void set_self(const member::member_ref& self);
     /// Nobody waits for the request any more: it is dropped, and if it runs
     /// its connection is closed so that the instance stops.
     void withdraw(serving::work_id id);
@@ -79,6 +88,7 @@
     void answer_complete(connection& on);
     void drop(connection& on);
     void finish(work& item, routed_response&& response);
+    void instance_down();
     void log_unserved(const work& item, serving::attempt_outcome outcome) const;
     void deadline_passed(serving::work_id id);
     std::vector<http::header> headers_for(const work& item) const;
@@ -87,6 +97,8 @@
     const wire_names& names;
     net::timer_queue& timers;
     key_check holds_key;
+    suspicion_handler on_suspicion;
+    upstream::crash_watch crashes;
     directory::instance_life life;
     std::uint32_t max_connections;
     serving::work_queue queue;
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -60,6 +60,9 @@
           timers,
           [this](keys::key_number key) {
               return this->keys_here && this->keys_here->may_dispatch(key);
+          },
+          [this](std::vector<upstream::suspicion_report>&& reports) {
+              this->tell_suspicions(std::move(reports));
           }
       ),
       links(settings.peers, timers, this->link_events()),
@@ -70,6 +73,7 @@
     this->own.service = settings.service;
     this->own.run = new_run();
     this->promises.run = this->own.run;
+    this->instance.set_self({this->host, this->own.run});
     directory::apply(this->known, this->own);
     this->read_members();
     this->timers.every(upkeep_interval, [this] {
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -88,6 +88,10 @@
         reply(deposition_reply{end->holder, end->version, agreed});
     } else if (const auto* const changed = std::get_if<map_change_frame>(&message)) {
         this->take_map_change(changed->change);
+    } else if (const auto* const told = std::get_if<suspicions_frame>(&message)) {
+        for (const upstream::suspicion_report& report : told->reports) {
+            this->instance.take_suspicion(report);
+        }
     } else if (const auto* const asks = std::get_if<room_request>(&message)) {
         reply(this->keys_here ? this->keys_here->offer_room(peer, *asks)
                               : room_reply{asks->sequence});
@@ -128,6 +132,18 @@
     };
 }
 
+/// Tells the daemons beside the same service's instances, which decide.
+void router::parts::tell_suspicions(
+    std::vector<upstream::suspicion_report>&& reports
+) {
+    const suspicions_frame told{std::move(reports)};
+    for (const auto& [peer, entry] : this->known.entries) {
+        if (peer != this->host && entry.service == this->own.service) {
+            this->links.tell(peer, told);
+        }
+    }
+}
+
 void router::parts::count_key(const routed_request& request) {
     if (request.key && this->keys_here) {
         this->keys_here->count_request(
--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -18,6 +18,8 @@
         return "refused_closed";
     case attempt_outcome::refused_not_owner:
         return "refused_not_owner";
+    case attempt_outcome::refused_quarantined:
+        return "refused_quarantined";
     case attempt_outcome::lost:
         return "lost";
     case attempt_outcome::timed_out:
@@ -130,6 +132,9 @@
     case attempt_outcome::refused_closed:
     case attempt_outcome::refused_not_owner:
         return after_refusal(request, end, policy, now);
+    case attempt_outcome::refused_quarantined:
+        request.retry_after = std::max(request.retry_after, end.retry_after);
+        return {internal::give_up(request)};
     case attempt_outcome::answered:
         if (!end.failed) {
             return {next_step::deliver};
--- a/src/apricotstile/serving/request_progress.hpp
+++ b/src/apricotstile/serving/request_progress.hpp
@@ -26,6 +26,8 @@
     refused_closed,
     /// As before: the instance beside that daemon doesn't hold the key.
     refused_not_owner,
+    /// As before, for good: it has crashed each instance that ran it.
+    refused_quarantined,
     /// It reached the instance, or may have, and no whole answer came.
     lost,
     /// As `lost`, at the deadline.
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -11,8 +11,12 @@
 /// A refused caller isn't asked to come back sooner than this.
 constexpr duration least_retry_after = std::chrono::milliseconds{20};
 
-bool has_room(const work_queue& queue) {
-    return queue.open && queue.running.size() < queue.policy.slots;
+bool has_room(const work_queue& queue, const offered_work& work) {
+    if (!queue.open || queue.alone) {
+        return false;
+    }
+    return work.alone ? queue.running.empty()
+                      : queue.running.size() < queue.policy.slots;
 }
 
 /// Whether callers' work would miss its target even if it started now.
@@ -57,6 +61,9 @@
     std::vector<work_action>& actions
 ) {
     queue.running.emplace(work.id, work);
+    if (work.alone) {
+        queue.alone = work.id;
+    }
     actions.push_back({work.id, work_decision::start, {}});
 }
 
@@ -64,9 +71,12 @@
 void start_waiting(
     work_queue& queue, instant now, std::vector<work_action>& actions
 ) {
-    while (has_room(queue) && !queue.waiting.empty()) {
+    while (!queue.waiting.empty()) {
         const auto first = queue.waiting.begin();
         const offered_work work = first->second.work;
+        if (!has_room(queue, work)) {
+            return;
+        }
         queue.places.erase(work.id);
         queue.waiting.erase(first);
         if (now + work.expected > work.deadline) {
@@ -115,7 +125,7 @@
         );
         return actions;
     }
-    if (has_room(queue) && queue.waiting.empty()) {
+    if (has_room(queue, work) && queue.waiting.empty()) {
         start(queue, work, actions);
         return actions;
     }
@@ -139,6 +149,9 @@
 std::vector<work_action> finished(work_queue& queue, work_id id, instant now) {
     std::vector<work_action> actions;
     queue.running.erase(id);
+    if (queue.alone == id) {
+        queue.alone.reset();
+    }
     start_waiting(queue, now, actions);
     return actions;
 }
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <unordered_map>
 #include <vector>
@@ -35,6 +36,8 @@
     instant deadline;
     /// How long the instance is expected to work on it.
     duration expected{0};
+    /// Whether nothing else may run beside it: it may crash the instance.
+    bool alone{false};
 };
 
 struct work_queue_policy {
@@ -69,6 +72,8 @@
     std::unordered_map<work_id, order> places;
     /// Work that runs, with its expected time.
     std::unordered_map<work_id, offered_work> running;
+    /// Work that runs alone; nothing else starts meanwhile.
+    std::optional<work_id> alone;
     std::uint64_t arrivals{0};
 };
 
--- /dev/null
+++ b/src/apricotstile/upstream/crash_watch.cpp
@@ -0,0 +1,31 @@
+// Losses between the last answer and the sign of a crash.
+
+#include <apricotstile/upstream/crash_watch.hpp>
+
+namespace apricotstile::upstream {
+
+void note_lost(crash_watch& watch, const crash_witness& witness, instant now) {
+    watch.lost.push_back({witness, now});
+}
+
+std::vector<suspicion_report>
+note_answered(crash_watch& watch, fingerprint id, instant now) {
+    watch.lost.clear();
+    return completed(watch.suspects, id, now);
+}
+
+std::vector<suspicion_report> note_down(crash_watch& watch, instant now) {
+    std::vector<crash_witness> in_flight;
+    for (const crash_watch::lost_request& one : watch.lost) {
+        if (now - one.at <= watch.memory) {
+            in_flight.push_back(one.witness);
+        }
+    }
+    watch.lost.clear();
+    if (in_flight.empty()) {
+        return {};
+    }
+    return upstream_crashed(watch.suspects, in_flight, now);
+}
+
+} // namespace apricotstile::upstream
--- /dev/null
+++ b/tests/router/local_instance.tests.cpp
@@ -0,0 +1,134 @@
+// Work at an instance that goes down under it.
+
+#include <apricotstile/router/local_instance.hpp>
+
+#include <tests/http/event_loop.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+using namespace apricotstile;
+using namespace apricotstile::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t loopback = 0x7F000001;
+
+/// An instance that resets the connection of each request. While it lives it
+/// answers a request for "/good".
+struct fragile_instance {
+    fragile_instance() {
+        tests::need_application();
+        REQUIRE(this->server.listen(QHostAddress::LocalHost));
+        QObject::connect(&this->server, &QTcpServer::newConnection, [this] {
+            QTcpSocket* const caller = this->server.nextPendingConnection();
+            QObject::connect(caller, &QTcpSocket::readyRead, [this, caller] {
+                const QByteArray read = caller->readAll();
+                if (read.startsWith("GET /good")) {
+                    caller->write("HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                  "Content-Length: 0\r\n\r\n");
+                    return;
+                }
+                if (this->crashes) {
+                    this->server.close();
+                }
+                caller->abort();
+            });
+        });
+    }
+
+    QTcpServer server;
+    bool crashes{true};
+};
+
+struct instance_beside {
+    explicit instance_beside(const fragile_instance& beside)
+        : port(beside.server.serverPort()) {
+        this->names.request_id = "Request-Id";
+        this->names.signature = "Signature";
+        this->names.not_executed = "Not-Executed";
+        this->instance = std::make_unique<local_instance>(
+            address{loopback, this->port},
+            this->names,
+            this->timers,
+            [](keys::key_number) {
+                return true;
+            },
+            [this](std::vector<upstream::suspicion_report>&& reports) {
+                this->reported += reports.size();
+            }
+        );
+        this->instance->set_instance({"i", 1}, 4);
+        this->instance->set_open(true);
+    }
+
+    serving::attempt_outcome run(const std::string& target) {
+        std::optional<serving::attempt_outcome> outcome;
+        routed_request request;
+        request.method = "GET";
+        request.target = target;
+        request.to_target = 1s;
+        request.to_deadline = 5s;
+        this->instance->submit(
+            std::move(request),
+            {"caller"},
+            [&](routed_response&& response) {
+                outcome = response.outcome;
+            }
+        );
+        REQUIRE(tests::wait_until([&] {
+            return outcome.has_value();
+        }));
+        return *outcome;
+    }
+
+    std::uint16_t port;
+    wire_names names;
+    net::timer_queue timers;
+    std::size_t reported{0};
+    std::unique_ptr<local_instance> instance;
+};
+
+} // namespace
+
+TEST_CASE(
+    "a request that takes the instance down is reported", "[router][instance]"
+) {
+    fragile_instance fragile;
+    instance_beside daemon{fragile};
+    CHECK(daemon.run("/bad") == serving::attempt_outcome::lost);
+    CHECK(daemon.reported == 0);
+    CHECK(daemon.run("/next") == serving::attempt_outcome::refused_closed);
+    CHECK(daemon.reported == 1);
+}
+
+TEST_CASE("a lost answer alone is no crash", "[router][instance]") {
+    fragile_instance fragile;
+    fragile.crashes = false;
+    instance_beside daemon{fragile};
+    CHECK(daemon.run("/bad") == serving::attempt_outcome::lost);
+    CHECK(daemon.run("/good") == serving::attempt_outcome::answered);
+    daemon.instance->set_instance({"i", 2}, 4);
+    CHECK(daemon.reported == 0);
+}
+
+TEST_CASE("a request that crashed three instances is refused", "[router]") {
+    fragile_instance fragile;
+    instance_beside daemon{fragile};
+    for (std::int64_t life = 2; life < 5; ++life) {
+        CHECK(daemon.run("/bad") == serving::attempt_outcome::lost);
+        REQUIRE(fragile.server.listen(
+            QHostAddress::LocalHost, daemon.port
+        ));
+        daemon.instance->set_instance({"i", life}, 4);
+        daemon.instance->set_open(true);
+    }
+    CHECK(
+        daemon.run("/bad") == serving::attempt_outcome::refused_quarantined
+    );
+    CHECK(daemon.run("/good") == serving::attempt_outcome::answered);
+}
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -274,3 +274,17 @@
     REQUIRE(next.size() == 1);
     CHECK(next.front().id == work_id{3});
 }
+
+TEST_CASE("suspected work runs alone", "[serving][queue]") {
+    work_queue queue = open_queue(3);
+    static_cast<void>(offer(queue, work(1), start));
+    offered_work suspect = work(2);
+    suspect.alone = true;
+    CHECK(offer(queue, suspect, start).empty());
+    CHECK(offer(queue, work(3), start).empty());
+    const auto first = finished(queue, work_id{1}, start + 1ms);
+    REQUIRE(first.size() == 1);
+    CHECK(first.front().id == work_id{2});
+    CHECK(offer(queue, work(4), start + 2ms).empty());
+    CHECK(finished(queue, work_id{2}, start + 3ms).size() == 2);
+}
