--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -163,6 +163,14 @@
     archive(value.reports);
 }
 
+template <class Archive>
+void serialize(Archive&, config_request&) {}
+
+template <class Archive>
+void serialize(Archive& archive, config_reply& value) {
+    archive(value.config);
+}
+
 template <class Archive>
 void serialize(Archive& archive, room_request& value) {
     serialize_number(archive, value.sequence);
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -10,6 +10,7 @@
 #include <apricotstile/platform/transaction.hpp>
 #include <apricotstile/router/compact_codec.hpp>
 #include <apricotstile/router/header_codec.hpp>
+#include <apricotstile/routing/routing_config.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/request_progress.hpp>
 #include <apricotstile/upstream/suspicion.hpp>
@@ -126,6 +127,14 @@
     std::vector<upstream::suspicion_report> reports;
 };
 
+/// A daemon that knows no configuration, since the store doesn't answer, asks
+/// a peer for its own.
+struct config_request {};
+
+struct config_reply {
+    routing::routing_config config;
+};
+
 /// Answered by a `pong_frame` at once.
 struct ping_frame {};
 
@@ -146,7 +155,9 @@
     room_request,
     room_reply,
     room_claim,
-    suspicions_frame>;
+    suspicions_frame,
+    config_request,
+    config_reply>;
 
 /// The bytes of a frame with its length before it. `headers` is the table of
 /// the direction that it is sent in, and each frame made is to be sent.
--- a/src/apricotstile/router/internal/router_parts.hpp
+++ b/src/apricotstile/router/internal/router_parts.hpp
@@ -26,6 +26,8 @@
     void change_state(directory::instance_state state, const char* why);
     void write_entry();
     void take_entry(const directory::entry& told, const char* source);
+    void take_config(routing::routing_config config, const char* source);
+    void ask_for_config();
     void read_members();
     void take_member_rows(const std::vector<platform::row>& rows);
     void read_map(const service_id& service);
@@ -81,6 +83,8 @@
     std::uint32_t member_readings{0};
     std::shared_ptr<const routing::route_table> routes;
     bool members_known{false};
+    instant started;
+    instant config_asked_at;
 
     /// This daemon's promises to others.
     keys::guardian promises;
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -17,6 +17,9 @@
 
 constexpr duration upkeep_interval = 250ms;
 
+/// How long a starting daemon waits for the store's configuration.
+constexpr duration store_patience = 1500ms;
+
 /// A silent instance takes no requests after this many heartbeats' time
 /// without a heartbeat or an answer.
 constexpr int missed_heartbeats = 3;
@@ -67,7 +70,8 @@
       ),
       links(settings.peers, timers, this->link_events()),
       callers(settings.callers, timers, this->surroundings()) {
-    this->promises.started = boot_clock::now();
+    this->started = boot_clock::now();
+    this->promises.started = this->started;
     this->own.host = this->host;
     this->own.where = settings.where;
     this->own.service = settings.service;
@@ -118,8 +122,53 @@
     this->publish_entry();
 }
 
+void router::parts::take_config(
+    routing::routing_config config, const char* source
+) {
+    if (this->routes && config.version <= this->routes->config.version) {
+        return;
+    }
+    log::write(
+        log::level::info,
+        log_prefix,
+        "Configuration in force.",
+        {{"version", std::to_string(config.version.value)},
+         {"routes", std::to_string(config.routes.size())},
+         {"services", std::to_string(config.services.size())},
+         {"source", source}}
+    );
+    this->routes = std::make_shared<const routing::route_table>(
+        routing::make_route_table(std::move(config))
+    );
+    this->callers.set_config(this->routes);
+    const auto& services = this->routes->config.services;
+    const auto service = services.find(this->settings.service);
+    if (service != services.end()) {
+        this->instance.set_max_connections(service->second.max_connections);
+    }
+    this->start_keys();
+}
+
+/// A daemon that starts while the store is away gets the configuration that
+/// its peers have. The store's is taken as soon as it answers.
+void router::parts::ask_for_config() {
+    const instant now = boot_clock::now();
+    if (this->routes || now - this->started < store_patience ||
+        now - this->config_asked_at < store_patience) {
+        return;
+    }
+    for (const auto& [peer, entry] : this->known.entries) {
+        if (peer != this->host && this->links.is_reachable(peer)) {
+            this->config_asked_at = now;
+            this->links.tell(peer, config_request{});
+            return;
+        }
+    }
+}
+
 void router::parts::upkeep() {
     this->read_what_is_due();
+    this->ask_for_config();
     this->write_entry();
     this->check_instance();
     for (const auto& [peer, entry] : this->known.entries) {
@@ -180,27 +229,7 @@
 router::~router() = default;
 
 void router::take_config(routing::routing_config config) {
-    parts& all = *this->self;
-    if (all.routes && config.version <= all.routes->config.version) {
-        return;
-    }
-    log::write(
-        log::level::info,
-        log_prefix,
-        "Configuration in force.",
-        {{"version", std::to_string(config.version.value)},
-         {"routes", std::to_string(config.routes.size())},
-         {"services", std::to_string(config.services.size())}}
-    );
-    all.routes = std::make_shared<const routing::route_table>(
-        routing::make_route_table(std::move(config))
-    );
-    all.callers.set_config(all.routes);
-    const auto service = all.routes->config.services.find(all.settings.service);
-    if (service != all.routes->config.services.end()) {
-        all.instance.set_max_connections(service->second.max_connections);
-    }
-    all.start_keys();
+    this->self->take_config(std::move(config), "table");
 }
 
 void router::set_config_current(bool current) {
@@ -269,8 +298,9 @@
 }
 
 bool router::is_ready() const {
-    return this->self->routes && this->self->members_known &&
-           !this->self->stopping;
+    const parts& all = *this->self;
+    const bool knows_peers = all.members_known || all.links.open_links() > 0;
+    return all.routes && knows_peers && !all.stopping;
 }
 
 void router::stop(std::function<void()> stopped) {
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -92,6 +92,12 @@
         for (const upstream::suspicion_report& report : told->reports) {
             this->instance.take_suspicion(report);
         }
+    } else if (std::holds_alternative<config_request>(message)) {
+        if (this->routes) {
+            reply(config_reply{this->routes->config});
+        }
+    } else if (const auto* const given = std::get_if<config_reply>(&message)) {
+        this->take_config(given->config, "peer");
     } else if (const auto* const asks = std::get_if<room_request>(&message)) {
         reply(this->keys_here ? this->keys_here->offer_room(peer, *asks)
                               : room_reply{asks->sequence});
--- a/src/apricotstile/routing/routing_config.hpp
+++ b/src/apricotstile/routing/routing_config.hpp
@@ -67,6 +67,35 @@
     caller_limits limits;
 };
 
+template <class Archive>
+void serialize(Archive& archive, service_share& value) {
+    archive(value.service, value.weight);
+}
+
+template <class Archive>
+void serialize(Archive& archive, route& value) {
+    archive(value.name, value.host, value.prefix, value.idempotent);
+    archive(value.timeout, value.target_latency, value.priority);
+    archive(value.max_instances, value.services);
+}
+
+template <class Archive>
+void serialize(Archive& archive, service_settings& value) {
+    archive(value.health_check_path, value.max_connections);
+    archive(value.keyed, value.warm_up);
+}
+
+template <class Archive>
+void serialize(Archive& archive, caller_limits& value) {
+    archive(value.header_bytes, value.body_bytes);
+    archive(value.header_timeout, value.idle_timeout);
+}
+
+template <class Archive>
+void serialize(Archive& archive, routing_config& value) {
+    archive(value.version, value.routes, value.services, value.limits);
+}
+
 } // namespace apricotstile::routing
 
 #endif
--- a/tests/router/frames.tests.cpp
+++ b/tests/router/frames.tests.cpp
@@ -92,3 +92,31 @@
         }
     });
 }
+
+TEST_CASE("a configuration survives the link", "[router][frames]") {
+    config_reply told;
+    told.config.version = {7};
+    routing::route route;
+    route.name = "r";
+    route.host = "a.example";
+    route.prefix = "/x/";
+    route.idempotent = true;
+    route.timeout = 600ms;
+    route.services = {{{"s"}, 90}, {{"t"}, 10}};
+    told.config.routes.push_back(route);
+    told.config.services[{"s"}].keyed = true;
+    told.config.limits.idle_timeout = 15s;
+    header_table sender;
+    header_table receiver;
+    std::string bytes = to_bytes(told, sender);
+    const auto got = take_frame(bytes, receiver);
+    REQUIRE(got);
+    const routing::routing_config& back =
+        std::get<config_reply>(*got).config;
+    CHECK(back.version == routing::config_version{7});
+    CHECK(back.routes.at(0).prefix == "/x/");
+    CHECK(back.routes.at(0).timeout == 600ms);
+    CHECK(back.routes.at(0).services.at(1).service == service_id{"t"});
+    CHECK(back.services.at({"s"}).keyed);
+    CHECK(back.limits.idle_timeout == 15s);
+}
