--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -5,6 +5,7 @@
 
 #include <apricotstile/directory/directory.hpp>
 #include <apricotstile/host/address.hpp>
+#include <apricotstile/metrics/histogram.hpp>
 #include <apricotstile/net/timer_queue.hpp>
 #include <apricotstile/router/caller_connection.hpp>
 #include <apricotstile/router/frames.hpp>
@@ -62,6 +63,10 @@
     std::uint64_t no_route{0};
     std::uint64_t left{0};
     std::uint64_t repeats{0};
+    /// Requests that no instance answered, by status and reason.
+    std::map<std::string, std::uint64_t> unanswered;
+    /// From a request's arrival to its instance's answer, by service.
+    std::map<service_id, metrics::histogram> latencies;
 };
 
 class ingress {
--- a/src/apricotstile/router/ingress_attempts.cpp
+++ b/src/apricotstile/router/ingress_attempts.cpp
@@ -278,6 +278,7 @@
     } else {
         ++this->counted.failed;
     }
+    ++this->counted.unanswered[fmt::format("{}_{}", status, reason)];
     log::write(
         log::level::warning,
         log_prefix,
@@ -303,6 +304,10 @@
 
 void ingress::deliver(pending& request, routed_response&& response) {
     ++this->counted.answered;
+    metrics::record(
+        this->counted.latencies[request.service],
+        boot_clock::now() - request.progress.arrived
+    );
     std::vector<http::header> headers = std::move(response.headers);
     if (!request.id.empty()) {
         headers.push_back({this->around.names.request_id, request.id});
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -4,6 +4,7 @@
 
 #include <apricotstile/log/logger.hpp>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -320,6 +321,18 @@
     all.publish_entry();
 }
 
+std::string router::latency_text() const {
+    std::string result;
+    for (const auto& [service, one] : this->self->callers.counters().latencies) {
+        result += metrics::to_text_format(
+            one,
+            "apricotstile_answer_seconds",
+            fmt::format("service=\"{}\"", service.value)
+        );
+    }
+    return result;
+}
+
 nlohmann::json router::describe() const {
     const parts& all = *this->self;
     const ingress_counters& counted = all.callers.counters();
@@ -333,6 +346,7 @@
           {"no_route", counted.no_route},
           {"left", counted.left},
           {"repeats", counted.repeats},
+          {"unanswered", counted.unanswered},
           {"waiting", all.callers.waiting()},
           {"connections", all.callers.open_connections()}}},
         {"instance",
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -78,6 +78,8 @@
     /// Finishes what is in progress, then calls `stopped` within the grace.
     void stop(std::function<void()> stopped);
 
+    /// Histograms of latencies, in the text format that scrapers read.
+    [[nodiscard]] std::string latency_text() const;
     /// What this daemon believes now.
     [[nodiscard]] nlohmann::json describe() const;
 
