Tell nested requests by their deadlines, not by their address

Seen by logging 1,200 requests of three seconds: all nested, callers' with a constant deadline, nested ones with any. A route without a usual deadline is nested.

--- a/src/apricotstile/keys/keeper.hpp
+++ b/src/apricotstile/keys/keeper.hpp
@@ -203,9 +203,8 @@
 
 /// The result of the transaction in flight.
 /// Returns the change of the map that it made, for the other daemons.
-std::optional<map_change> take_result(
-    keeper& state, const platform::commit_result& result, instant now
-);
+std::optional<map_change>
+take_result(keeper& state, const platform::commit_result& result, instant now);
 
 /// All rows of the service, or all of its leases.
 void take_rows(
--- a/src/apricotstile/keys/keeper_store.cpp
+++ b/src/apricotstile/keys/keeper_store.cpp
@@ -186,9 +186,7 @@
     );
 }
 
-void replace_map(
-    keeper& state, key_map map, platform::row_version version
-) {
+void replace_map(keeper& state, key_map map, platform::row_version version) {
     versioned_map known{version, std::move(map), std::move(state.early)};
     apply_early(known);
     state.map = std::move(known.map);
@@ -254,9 +252,8 @@
     return work;
 }
 
-std::optional<map_change> take_result(
-    keeper& state, const platform::commit_result& result, instant now
-) {
+std::optional<map_change>
+take_result(keeper& state, const platform::commit_result& result, instant now) {
     if (!state.in_flight) {
         return std::nullopt;
     }
--- a/src/apricotstile/keys/key_load.hpp
+++ b/src/apricotstile/keys/key_load.hpp
@@ -27,7 +27,6 @@
 /// The slots that a load right after `decay` keeps busy.
 [[nodiscard]] double slots_for(double load);
 
-
 [[nodiscard]] double load_of(const key_load& load, const key_range& keys);
 
 /// The fewest neighbouring keys within one of `ranges` that carry `wanted` of
--- a/src/apricotstile/keys/relief.cpp
+++ b/src/apricotstile/keys/relief.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-double wanted_relief(const relief_policy& policy, const key_service_load& load) {
+double
+wanted_relief(const relief_policy& policy, const key_service_load& load) {
     const bool has_backlog = load.work > load.slots * policy.crowded_pressure;
     if (load.demand <= load.slots * policy.crowded && !has_backlog) {
         return 0;
@@ -105,8 +106,7 @@
         if (result.size() >= policy.receivers || given < policy.least_slots) {
             break;
         }
-        const double ratio =
-            speed_ratio(one.mean_service, load.mean_service);
+        const double ratio = speed_ratio(one.mean_service, load.mean_service);
         result.push_back({one.member, given, given * ratio});
         wanted -= given;
     }
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -77,8 +77,7 @@
 keys_worth(const keeper& state, const key_load& load, double slots);
 
 /// The slots that the keys which this daemon keeps are worth.
-[[nodiscard]] double
-demand_of(const keeper& state, const key_load& load);
+[[nodiscard]] double demand_of(const keeper& state, const key_load& load);
 
 /// Moves for all keys of this daemon, whose instance leaves.
 [[nodiscard]] std::vector<move>
--- a/src/apricotstile/metrics/histogram.cpp
+++ b/src/apricotstile/metrics/histogram.cpp
@@ -46,9 +46,8 @@
             "{}_bucket{{{},le=\"{}\"}} {}\n", name, labels, limit, total
         );
     }
-    result += fmt::format(
-        "{}_sum{{{}}} {:.6f}\n", name, labels, seconds(value.sum)
-    );
+    result +=
+        fmt::format("{}_sum{{{}}} {:.6f}\n", name, labels, seconds(value.sum));
     return result + fmt::format("{}_count{{{}}} {}\n", name, labels, total);
 }
 
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -67,8 +67,8 @@
     };
     this->listener = std::make_unique<net::acceptor>(
         listen,
-        [this](int descriptor, const address& peer) {
-            this->accepted(descriptor, peer);
+        [this](int descriptor, const address&) {
+            this->accepted(descriptor);
         }
     );
     this->timers.every(scan_interval, [this] {
@@ -97,12 +97,28 @@
 
 void ingress::set_config(std::shared_ptr<const routing::route_table> changed) {
     this->table = std::move(changed);
-    this->patience.clear();
+    this->forget_dropped_routes();
     for (const auto& [id, one] : this->callers) {
         one->set_limits(limits_of(this->table->config.limits));
     }
 }
 
+/// Keeps what was learned of routes from growing with all that ever were.
+void ingress::forget_dropped_routes() {
+    const std::vector<routing::route>& routes = this->table->config.routes;
+    if (this->patience.size() <= routes.size()) {
+        return;
+    }
+    std::unordered_map<std::string, serving::caller_patience> kept;
+    for (const routing::route& one : routes) {
+        const auto known = this->patience.find(one.name);
+        if (known != this->patience.end()) {
+            kept.insert(*known);
+        }
+    }
+    this->patience = std::move(kept);
+}
+
 void ingress::set_config_current(bool current) {
     this->config_current = current;
 }
@@ -114,7 +130,7 @@
     view.in_flight_when_told = view.in_flight;
 }
 
-void ingress::accepted(int descriptor, const address& peer) {
+void ingress::accepted(int descriptor) {
     this->last_caller = next(this->last_caller);
     const routing::caller_limits limits =
         this->table ? this->table->config.limits : routing::caller_limits{};
@@ -124,9 +140,6 @@
             this->last_caller, descriptor, limits_of(limits), this->events
         )
     );
-    if (peer.ip == this->around.instance.ip) {
-        this->instance_callers.insert(this->last_caller);
-    }
 }
 
 void ingress::take_request(caller_id caller, http::received_request&& request) {
@@ -167,13 +180,17 @@
         number_in(http::header_value(request.headers, names.time_left));
     const duration caller_left =
         left ? duration{std::chrono::milliseconds{*left}} : assumed_deadline;
-    item.nested = this->instance_callers.contains(caller);
+    // Callers share the instance's address, so that it doesn't tell them from
+    // nested requests.
+    serving::caller_patience& patience = this->patience[where->name];
+    serving::note_patience(patience, caller_left);
+    item.nested = serving::is_nested(patience);
     item.progress.idempotent = where->idempotent;
     item.progress.max_instances = where->max_instances;
     item.progress.arrived = now;
     item.progress.target =
         now + where->target_latency -
-        this->waited_before(*where, caller_left, item.nested);
+        serving::time_since_first_attempt(patience, caller_left);
     item.progress.deadline = now + std::min(caller_left, where->timeout);
     item.received = std::move(request);
     const auto service = this->table->config.services.find(item.service);
@@ -199,19 +216,6 @@
     this->attempt(item);
 }
 
-/// How long ago the caller's first attempt was. Nested requests have the
-/// deadlines of those that they belong to, which tell nothing.
-duration ingress::waited_before(
-    const routing::route& route, duration caller_left, bool nested
-) {
-    if (nested) {
-        return duration{0};
-    }
-    serving::caller_patience& known = this->patience[route.name];
-    serving::note_patience(known, caller_left);
-    return serving::time_since_first_attempt(known, caller_left);
-}
-
 /// Answers the request itself at its deadline.
 void ingress::watch_deadline(pending& request) {
     this->timers.cancel(request.deadline_timer);
@@ -271,7 +275,6 @@
     // It is still on the stack.
     std::shared_ptr<caller_connection> last{std::move(connection->second)};
     this->callers.erase(connection);
-    this->instance_callers.erase(caller);
     this->timers.after(0ms, [last] {});
 }
 
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -19,7 +19,6 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace apricotstile::net {
 class acceptor;
@@ -35,8 +34,6 @@
     host_id self;
     location where;
     wire_names names;
-    /// The instance beside this daemon.
-    address instance;
     serving::retry_budget_policy retries;
     /// For requests of the instance, which make no further ones as a rule.
     serving::retry_budget_policy nested_retries;
@@ -105,7 +102,7 @@
 private:
     struct pending;
 
-    void accepted(int descriptor, const address& peer);
+    void accepted(int descriptor);
     void take_request(caller_id caller, http::received_request&& request);
     void caller_gone(caller_id caller);
     void attempt(pending& request);
@@ -121,9 +118,7 @@
     void perform(
         pending& request, serving::next_step step, routed_response&& response
     );
-    [[nodiscard]] duration waited_before(
-        const routing::route& route, duration caller_left, bool nested
-    );
+    void forget_dropped_routes();
     void watch_deadline(pending& request);
     void deadline_passed(caller_id caller);
     void answer_own(
@@ -154,8 +149,6 @@
     caller_events events;
     caller_id last_caller;
     std::unordered_map<caller_id, std::unique_ptr<caller_connection>> callers;
-    /// Connections of the instance beside this daemon.
-    std::unordered_set<caller_id> instance_callers;
     /// At most one for each connection.
     std::unordered_map<caller_id, std::unique_ptr<pending>> requests;
     std::unordered_map<host_id, serving::instance_view> views;
--- a/src/apricotstile/router/ingress_attempts.cpp
+++ b/src/apricotstile/router/ingress_attempts.cpp
@@ -369,9 +369,7 @@
     view.in_flight -= view.in_flight > 0 ? 1 : 0;
     serving::note_loss(view, this->choice, now);
     request.trail += fmt::format(
-        "{}{}:silent",
-        request.trail.empty() ? "" : ",",
-        host_text(request.host)
+        "{}{}:silent", request.trail.empty() ? "" : ",", host_text(request.host)
     );
     serving::leave_silent(request.progress);
     this->attempt(request);
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -447,9 +447,7 @@
         this->pump();
     } else if (const auto* const end = std::get_if<deposition_reply>(&reply)) {
         if (end->agreed) {
-            keys::take_agreement(
-                this->keeper, peer, end->holder, end->version
-            );
+            keys::take_agreement(this->keeper, peer, end->holder, end->version);
             this->pump();
         }
     } else if (const auto* const room = std::get_if<room_reply>(&reply)) {
@@ -569,12 +567,10 @@
     return given;
 }
 
-room_reply
-key_desk::offer_room(host_id owner, const room_request& asked) {
+room_reply key_desk::offer_room(host_id owner, const room_request& asked) {
     const keys::key_service_load present = this->present_load();
-    const bool can_hold =
-        !this->departing && this->keeper.life &&
-        keys::has_lease(this->keeper, boot_clock::now());
+    const bool can_hold = !this->departing && this->keeper.life &&
+                          keys::has_lease(this->keeper, boot_clock::now());
     const double offered =
         can_hold ? keys::offer_room(
                        this->room,
--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -4,11 +4,11 @@
 #ifndef APRICOTSTILE_ROUTER_KEY_DESK_HPP
 #define APRICOTSTILE_ROUTER_KEY_DESK_HPP
 
+#include <apricotstile/core/random.hpp>
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/keys/keeper.hpp>
 #include <apricotstile/keys/relief.hpp>
 #include <apricotstile/keys/takeover.hpp>
-#include <apricotstile/core/random.hpp>
 #include <apricotstile/net/timer_queue.hpp>
 #include <apricotstile/platform/shared_table.hpp>
 #include <apricotstile/router/frames.hpp>
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -304,8 +304,7 @@
     result.waiting = static_cast<std::uint32_t>(this->queue.waiting.size());
     result.mean_service = this->times.overall;
     constexpr double thousand = 1000;
-    result.failing =
-        static_cast<std::uint32_t>(this->times.failing * thousand);
+    result.failing = static_cast<std::uint32_t>(this->times.failing * thousand);
     return result;
 }
 
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -323,7 +323,8 @@
 
 std::string router::latency_text() const {
     std::string result;
-    for (const auto& [service, one] : this->self->callers.counters().latencies) {
+    for (const auto& [service, one] :
+         this->self->callers.counters().latencies) {
         result += metrics::to_text_format(
             one,
             "apricotstile_answer_seconds",
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -9,7 +9,6 @@
     result.self = host_at(this->settings.peers);
     result.where = this->settings.where;
     result.names = this->settings.names;
-    result.instance = this->settings.instance;
     result.retries = this->settings.retries;
     result.nested_retries = this->settings.nested_retries;
     result.known = &this->known;
@@ -99,8 +98,10 @@
     } else if (const auto* const given = std::get_if<config_reply>(&message)) {
         this->take_config(given->config, "peer");
     } else if (const auto* const asks = std::get_if<room_request>(&message)) {
-        reply(this->keys_here ? this->keys_here->offer_room(peer, *asks)
-                              : room_reply{asks->sequence});
+        reply(
+            this->keys_here ? this->keys_here->offer_room(peer, *asks)
+                            : room_reply{asks->sequence}
+        );
     } else if (const auto* const claim = std::get_if<room_claim>(&message)) {
         if (this->keys_here) {
             this->keys_here->take_claim(peer, *claim);
--- a/src/apricotstile/serving/caller_patience.cpp
+++ b/src/apricotstile/serving/caller_patience.cpp
@@ -23,6 +23,18 @@
     return left.count < right.count;
 }
 
+/// What first attempts say, or nothing while no time is usual.
+const caller_patience::told_time* usual_in(const caller_patience& patience) {
+    const auto usual = std::max_element(
+        patience.often.begin(), patience.often.end(), is_rarer
+    );
+    if (patience.total < least_counted ||
+        usual->count < patience.total * usual_part) {
+        return nullptr;
+    }
+    return &*usual;
+}
+
 } // namespace
 
 void note_patience(caller_patience& patience, duration left) {
@@ -41,6 +53,7 @@
             patience.often.begin(), patience.often.end(), is_rarer
         ) = {left, 1};
     }
+    patience.had_usual = patience.had_usual || usual_in(patience) != nullptr;
     if (patience.total >= most_counted) {
         patience.total /= 2;
         for (caller_patience::told_time& one : patience.often) {
@@ -51,14 +64,13 @@
 
 duration
 time_since_first_attempt(const caller_patience& patience, duration left) {
-    const auto usual = std::max_element(
-        patience.often.begin(), patience.often.end(), is_rarer
-    );
-    if (patience.total < least_counted ||
-        usual->count < patience.total * usual_part) {
-        return duration{0};
-    }
-    return std::max(duration{0}, usual->left - left);
+    const caller_patience::told_time* const usual = usual_in(patience);
+    return usual == nullptr ? duration{0}
+                            : std::max(duration{0}, usual->left - left);
+}
+
+bool is_nested(const caller_patience& patience) {
+    return patience.total >= least_counted && !patience.had_usual;
 }
 
 } // namespace apricotstile::serving
--- a/src/apricotstile/serving/caller_patience.hpp
+++ b/src/apricotstile/serving/caller_patience.hpp
@@ -3,6 +3,9 @@
 // returning one says less than a new one, and that tells how long ago its
 // first attempt was, so that work that is late anyway doesn't make new work
 // late as well.
+//
+// It also tells nested requests, on which work that already runs depends: they
+// end with their parents, so that no time is usual among them.
 
 #ifndef APRICOTSTILE_SERVING_CALLER_PATIENCE_HPP
 #define APRICOTSTILE_SERVING_CALLER_PATIENCE_HPP
@@ -24,6 +27,8 @@
 
     std::array<told_time, kept> often{};
     double total{0};
+    /// Whether a time was ever usual.
+    bool had_usual{false};
 };
 
 /// A caller says that it waits for `left`.
@@ -34,6 +39,10 @@
 [[nodiscard]] duration
 time_since_first_attempt(const caller_patience& patience, duration left);
 
+/// Whether the route's requests are made by instances while they run others.
+/// Not before enough of them were seen.
+[[nodiscard]] bool is_nested(const caller_patience& patience);
+
 } // namespace apricotstile::serving
 
 #endif
--- a/src/apricotstile/serving/instance_choice.cpp
+++ b/src/apricotstile/serving/instance_choice.cpp
@@ -120,8 +120,7 @@
         entry.latency = expected_latency(
             *one.view, service_of(*one.view, usual, policy, now)
         );
-        entry.latency +=
-            reluctance_to(*one.view, policy, target_latency, now);
+        entry.latency += reluctance_to(*one.view, policy, target_latency, now);
         entry.avoided = now < one.view->avoided_until;
         entry.far = one.distance == nearness::elsewhere;
         if (entry.far) {
--- a/tests/keys/map_change.tests.cpp
+++ b/tests/keys/map_change.tests.cpp
@@ -36,7 +36,9 @@
     CHECK(apply_change(known, change(9, 12, {7, 8})) == change_result::gap);
     CHECK(apply_change(known, change(5, 9, {50, 59})) == change_result::gap);
     CHECK_FALSE(known.early.empty());
-    CHECK(apply_change(known, change(3, 5, {40, 70})) == change_result::applied);
+    CHECK(
+        apply_change(known, change(3, 5, {40, 70})) == change_result::applied
+    );
     CHECK(known.version == platform::row_version{12});
     CHECK(known.early.empty());
     key_map written;
--- a/tests/keys/relief.tests.cpp
+++ b/tests/keys/relief.tests.cpp
@@ -25,18 +25,14 @@
 TEST_CASE("a crowded owner gives away what it can't serve", "[keys][relief]") {
     const relief_policy policy;
     CHECK(
-        wanted_relief(policy, load_of(30, 18)) ==
-        Approx(30 - 18 * policy.aim)
+        wanted_relief(policy, load_of(30, 18)) == Approx(30 - 18 * policy.aim)
     );
 }
 
-TEST_CASE(
-    "a backlog alone makes an owner give a part away", "[keys][relief]"
-) {
+TEST_CASE("a backlog alone makes an owner give a part away", "[keys][relief]") {
     const relief_policy policy;
     CHECK(
-        wanted_relief(policy, load_of(10, 60)) ==
-        Approx(10 * policy.least_part)
+        wanted_relief(policy, load_of(10, 60)) == Approx(10 * policy.least_part)
     );
 }
 
@@ -94,10 +90,7 @@
 
 TEST_CASE("a faster member takes more for the same room", "[keys][relief]") {
     const auto parts = divide_relief(
-        {},
-        load_of(40, 18),
-        30,
-        {{host_id{2}, 5, 50ms}, {host_id{3}, 5, 200ms}}
+        {}, load_of(40, 18), 30, {{host_id{2}, 5, 50ms}, {host_id{3}, 5, 200ms}}
     );
     REQUIRE(parts.size() == 2);
     CHECK(parts[0].member == host_id{2});
--- a/tests/keys/takeover.tests.cpp
+++ b/tests/keys/takeover.tests.cpp
@@ -69,8 +69,7 @@
 }
 
 TEST_CASE(
-    "a slow instance finds a much faster one that has room",
-    "[keys][takeover]"
+    "a slow instance finds a much faster one that has room", "[keys][takeover]"
 ) {
     const keeper state = owner_among(3);
     takeover_view view = members(3);
--- a/tests/router/frames.tests.cpp
+++ b/tests/router/frames.tests.cpp
@@ -111,8 +111,7 @@
     std::string bytes = to_bytes(told, sender);
     const auto got = take_frame(bytes, receiver);
     REQUIRE(got);
-    const routing::routing_config& back =
-        std::get<config_reply>(*got).config;
+    const routing::routing_config& back = std::get<config_reply>(*got).config;
     CHECK(back.version == routing::config_version{7});
     CHECK(back.routes.at(0).prefix == "/x/");
     CHECK(back.routes.at(0).timeout == 600ms);
--- a/tests/router/ingress.tests.cpp
+++ b/tests/router/ingress.tests.cpp
@@ -50,7 +50,6 @@
         ingress_surroundings around;
         around.names.request_id = "Request-Id";
         around.names.time_left = "Time-Left";
-        around.instance = {loopback + 1, 1};
         around.known = &this->known;
         around.is_reachable = [this](host_id host) {
             return host != this->silent;
@@ -82,11 +81,9 @@
         route.services = {{{"s"}, 1}};
         config.routes.push_back(route);
         config.services[{"s"}] = {};
-        this->callers->set_config(
-            std::make_shared<const routing::route_table>(
-                routing::make_route_table(config)
-            )
-        );
+        this->callers->set_config(std::make_shared<const routing::route_table>(
+            routing::make_route_table(config)
+        ));
     }
 
     /// Sends a request and waits until it was handed over.
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -121,14 +121,10 @@
     instance_beside daemon{fragile};
     for (std::int64_t life = 2; life < 5; ++life) {
         CHECK(daemon.run("/bad") == serving::attempt_outcome::lost);
-        REQUIRE(fragile.server.listen(
-            QHostAddress::LocalHost, daemon.port
-        ));
+        REQUIRE(fragile.server.listen(QHostAddress::LocalHost, daemon.port));
         daemon.instance->set_instance({"i", life}, 4);
         daemon.instance->set_open(true);
     }
-    CHECK(
-        daemon.run("/bad") == serving::attempt_outcome::refused_quarantined
-    );
+    CHECK(daemon.run("/bad") == serving::attempt_outcome::refused_quarantined);
     CHECK(daemon.run("/good") == serving::attempt_outcome::answered);
 }
--- a/tests/serving/caller_patience.tests.cpp
+++ b/tests/serving/caller_patience.tests.cpp
@@ -47,3 +47,20 @@
     }
     CHECK(time_since_first_attempt(patience, 3000ms) == 0ms);
 }
+
+TEST_CASE("requests that end with their parents are nested", "[serving]") {
+    caller_patience callers;
+    caller_patience nested;
+    CHECK_FALSE(is_nested(nested));
+    for (int i = 0; i < 500; ++i) {
+        note_patience(callers, i % 3 == 0 ? 600ms : 1ms * (i * 7 % 599));
+        note_patience(nested, 1ms * (400 + i * 31 % 199));
+    }
+    CHECK(is_nested(nested));
+    CHECK_FALSE(is_nested(callers));
+    // Callers stay callers, however many of them come back.
+    for (int i = 0; i < 900; ++i) {
+        note_patience(callers, 1ms * (i * 7 % 599));
+    }
+    CHECK_FALSE(is_nested(callers));
+}
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -99,10 +99,12 @@
     constexpr int total = 6000;
     constexpr int attempts = 3;
     work_queue queue = open_queue(slots);
+
     struct caller {
         instant first;
         int attempts{0};
     };
+
     std::vector<caller> callers(total);
     std::multimap<instant, std::size_t> arrivals;
     const auto gap =
--- a/tests/support/fake_table.cpp
+++ b/tests/support/fake_table.cpp
@@ -18,8 +18,7 @@
 
 /// The rows that `conditions` name, as they are.
 std::vector<platform::row> rows_of(
-    const fake_table& table,
-    const std::vector<platform::condition>& conditions
+    const fake_table& table, const std::vector<platform::condition>& conditions
 ) {
     std::vector<platform::row> result;
     for (const platform::condition& one : conditions) {
--- a/tests/upstream/crash_watch.tests.cpp
+++ b/tests/upstream/crash_watch.tests.cpp
@@ -49,9 +49,7 @@
     instant now = start;
     std::uint64_t innocent = 100;
     for (crash_watch& host : hosts) {
-        REQUIRE(
-            judge(host.suspects, poison, now).verdict != verdict::refuse
-        );
+        REQUIRE(judge(host.suspects, poison, now).verdict != verdict::refuse);
         const bool alone =
             judge(host.suspects, poison, now).verdict == verdict::run_alone;
         note_lost(host, witness(poison.value), now);
@@ -86,5 +84,8 @@
         verdict::run_alone
     );
     CHECK(note_answered(watch, fingerprint{7}, start + 1s).size() == 1);
-    CHECK(judge(watch.suspects, fingerprint{7}, start + 1s).verdict == verdict::run);
+    CHECK(
+        judge(watch.suspects, fingerprint{7}, start + 1s).verdict ==
+        verdict::run
+    );
 }
