Move keys off instances that alone fail their requests; split the key desk

Also: member rows are written 1.5 s apart, and doubted maps read less often, since changes come over links.

--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -107,10 +107,15 @@
 }
 
 /// A member that has joined and has less than half of an even share.
-const member* newcomer(const keeper& state, const takeover_view& view) {
+const member* newcomer(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view
+) {
     const std::uint64_t even = key_count / view.members.size();
     for (const member& one : view.members) {
-        if (one.host != state.self && keys_of(state.map, one.host) < even / 2) {
+        if (one.host != state.self && one.failing <= policy.failing_little &&
+            keys_of(state.map, one.host) < even / 2) {
             return &one;
         }
     }
@@ -183,12 +188,32 @@
     return result;
 }
 
-std::optional<move>
-plan_welcome(const keeper& state, const takeover_view& view) {
+bool fails_alone(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view
+) {
+    std::size_t failing = 0;
+    bool fails_much = false;
+    for (const member& one : view.members) {
+        if (one.host == state.self) {
+            fails_much = one.failing >= policy.failing_much;
+        } else if (one.failing > policy.failing_little) {
+            ++failing;
+        }
+    }
+    return fails_much && failing * 2 < view.members.size() - 1;
+}
+
+std::optional<move> plan_welcome(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view
+) {
     if (!state.releases.empty() || view.members.size() < 2) {
         return std::nullopt;
     }
-    const member* const joined = newcomer(state, view);
+    const member* const joined = newcomer(state, policy, view);
     if (joined == nullptr) {
         return std::nullopt;
     }
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -18,6 +18,8 @@
     double pressure{0};
     /// Mean time of its instance for a request; zero while unknown.
     duration mean_service{0};
+    /// The part of its instance's answers that were failures.
+    double failing{0};
 };
 
 struct takeover_policy {
@@ -32,6 +34,10 @@
     double slow_share{0.5};
     /// Keys go to a faster instance below this pressure only.
     double roomy_pressure{0.6};
+    /// An instance that fails this part of its requests gives its keys to
+    /// others, unless most of them fail more than the second part.
+    double failing_much{0.35};
+    double failing_little{0.1};
     /// The part of its load that a slow instance gives away at a time.
     double slow_part{0.25};
 };
@@ -60,8 +66,19 @@
 };
 
 /// The part of this daemon's keys that a newcomer is to have, or nothing.
-[[nodiscard]] std::optional<move>
-plan_welcome(const keeper& state, const takeover_view& view);
+[[nodiscard]] std::optional<move> plan_welcome(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view
+);
+
+/// Whether this daemon's instance fails much of what it gets while most others
+/// don't. Health checks may say otherwise.
+[[nodiscard]] bool fails_alone(
+    const keeper& state,
+    const takeover_policy& policy,
+    const takeover_view& view
+);
 
 /// A member with room whose instance is much faster than this daemon's, while
 /// this one still has a good share of the keys.
--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -33,6 +33,8 @@
         std::function<bool(host_id)> is_there;
         std::function<void(host_id, const frame&)> tell;
         std::function<void(const frame&)> tell_all;
+        /// Tells all daemons the instance's load.
+        std::function<void()> tell_load;
         /// Whether this daemon, as a guardian, lets an owner go.
         std::function<bool(host_id, platform::row_version)> agree_to_depose;
     };
@@ -79,7 +81,9 @@
     void ask_depositions();
     void balance();
     [[nodiscard]] keys::key_service_load present_load() const;
+    bool leave_failing(const keys::takeover_view& view);
     void ask_for_room(double wanted, std::vector<host_id> members);
+    void take_offer(host_id member, const room_reply& offer);
     void take_offers();
     std::size_t give_keys(const keys::relief_part& part);
     void release(const std::vector<keys::move>& moves, const char* why);
@@ -91,6 +95,8 @@
     surroundings around;
     keys::key_load load;
     bool departing{false};
+    /// Whether the instance alone fails its requests.
+    bool failing{false};
     bool reading{false};
     instant last_read;
     instant last_move;
--- /dev/null
+++ b/src/apricotstile/router/key_desk_load.cpp
@@ -0,0 +1,198 @@
+// Keys that go to members with more room.
+
+#include <apricotstile/router/key_desk.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// For the replies of members that were asked for room.
+constexpr duration offer_wait = 80ms;
+
+/// Relief that isn't to be had in one piece is sought in this many steps, each
+/// of half the load.
+constexpr int most_halvings = 3;
+
+/// Frames tell slots in thousandths.
+constexpr double thousandth = 0.001;
+
+constexpr duration move_interval = 1s;
+
+constexpr double work_smoothing = 0.3;
+
+} // namespace
+
+/// What the keys that are kept bring, and what the instance has to do.
+keys::key_service_load key_desk::present_load() const {
+    keys::key_service_load result = this->around.load();
+    result.work = this->mean_work;
+    result.demand = keys::demand_of(this->keeper, this->load);
+    return result;
+}
+
+void key_desk::balance() {
+    keys::decay(this->load);
+    this->mean_work +=
+        work_smoothing * (this->around.load().work - this->mean_work);
+    const instant now = boot_clock::now();
+    if (this->departing || !this->keeper.life ||
+        !keys::has_lease(this->keeper, now) ||
+        now < this->last_move + move_interval) {
+        return;
+    }
+    const keys::takeover_view view = this->around.view();
+    if (this->leave_failing(view)) {
+        return;
+    }
+    if (const auto next =
+            keys::plan_welcome(this->keeper, this->policy, view)) {
+        this->last_move = now;
+        this->release({*next}, "newcomer");
+        return;
+    }
+    const keys::key_service_load present = this->present_load();
+    const double wanted = keys::wanted_relief(this->relief, present);
+    if (wanted > 0) {
+        std::vector<host_id> members;
+        for (const keys::member& one : view.members) {
+            if (one.host != this->keeper.self) {
+                members.push_back(one.host);
+            }
+        }
+        std::shuffle(members.begin(), members.end(), this->random);
+        members.resize(std::min(members.size(), this->relief.asked));
+        this->ask_for_room(wanted, std::move(members));
+    } else if (const auto faster = keys::much_faster(this->keeper, this->policy, view)) {
+        this->ask_for_room(present.demand * this->policy.slow_part, {*faster});
+    }
+}
+
+/// Gives all keys away while the instance alone fails its requests, and tells
+/// the other members, which otherwise would give them back.
+bool key_desk::leave_failing(const keys::takeover_view& view) {
+    const bool fails = keys::fails_alone(this->keeper, this->policy, view);
+    if (fails != this->failing) {
+        this->failing = fails;
+        this->around.tell_load();
+    }
+    if (!fails || keys::kept_ranges(this->keeper).empty()) {
+        return fails;
+    }
+    this->last_move = boot_clock::now();
+    this->release(
+        keys::plan_departure(this->keeper, view), "instance fails requests"
+    );
+    return true;
+}
+
+void key_desk::ask_for_room(double wanted, std::vector<host_id> members) {
+    this->last_move = boot_clock::now();
+    this->wanted_room = wanted;
+    this->offers.clear();
+    const room_request asked{
+        ++this->last_room_request,
+        static_cast<std::uint64_t>(wanted / thousandth)};
+    for (const host_id member : members) {
+        this->around.tell(member, asked);
+    }
+    this->timers.after(offer_wait, [this] {
+        this->take_offers();
+    });
+}
+
+void key_desk::take_offer(host_id member, const room_reply& offer) {
+    if (offer.sequence == this->last_room_request) {
+        this->offers.push_back(
+            {member,
+             static_cast<double>(offer.offered) * thousandth,
+             offer.mean_service}
+        );
+    }
+}
+
+/// Gives keys to the members that have offered room, and tells each what is
+/// taken of its offer.
+void key_desk::take_offers() {
+    std::map<host_id, double> claims;
+    for (const keys::room_offer& one : this->offers) {
+        claims[one.member] = 0;
+    }
+    if (!this->departing) {
+        for (const keys::relief_part& part : keys::divide_relief(
+                 this->relief,
+                 this->present_load(),
+                 this->wanted_room,
+                 this->offers
+             )) {
+            if (this->give_keys(part) > 0) {
+                claims[part.member] = part.taken;
+            }
+        }
+    }
+    for (const auto& [member, taken] : claims) {
+        this->around.tell(
+            member,
+            room_claim{
+                this->last_room_request,
+                static_cast<std::uint64_t>(taken / thousandth)}
+        );
+    }
+    this->offers.clear();
+}
+
+/// Returns how many ranges are given. A hot key that is worth more than `part`
+/// stays; then smaller parts are sought beside it.
+std::size_t key_desk::give_keys(const keys::relief_part& part) {
+    std::size_t given = 0;
+    double slots = part.given;
+    for (int halvings = 0; halvings <= most_halvings; ++halvings) {
+        const auto keys = keys::keys_worth(this->keeper, this->load, slots);
+        if (!keys) {
+            slots /= 2;
+            continue;
+        }
+        this->release({{*keys, part.member}}, "load");
+        ++given;
+        if (halvings == 0) {
+            break;
+        }
+    }
+    return given;
+}
+
+room_reply key_desk::offer_room(host_id owner, const room_request& asked) {
+    const keys::key_service_load present = this->present_load();
+    const bool can_hold = !this->departing && !this->failing &&
+                          this->keeper.life &&
+                          keys::has_lease(this->keeper, boot_clock::now());
+    const double offered =
+        can_hold ? keys::offer_room(
+                       this->room,
+                       this->relief,
+                       present,
+                       {owner, asked.sequence},
+                       static_cast<double>(asked.wanted) * thousandth,
+                       boot_clock::now()
+                   )
+                 : 0;
+    return {
+        asked.sequence,
+        static_cast<std::uint64_t>(offered / thousandth),
+        present.mean_service};
+}
+
+void key_desk::take_claim(host_id owner, const room_claim& claim) {
+    keys::claim_room(
+        this->room,
+        this->relief,
+        {owner, claim.sequence},
+        static_cast<double>(claim.taken) * thousandth,
+        boot_clock::now()
+    );
+}
+
+} // namespace apricotstile::router
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -186,7 +186,7 @@
             this->on_suspicion(std::move(reports));
         }
         const bool failed = answer.status >= first_server_error;
-        serving::record_result(this->times, failed);
+        serving::record_result(this->times, failed, this->answered_at);
         if (!failed) {
             serving::record(
                 this->times,
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -304,7 +304,9 @@
     result.waiting = static_cast<std::uint32_t>(this->queue.waiting.size());
     result.mean_service = this->times.overall;
     constexpr double thousand = 1000;
-    result.failing = static_cast<std::uint32_t>(this->times.failing * thousand);
+    result.failing = static_cast<std::uint32_t>(
+        serving::failing_part(this->times, boot_clock::now()) * thousand
+    );
     return result;
 }
 
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -16,11 +16,13 @@
 /// Between readings of a map that callers or peers show to be old.
 constexpr duration map_reading_pause = 500ms;
 
-constexpr duration doubted_map_pause = 1500ms;
+constexpr duration doubted_map_pause = 4s;
 
 /// A change that was overtaken by a later one comes within this time.
 constexpr duration change_patience = 300ms;
 
+constexpr double thousandth = 0.001;
+
 constexpr auto log_prefix = "router";
 
 } // namespace
@@ -77,6 +79,9 @@
             [this](const frame& message) {
                 this->links.tell_all(message);
             },
+            [this] {
+                this->links.publish({this->own, this->instance.load()});
+            },
             [this](host_id holder, platform::row_version version) {
                 return keys::agree_to_depose(
                     this->promises, holder, version, boot_clock::now()
@@ -99,12 +104,15 @@
         keys::member member{one->host, one->life};
         if (one->host == this->host) {
             member.pressure = this->instance.pressure();
-            member.mean_service = this->instance.load().mean_service;
+            const serving::reported_load load = this->instance.load();
+            member.mean_service = load.mean_service;
+            member.failing = load.failing * thousandth;
         } else if (const auto* const seen = this->callers.view_of(one->host)) {
             const serving::reported_load& load = seen->load;
             member.pressure = static_cast<double>(load.running + load.waiting) /
                               std::max<std::uint32_t>(load.slots, 1);
             member.mean_service = load.mean_service;
+            member.failing = serving::failing_now(*seen, boot_clock::now());
         }
         view.rank += one->host < this->host ? 1 : 0;
         view.members.push_back(member);
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -14,6 +14,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration entry_retry_pause = 250ms;
+/// Between two writes of the row. Peers hear of changes over links at once.
+constexpr duration entry_write_pause = 1500ms;
 /// Between readings of members or of a map that aren't known yet.
 constexpr duration first_reading_pause = 300ms;
 
@@ -61,6 +63,7 @@
         if (result.status == platform::commit_status::committed) {
             this->entry_version =
                 std::max(this->entry_version, result.versions.front());
+            this->entry_retry_at = boot_clock::now() + entry_write_pause;
             return;
         }
         this->entry_dirty = true;
--- a/src/apricotstile/serving/instance_choice.cpp
+++ b/src/apricotstile/serving/instance_choice.cpp
@@ -2,6 +2,8 @@
 
 #include <apricotstile/serving/instance_choice.hpp>
 
+#include <apricotstile/serving/service_times.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -84,20 +86,23 @@
     duration target_latency,
     instant now
 ) {
-    constexpr double thousand = 1000;
-    const double half_lives =
-        std::chrono::duration<double>(now - view.told).count() /
-        std::chrono::duration<double>(policy.failure_half_life).count();
-    const double failing =
-        view.load.failing / thousand * std::exp2(-std::max(half_lives, 0.0));
     return std::chrono::duration_cast<duration>(
         std::chrono::duration<double, duration::period>(target_latency) *
-        (policy.failure_reluctance * failing)
+        (policy.failure_reluctance * failing_now(view, now))
     );
 }
 
 } // namespace
 
+double failing_now(const instance_view& view, instant now) {
+    constexpr double thousandth = 0.001;
+    const std::chrono::duration<double> passed = now - view.told;
+    const std::chrono::duration<double> half_life =
+        service_times::failing_half_life;
+    return view.load.failing * thousandth *
+           std::exp2(-std::max(0.0, passed / half_life));
+}
+
 std::optional<host_id> choose_instance(
     const std::vector<candidate>& candidates,
     const choice_policy& policy,
--- a/src/apricotstile/serving/instance_choice.hpp
+++ b/src/apricotstile/serving/instance_choice.hpp
@@ -59,9 +59,6 @@
     /// What an instance that fails all requests may be slower, in target
     /// latencies; one that fails a part of them that part of it.
     double failure_reluctance{3};
-    /// A told share of failures is halved after each such time without news, so
-    /// that an instance is tried again now and then.
-    duration failure_half_life{std::chrono::seconds{3}};
     /// After this time a told load says little.
     duration load_lifetime{std::chrono::milliseconds{1500}};
     /// How long a refusal or a first loss keeps requests away.
@@ -75,6 +72,9 @@
 [[nodiscard]] duration
 expected_latency(const instance_view& view, duration service);
 
+/// The part of an instance's answers that are failures, as far as is known now.
+[[nodiscard]] double failing_now(const instance_view& view, instant now);
+
 /// The best of `candidates`, or nothing where there is none. Those that are
 /// avoided count only where all are.
 [[nodiscard]] std::optional<host_id> choose_instance(
--- a/src/apricotstile/serving/service_times.cpp
+++ b/src/apricotstile/serving/service_times.cpp
@@ -2,6 +2,9 @@
 
 #include <apricotstile/serving/service_times.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace apricotstile::serving {
 
 namespace {
@@ -18,8 +21,17 @@
 
 } // namespace
 
-void record_result(service_times& times, bool failed) {
-    times.failing += ((failed ? 1 : 0) - times.failing) * failure_smoothing;
+double failing_part(const service_times& times, instant now) {
+    const std::chrono::duration<double> passed = now - times.failing_at;
+    const std::chrono::duration<double> half_life =
+        service_times::failing_half_life;
+    return times.failing * std::exp2(-std::max(0.0, passed / half_life));
+}
+
+void record_result(service_times& times, bool failed, instant now) {
+    const double before = failing_part(times, now);
+    times.failing = before + ((failed ? 1 : 0) - before) * failure_smoothing;
+    times.failing_at = now;
 }
 
 void record(service_times& times, const std::string& route, duration took) {
--- a/src/apricotstile/serving/service_times.hpp
+++ b/src/apricotstile/serving/service_times.hpp
@@ -16,12 +16,19 @@
     std::unordered_map<std::string, duration> means;
     /// Over all requests; zero before the first.
     duration overall{0};
-    /// The part of the answers that were failures.
+    /// The part of the answers that were failures, at `failing_at`. It is
+    /// halved after each half-life, so that an instance is tried again that
+    /// gets no requests for its failures.
     double failing{0};
+    instant failing_at;
+    static constexpr duration failing_half_life{std::chrono::seconds{4}};
 };
 
 /// An answer came; a failure says nothing of how long requests take.
-void record_result(service_times& times, bool failed);
+void record_result(service_times& times, bool failed, instant now);
+
+/// The part of failures as it counts now.
+[[nodiscard]] double failing_part(const service_times& times, instant now);
 
 void record(service_times& times, const std::string& route, duration took);
 
--- a/tests/keys/takeover.tests.cpp
+++ b/tests/keys/takeover.tests.cpp
@@ -45,7 +45,7 @@
 
 TEST_CASE("a newcomer gets its part from each owner", "[keys][takeover]") {
     const keeper state = owner_among(3);
-    const auto next = plan_welcome(state, members(4));
+    const auto next = plan_welcome(state, {}, members(4));
     REQUIRE(next);
     CHECK(next->target == host_id{4});
     CHECK(size_of(next->keys) == key_count / 3 / 4);
@@ -119,3 +119,25 @@
     state.last_reading = start + 59s;
     CHECK(plan_takeover(state, {}, members(2), start + 60s).voided.size() == 1);
 }
+
+TEST_CASE("an instance that alone fails gives its keys away", "[keys]") {
+    const keeper state = owner_among(4);
+    takeover_view view = members(4);
+    CHECK_FALSE(fails_alone(state, {}, view));
+    view.members[0].failing = 0.6;
+    CHECK(fails_alone(state, {}, view));
+    view.members[1].failing = 0.5;
+    CHECK(fails_alone(state, {}, view));
+    // What they depend on is down; moves wouldn't help.
+    view.members[2].failing = 0.5;
+    CHECK_FALSE(fails_alone(state, {}, view));
+}
+
+TEST_CASE("a failing instance isn't welcomed back", "[keys][takeover]") {
+    const keeper state = owner_among(3);
+    takeover_view view = members(4);
+    view.members[3].failing = 0.4;
+    CHECK_FALSE(plan_welcome(state, {}, view));
+    view.members[3].failing = 0.05;
+    CHECK(plan_welcome(state, {}, view));
+}
