--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -55,6 +55,32 @@
     return end <= part_of(useful - now, policy.useful_part);
 }
 
+/// Before all work of the same priority.
+work_queue::order front_of(const work_queue::order& place) {
+    return {std::get<0>(place), std::get<1>(place), false, 0};
+}
+
+/// The first of the least urgent work that waits; there is some.
+auto least_urgent(work_queue& queue) {
+    return queue.waiting.lower_bound(front_of(queue.waiting.rbegin()->first));
+}
+
+/// How long the least urgent work waits for its turns alone. Late work has
+/// none.
+duration
+fair_wait(const work_queue& queue, const offered_work& work, instant now) {
+    if (is_late(work, now)) {
+        return duration::max();
+    }
+    const work_queue::order first = front_of(place_of(queue, work, now));
+    const auto ahead = static_cast<duration::rep>(
+        std::distance(queue.waiting.lower_bound(first), queue.waiting.end())
+    );
+    const auto turn = static_cast<duration::rep>(queue.policy.fair_turn);
+    const auto slots = static_cast<duration::rep>(queue.policy.slots);
+    return work.expected * (ahead + 1) * turn / slots;
+}
+
 void start(
     work_queue& queue,
     const offered_work& work,
@@ -72,7 +98,10 @@
     work_queue& queue, instant now, std::vector<work_action>& actions
 ) {
     while (!queue.waiting.empty()) {
-        const auto first = queue.waiting.begin();
+        const bool is_fair_turn =
+            (queue.starts + 1) % queue.policy.fair_turn == 0;
+        const auto first =
+            is_fair_turn ? least_urgent(queue) : queue.waiting.begin();
         const offered_work work = first->second.work;
         if (!has_room(queue, work)) {
             return;
@@ -85,6 +114,7 @@
             );
             continue;
         }
+        ++queue.starts;
         start(queue, work, actions);
     }
 }
@@ -129,7 +159,8 @@
         start(queue, work, actions);
         return actions;
     }
-    const duration wait = expected_wait(queue, work, now);
+    const duration wait =
+        std::min(expected_wait(queue, work, now), fair_wait(queue, work, now));
     if (queue.waiting.size() >= queue.policy.max_waiting ||
         !may_wait(queue, work, wait, now)) {
         actions.push_back(
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -53,6 +53,9 @@
     /// Late work waits only where it is expected to start within this part of
     /// the time to its deadline; else its caller is told at once.
     double late_part{0.15};
+    /// One in so many starts goes to the least urgent work that waits, so that
+    /// it is served too while urgent work alone would fill the instance.
+    std::uint64_t fair_turn{8};
 };
 
 struct work_queue {
@@ -75,6 +78,8 @@
     /// Work that runs alone; nothing else starts meanwhile.
     std::optional<work_id> alone;
     std::uint64_t arrivals{0};
+    /// Starts of work that waited.
+    std::uint64_t starts{0};
 };
 
 enum class work_decision : std::uint8_t {
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -9,6 +9,8 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <optional>
+#include <set>
 
 using namespace apricotstile;
 using namespace apricotstile::serving;
@@ -290,3 +292,43 @@
     CHECK(offer(queue, work(4), start + 2ms).empty());
     CHECK(finished(queue, work_id{2}, start + 3ms).size() == 2);
 }
+
+TEST_CASE(
+    "the least urgent work is served while urgent work fills the instance",
+    "[serving][queue][overload]"
+) {
+    work_queue queue = open_queue(1);
+    std::uint64_t id = 0;
+    int urgent = 0;
+    int least = 0;
+    std::optional<work_id> runs;
+    std::set<work_id> least_urgent;
+    const auto take = [&](const std::vector<work_action>& actions) {
+        for (const work_action& one : actions) {
+            if (one.decision != work_decision::start) {
+                continue;
+            }
+            runs = one.id;
+            ++(least_urgent.contains(one.id) ? least : urgent);
+        }
+    };
+    instant now = start;
+    for (int step = 0; step < 400; ++step, now += 25ms) {
+        // Twice what the instance can serve, one in five of low urgency.
+        if (step % 2 == 0 && runs) {
+            const work_id ended = *runs;
+            runs.reset();
+            take(finished(queue, ended, now));
+        }
+        const bool is_least = step % 5 == 0;
+        offered_work one = work(++id, is_least ? 9 : 1);
+        one.target = now + (is_least ? 2500ms : 250ms);
+        one.deadline = now + (is_least ? 4000ms : 600ms);
+        if (is_least) {
+            least_urgent.insert(one.id);
+        }
+        take(offer(queue, one, now));
+    }
+    CHECK(least > 10);
+    CHECK(urgent > 3 * least);
+}
