Tell nested requests by their origin and returning callers by their deadline

Cause: deadlines tell neither. First attempts say 85 to 100% of the client's patience, not a constant (328 stock checks of three seconds: 4,249 to 5,000 ms, no value more than four times), so that most daemons still took stock checks for nested and queued 64 of them (6,695 of 7,235 admissions beyond twelve waiting). Failed try, taken back: learning the usual deadline of a route. Nested requests originate beside the services that make them alone, callers' beside all (the caller's service is known at the instance's daemon). A caller that comes back asks for the same by the same deadline. One budget for repeats in place of two.

--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -12,8 +12,7 @@
 
 constexpr std::size_t length_bytes = 4;
 constexpr unsigned byte_bits = 8;
-constexpr std::uint8_t nested_flag = 1;
-constexpr std::uint8_t key_flag = 2;
+constexpr std::uint8_t key_flag = 1;
 
 template <class Archive>
 void serialize_millis(Archive& archive, duration& value) {
@@ -68,11 +67,8 @@
 template <class Archive>
 void serialize(Archive& archive, routed_request& value) {
     archive(value.service, value.route);
-    auto flags = static_cast<std::uint8_t>(
-        (value.nested ? nested_flag : 0) | (value.key ? key_flag : 0)
-    );
+    auto flags = static_cast<std::uint8_t>(value.key ? key_flag : 0);
     archive(flags);
-    value.nested = (flags & nested_flag) != 0;
     if ((flags & key_flag) != 0) {
         keys::key_number key = value.key.value_or(0);
         serialize_number(archive, key);
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -35,8 +35,6 @@
     std::vector<http::header> headers;
     std::string body;
     std::optional<keys::key_number> key;
-    /// Whether another request waits for this one.
-    bool nested{false};
     std::uint32_t priority{0};
     /// Until the answer is late, and until the caller leaves.
     duration to_target{0};
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -2,6 +2,7 @@
 
 #include <apricotstile/router/internal/pending_request.hpp>
 
+#include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
 #include <apricotstile/net/acceptor.hpp>
 
@@ -45,6 +46,16 @@
     return {limits.header_bytes, std::min(limits.body_bytes, most_body_bytes)};
 }
 
+std::uint64_t
+content_of(const routing::route& route, const http::received_request& request) {
+    constexpr std::uint64_t odd_multiplier = 0x9E3779B97F4A7C15ULL;
+    std::uint64_t hash = stable_hash(route.name);
+    for (const std::string* const part : {&request.target, &request.body}) {
+        hash = (hash ^ stable_hash(*part)) * odd_multiplier;
+    }
+    return hash;
+}
+
 } // namespace
 
 ingress::ingress(
@@ -72,6 +83,7 @@
         }
     );
     this->timers.every(scan_interval, [this] {
+        serving::forget_passed(this->returning, boot_clock::now());
         if (!this->table) {
             return;
         }
@@ -97,28 +109,11 @@
 
 void ingress::set_config(std::shared_ptr<const routing::route_table> changed) {
     this->table = std::move(changed);
-    this->forget_dropped_routes();
     for (const auto& [id, one] : this->callers) {
         one->set_limits(limits_of(this->table->config.limits));
     }
 }
 
-/// Keeps what was learned of routes from growing with all that ever were.
-void ingress::forget_dropped_routes() {
-    const std::vector<routing::route>& routes = this->table->config.routes;
-    if (this->patience.size() <= routes.size()) {
-        return;
-    }
-    std::unordered_map<std::string, serving::caller_patience> kept;
-    for (const routing::route& one : routes) {
-        const auto known = this->patience.find(one.name);
-        if (known != this->patience.end()) {
-            kept.insert(*known);
-        }
-    }
-    this->patience = std::move(kept);
-}
-
 void ingress::set_config_current(bool current) {
     this->config_current = current;
 }
@@ -180,19 +175,17 @@
         number_in(http::header_value(request.headers, names.time_left));
     const duration caller_left =
         left ? duration{std::chrono::milliseconds{*left}} : assumed_deadline;
-    // Callers share the instance's address, so that it doesn't tell them from
-    // nested requests.
-    serving::caller_patience& patience = this->patience[where->name];
-    serving::note_patience(patience, caller_left);
-    item.nested = serving::is_nested(patience);
     item.progress.idempotent = where->idempotent;
     item.progress.max_instances = where->max_instances;
     item.progress.arrived = now;
-    item.progress.target =
-        now + where->target_latency -
-        serving::time_since_first_attempt(patience, caller_left);
+    item.progress.target = now + where->target_latency;
     item.progress.deadline = now + std::min(caller_left, where->timeout);
     item.received = std::move(request);
+    item.content = content_of(*where, item.received);
+    item.first_attempt = serving::first_attempt(
+        this->returning, item.content, now + caller_left, now
+    );
+    item.caller_deadline = now + caller_left;
     const auto service = this->table->config.services.find(item.service);
     const bool keyed =
         service != this->table->config.services.end() && service->second.keyed;
@@ -211,7 +204,7 @@
     this->requests.emplace(caller, std::move(added));
     this->watch_deadline(item);
     serving::count_request(
-        this->budgets[{item.service, item.nested}], this->around.retries, now
+        this->budgets[item.service], this->around.retries, now
     );
     this->attempt(item);
 }
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -11,10 +11,10 @@
 #include <apricotstile/router/frames.hpp>
 #include <apricotstile/router/wire_names.hpp>
 #include <apricotstile/routing/route_table.hpp>
-#include <apricotstile/serving/caller_patience.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/request_progress.hpp>
 #include <apricotstile/serving/retry_budget.hpp>
+#include <apricotstile/serving/returning_callers.hpp>
 
 #include <map>
 #include <memory>
@@ -35,8 +35,6 @@
     location where;
     wire_names names;
     serving::retry_budget_policy retries;
-    /// For requests of the instance, which make no further ones as a rule.
-    serving::retry_budget_policy nested_retries;
     const directory::directory* known{nullptr};
     /// The owner of a service's key, or nothing while none is known.
     std::function<std::optional<host_id>(const service_id&, keys::key_number)>
@@ -118,7 +116,6 @@
     void perform(
         pending& request, serving::next_step step, routed_response&& response
     );
-    void forget_dropped_routes();
     void watch_deadline(pending& request);
     void deadline_passed(caller_id caller);
     void answer_own(
@@ -152,10 +149,8 @@
     /// At most one for each connection.
     std::unordered_map<caller_id, std::unique_ptr<pending>> requests;
     std::unordered_map<host_id, serving::instance_view> views;
-    /// By service, for callers' and nested requests apart.
-    std::map<std::pair<service_id, bool>, serving::retry_budget> budgets;
-    /// By route name.
-    std::unordered_map<std::string, serving::caller_patience> patience;
+    std::map<service_id, serving::retry_budget> budgets;
+    serving::returning_callers returning;
     serving::choice_policy choice;
     serving::progress_policy progress;
     random_source random;
--- a/src/apricotstile/router/ingress_attempts.cpp
+++ b/src/apricotstile/router/ingress_attempts.cpp
@@ -93,9 +93,9 @@
     }
     result.body = request.received.body;
     result.key = request.key;
-    result.nested = request.nested;
     result.priority = request.where->priority;
-    result.to_target = request.progress.target - now;
+    result.to_target =
+        request.first_attempt + request.where->target_latency - now;
     result.to_deadline = request.progress.deadline - now;
     return result;
 }
@@ -187,8 +187,8 @@
 
 bool ingress::may_repeat(const pending& request) {
     const bool allowed = serving::take_repeat(
-        this->budgets[{request.service, request.nested}],
-        request.nested ? this->around.nested_retries : this->around.retries,
+        this->budgets[request.service],
+        this->around.retries,
         this->around.known->entries.size(),
         boot_clock::now()
     );
@@ -271,6 +271,10 @@
     }
     if (status == status_unavailable) {
         ++this->counted.refused;
+        serving::note_refused(
+            this->returning,
+            {request.content, request.caller_deadline, request.first_attempt}
+        );
         constexpr duration least = 30ms;
         headers.push_back(
             {"Retry-After", seconds_text(std::max(retry_after, least))}
--- a/src/apricotstile/router/internal/pending_request.hpp
+++ b/src/apricotstile/router/internal/pending_request.hpp
@@ -16,8 +16,11 @@
     const routing::route* where{nullptr};
     service_id service;
     std::optional<keys::key_number> key;
-    /// Whether it comes from the instance beside this daemon.
-    bool nested{false};
+    /// Its route, path and body.
+    std::uint64_t content{0};
+    /// When its caller first asked for it, and until when it waits.
+    instant first_attempt;
+    instant caller_deadline;
     serving::request_progress progress;
     /// The attempt in progress; rises, so that late ends are told apart.
     std::uint64_t attempt{0};
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -135,7 +135,10 @@
     serving::offered_work offered;
     offered.alone = judged.verdict == upstream::verdict::run_alone;
     offered.id = item.id;
-    offered.nested = item.request.nested;
+    serving::note_origin(
+        this->origins, item.request.route, item.caller_service
+    );
+    offered.nested = serving::is_nested(this->origins, item.request.route);
     offered.priority = item.request.priority;
     offered.target = now + item.request.to_target;
     offered.deadline = item.deadline;
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -9,6 +9,7 @@
 #include <apricotstile/net/timer_queue.hpp>
 #include <apricotstile/router/frames.hpp>
 #include <apricotstile/router/wire_names.hpp>
+#include <apricotstile/serving/caller_origins.hpp>
 #include <apricotstile/serving/service_times.hpp>
 #include <apricotstile/serving/work_queue.hpp>
 #include <apricotstile/upstream/crash_watch.hpp>
@@ -103,6 +104,7 @@
     std::uint32_t max_connections;
     serving::work_queue queue;
     serving::service_times times;
+    serving::caller_origins origins;
     std::unordered_map<serving::work_id, std::unique_ptr<work>> items;
     std::vector<std::unique_ptr<connection>> connections;
     serving::work_id last_id;
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -40,7 +40,6 @@
     /// Time between two heartbeats.
     duration heartbeat_interval{std::chrono::seconds{1}};
     serving::retry_budget_policy retries;
-    serving::retry_budget_policy nested_retries;
     wire_names names;
 };
 
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -10,7 +10,6 @@
     result.where = this->settings.where;
     result.names = this->settings.names;
     result.retries = this->settings.retries;
-    result.nested_retries = this->settings.nested_retries;
     result.known = &this->known;
     result.owner_of = [this](const service_id& service, keys::key_number key) {
         return this->owner_of(service, key);
--- /dev/null
+++ b/src/apricotstile/serving/caller_origins.cpp
@@ -0,0 +1,65 @@
+// Shares of the services that requests come from.
+
+#include <apricotstile/serving/caller_origins.hpp>
+
+#include <algorithm>
+
+namespace apricotstile::serving {
+
+namespace {
+
+/// Requests of a route before it is judged.
+constexpr double least_seen = 30;
+/// Counts are halved at this total, so that moved callers show.
+constexpr double most_counted = 1000;
+/// A service with this part of all requests has callers beside it.
+constexpr double usual_part = 0.1;
+/// A route with less than this part from there has none of them.
+constexpr double missing_part = 0.02;
+/// Routes that are remembered.
+constexpr std::size_t most_routes = 4096;
+
+void count(origin_counts& counts, const service_id& service) {
+    ++counts.by_service[service];
+    ++counts.total;
+    if (counts.total >= most_counted) {
+        counts.total /= 2;
+        for (auto& [name, one] : counts.by_service) {
+            one /= 2;
+        }
+    }
+}
+
+double part_from(const origin_counts& counts, const service_id& service) {
+    const auto found = counts.by_service.find(service);
+    return found == counts.by_service.end() ? 0 : found->second / counts.total;
+}
+
+} // namespace
+
+void note_origin(
+    caller_origins& origins, std::uint32_t route, const service_id& service
+) {
+    count(origins.all, service);
+    if (origins.by_route.size() < most_routes ||
+        origins.by_route.contains(route)) {
+        count(origins.by_route[route], service);
+    }
+}
+
+bool is_nested(const caller_origins& origins, std::uint32_t route) {
+    const auto found = origins.by_route.find(route);
+    if (found == origins.by_route.end() || found->second.total < least_seen) {
+        return false;
+    }
+    return std::any_of(
+        origins.all.by_service.begin(),
+        origins.all.by_service.end(),
+        [&](const auto& one) {
+            return part_from(origins.all, one.first) >= usual_part &&
+                   part_from(found->second, one.first) < missing_part;
+        }
+    );
+}
+
+} // namespace apricotstile::serving
