--- a/src/apricotstile/router/ingress_attempts.cpp
+++ b/src/apricotstile/router/ingress_attempts.cpp
@@ -51,7 +51,9 @@
 
 std::optional<host_id> ingress::choose_host(pending& request) {
     if (request.key) {
-        return this->around.owner_of(request.service, *request.key);
+        const auto owner = this->around.owner_of(request.service, *request.key);
+        return owner && this->around.is_reachable(*owner) ? owner
+                                                          : std::nullopt;
     }
     std::vector<serving::candidate> candidates;
     for (const directory::entry* const one :
--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -86,8 +86,17 @@
                        end.outcome == attempt_outcome::refused_closed;
     if (request.keyed) {
         // A key in motion is served again soon; a full owner isn't.
-        const bool wait = moves && now < request.target;
-        return {wait ? next_step::try_later : give_up(request)};
+        const bool wait =
+            moves && now < request.target &&
+            has_time(request, policy, now + policy.key_move_pause);
+        if (wait) {
+            return {next_step::try_later};
+        }
+        if (moves) {
+            request.retry_after =
+                std::max(request.retry_after, policy.key_move_time);
+        }
+        return {give_up(request)};
     }
     if (request.refusals > policy.max_refusals) {
         return {give_up(request)};
--- a/src/apricotstile/serving/request_progress.hpp
+++ b/src/apricotstile/serving/request_progress.hpp
@@ -82,6 +82,8 @@
     std::uint32_t max_refusals{3};
     /// Between tries while a key changes hands.
     duration key_move_pause{std::chrono::milliseconds{40}};
+    /// When a caller may come back whose key found no holder.
+    duration key_move_time{std::chrono::milliseconds{300}};
     /// A new try needs this much of the caller's time.
     duration least_time_left{std::chrono::milliseconds{20}};
 };
--- a/tests/serving/request_progress.tests.cpp
+++ b/tests/serving/request_progress.tests.cpp
@@ -120,3 +120,20 @@
     CHECK_FALSE(may_leave_silent(request(false), {}, start));
     CHECK_FALSE(may_leave_silent(request(true, true), {}, start));
 }
+
+TEST_CASE(
+    "a caller isn't held past its deadline while its key moves",
+    "[serving][progress]"
+) {
+    const progress_policy policy;
+    attempt_end moved;
+    moved.outcome = attempt_outcome::refused_not_owner;
+    const auto allowed = [] {
+        return true;
+    };
+    request_progress state = request(true, true);
+    CHECK(after(state, moved, policy, start, allowed) == next_step::try_later);
+    state.deadline = start + policy.key_move_pause;
+    CHECK(after(state, moved, policy, start, allowed) == next_step::refuse);
+    CHECK(state.retry_after >= policy.key_move_time);
+}
