--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -45,6 +45,18 @@
     return now + policy.least_time_left < request.deadline;
 }
 
+/// Whether the next try for a key in motion comes soon enough.
+bool may_wait_for_key(
+    const request_progress& request, const progress_policy& policy, instant now
+) {
+    const std::chrono::duration<double, duration::period> longest =
+        (request.deadline - request.arrived) * policy.key_wait_part;
+    const instant next_try = now + policy.key_move_pause;
+    return next_try < request.target &&
+           next_try <
+               request.arrived + std::chrono::duration_cast<duration>(longest);
+}
+
 /// The answer to a request that can't be tried again.
 next_step give_up(const request_progress& request) {
     return request.may_have_run ? next_step::fail : next_step::refuse;
@@ -86,10 +98,7 @@
                        end.outcome == attempt_outcome::refused_closed;
     if (request.keyed) {
         // A key in motion is served again soon; a full owner isn't.
-        const bool wait =
-            moves && now < request.target &&
-            has_time(request, policy, now + policy.key_move_pause);
-        if (wait) {
+        if (moves && may_wait_for_key(request, policy, now)) {
             return {next_step::try_later};
         }
         if (moves) {
--- a/src/apricotstile/serving/request_progress.hpp
+++ b/src/apricotstile/serving/request_progress.hpp
@@ -82,6 +82,9 @@
     std::uint32_t max_refusals{3};
     /// Between tries while a key changes hands.
     duration key_move_pause{std::chrono::milliseconds{40}};
+    /// The part of its caller's time for which a request waits for its key to
+    /// be held again; the rest is left for coming back.
+    double key_wait_part{0.5};
     /// When a caller may come back whose key found no holder.
     duration key_move_time{std::chrono::milliseconds{300}};
     /// A new try needs this much of the caller's time.
