--- a/src/apricotstile/core/hashing.hpp
+++ b/src/apricotstile/core/hashing.hpp
@@ -6,6 +6,7 @@
 #include <apricotstile/core/ids.hpp>
 
 #include <cstdint>
+#include <initializer_list>
 #include <string_view>
 
 namespace apricotstile {
@@ -13,6 +14,10 @@
 /// xxHash64 of `bytes` with seed zero.
 [[nodiscard]] std::uint64_t stable_hash(std::string_view bytes);
 
+/// A hash of several texts in their order.
+[[nodiscard]] std::uint64_t
+combined_hash(std::initializer_list<std::string_view> texts);
+
 /// The slice of `key` among `slice_count` slices (not zero).
 [[nodiscard]] slice_id
 slice_of(std::string_view key, std::uint32_t slice_count);
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -46,16 +46,6 @@
     return {limits.header_bytes, std::min(limits.body_bytes, most_body_bytes)};
 }
 
-std::uint64_t
-content_of(const routing::route& route, const http::received_request& request) {
-    constexpr std::uint64_t odd_multiplier = 0x9E3779B97F4A7C15ULL;
-    std::uint64_t hash = stable_hash(route.name);
-    for (const std::string* const part : {&request.target, &request.body}) {
-        hash = (hash ^ stable_hash(*part)) * odd_multiplier;
-    }
-    return hash;
-}
-
 } // namespace
 
 ingress::ingress(
@@ -181,7 +171,8 @@
     item.progress.target = now + where->target_latency;
     item.progress.deadline = now + std::min(caller_left, where->timeout);
     item.received = std::move(request);
-    item.content = content_of(*where, item.received);
+    item.content =
+        combined_hash({where->name, item.received.target, item.received.body});
     item.first_attempt = serving::first_attempt(
         this->returning, item.content, now + caller_left, now
     );
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -21,18 +21,6 @@
 
 constexpr auto log_prefix = "instance";
 
-/// The path, the caller and the body make the same request, whoever sends it.
-upstream::fingerprint
-content_of(const routed_request& request, const service_id& caller) {
-    constexpr std::uint64_t odd_multiplier = 0x9E3779B97F4A7C15ULL;
-    std::uint64_t hash = stable_hash(request.method);
-    for (const std::string* const part :
-         {&request.target, &request.body, &caller.value}) {
-        hash = (hash ^ stable_hash(*part)) * odd_multiplier;
-    }
-    return {hash};
-}
-
 } // namespace
 
 local_instance::local_instance(
@@ -118,7 +106,13 @@
         );
         return id;
     }
-    item.content = content_of(item.request, caller_service);
+    // The same request, whoever sends it and at whatever host.
+    item.content = {combined_hash(
+        {item.request.method,
+         item.request.target,
+         caller_service.value,
+         item.request.body}
+    )};
     const upstream::judgement judged =
         upstream::judge(this->crashes.suspects, item.content, now);
     if (judged.verdict == upstream::verdict::refuse) {
