--- a/src/apricotstile/router/key_desk.hpp
+++ b/src/apricotstile/router/key_desk.hpp
@@ -82,7 +82,7 @@
     void balance();
     [[nodiscard]] keys::key_service_load present_load() const;
     bool leave_failing(const keys::takeover_view& view);
-    void ask_for_room(double wanted, std::vector<host_id> members);
+    void ask_for_room(double wanted, const std::vector<host_id>& members);
     void take_offer(host_id member, const room_reply& offer);
     void take_offers();
     std::size_t give_keys(const keys::relief_part& part);
--- a/src/apricotstile/router/key_desk_load.cpp
+++ b/src/apricotstile/router/key_desk_load.cpp
@@ -65,7 +65,7 @@
         }
         std::shuffle(members.begin(), members.end(), this->random);
         members.resize(std::min(members.size(), this->relief.asked));
-        this->ask_for_room(wanted, std::move(members));
+        this->ask_for_room(wanted, members);
     } else if (const auto faster = keys::much_faster(this->keeper, this->policy, view)) {
         this->ask_for_room(present.demand * this->policy.slow_part, {*faster});
     }
@@ -89,7 +89,9 @@
     return true;
 }
 
-void key_desk::ask_for_room(double wanted, std::vector<host_id> members) {
+void key_desk::ask_for_room(
+    double wanted, const std::vector<host_id>& members
+) {
     this->last_move = boot_clock::now();
     this->wanted_room = wanted;
     this->offers.clear();
