--- a/apps/apricotstiled/main.cpp
+++ b/apps/apricotstiled/main.cpp
@@ -4,11 +4,11 @@
 
 #include <apricotstile/daemon/daemon.hpp>
 #include <apricotstile/log/logger.hpp>
+#include <apricotstile/settings/daemon_command_line.hpp>
 #include <apricotstile/settings/daemon_settings.hpp>
 
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
-#include <fmt/ostream.h>
 
 #include <QCoreApplication>
 
@@ -25,36 +25,14 @@
 constexpr int exit_failed_to_start = 1;
 constexpr int exit_bad_input = 2;
 
-struct command_line {
-    std::string settings_file;
-    bool done{false};
-};
-
-command_line parse_command_line(int argc, char** argv) {
-    options::options_description description{
-        "apricotstiled routes requests to the owners of their keys.\n"
-        "Options"};
-    description.add_options()("help,h", "print this and exit")(
-        "version", "print the version and exit"
-    )("settings,s",
-      options::value<std::string>(),
-      "file with the daemon's settings");
-    options::variables_map values;
-    options::store(
-        options::parse_command_line(argc, argv, description), values
-    );
-    if (values.contains("help")) {
-        fmt::print("{}", fmt::streamed(description));
-        return {{}, true};
-    }
-    if (values.contains("version")) {
-        fmt::print("apricotstiled {}\n", APRICOTSTILE_VERSION);
-        return {{}, true};
-    }
-    if (!values.contains("settings")) {
-        throw options::error{"--settings is required"};
-    }
-    return {values["settings"].as<std::string>(), false};
+settings::daemon_program program() {
+    return {
+        "apricotstiled",
+        APRICOTSTILE_VERSION,
+        "routes requests to the owners of their keys.",
+        "file with the daemon's settings",
+        "--settings is required",
+        {}};
 }
 
 /// Blocks the stop signals in this thread and all that it starts.
@@ -97,7 +75,8 @@
 int main(int argc, char** argv) {
     const QCoreApplication application{argc, argv};
     try {
-        const command_line line = parse_command_line(argc, argv);
+        const settings::daemon_command_line line =
+            settings::parse_daemon_command_line(argc, argv, program());
         if (line.done) {
             return 0;
         }
--- a/src/apricotstile/core/time.hpp
+++ b/src/apricotstile/core/time.hpp
@@ -22,6 +22,13 @@
 
 using duration = boot_clock::duration;
 
+/// `value` times `factor`, towards zero to whole nanoseconds.
+[[nodiscard]] inline duration scaled(duration value, double factor) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(value) * factor
+    );
+}
+
 /// A point in time on one host's boot-time clock. Instants of two hosts can't
 /// be compared; only durations travel between hosts.
 using instant = boot_clock::time_point;
--- a/src/apricotstile/keys/lease_policy.hpp
+++ b/src/apricotstile/keys/lease_policy.hpp
@@ -25,12 +25,6 @@
     duration margin{std::chrono::milliseconds{100}};
 };
 
-[[nodiscard]] inline duration scaled(duration value, double factor) {
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(value) * factor
-    );
-}
-
 /// A promise as its guardian counts it.
 [[nodiscard]] inline duration longest_promise(const lease_policy& policy) {
     return scaled(policy.promise_length, 1.0 + policy.clock_drift) +
--- a/src/apricotstile/router/ingress.cpp
+++ b/src/apricotstile/router/ingress.cpp
@@ -246,9 +246,7 @@
         ++this->counted.left;
         pending& request = *found->second;
         if (request.cancel) {
-            request.cancel();
-            serving::instance_view& view = this->views[request.host];
-            view.in_flight -= view.in_flight > 0 ? 1 : 0;
+            this->cancel_attempt(request);
         }
         this->finish(caller);
     }
--- a/src/apricotstile/router/ingress.hpp
+++ b/src/apricotstile/router/ingress.hpp
@@ -117,6 +117,7 @@
         pending& request, serving::next_step step, routed_response&& response
     );
     void watch_deadline(pending& request);
+    serving::instance_view& cancel_attempt(pending& request);
     void deadline_passed(caller_id caller);
     void answer_own(
         pending& request,
--- a/src/apricotstile/router/ingress_attempts.cpp
+++ b/src/apricotstile/router/ingress_attempts.cpp
@@ -1,5 +1,6 @@
 // Attempts to have a request served, and the answer to its caller.
 
+#include <apricotstile/router/internal/log_texts.hpp>
 #include <apricotstile/router/internal/pending_request.hpp>
 
 #include <apricotstile/log/logger.hpp>
@@ -35,7 +36,7 @@
 }
 
 std::string host_text(host_id host) {
-    return host == host_id{} ? "none" : to_string(peer_address(host));
+    return host == host_id{} ? "none" : internal::text_of(host);
 }
 
 } // namespace
@@ -141,7 +142,7 @@
     const instant now = boot_clock::now();
     if (host != host_id{}) {
         serving::instance_view& view = this->views[host];
-        view.in_flight -= view.in_flight > 0 ? 1 : 0;
+        serving::note_end(view);
         switch (response.outcome) {
         case serving::attempt_outcome::answered:
             serving::note_answer(view);
@@ -238,6 +239,15 @@
     }
 }
 
+/// Ends the attempt in progress; its answer isn't waited for any more.
+serving::instance_view& ingress::cancel_attempt(pending& request) {
+    request.cancel();
+    request.cancel = nullptr;
+    serving::instance_view& view = this->views[request.host];
+    serving::note_end(view);
+    return view;
+}
+
 void ingress::deadline_passed(caller_id caller) {
     const auto found = this->requests.find(caller);
     if (found == this->requests.end()) {
@@ -246,11 +256,9 @@
     pending& request = *found->second;
     const bool in_progress = request.cancel != nullptr;
     if (in_progress) {
-        request.cancel();
-        request.cancel = nullptr;
-        serving::instance_view& view = this->views[request.host];
-        view.in_flight -= view.in_flight > 0 ? 1 : 0;
-        serving::note_loss(view, this->choice, boot_clock::now());
+        serving::note_loss(
+            this->cancel_attempt(request), this->choice, boot_clock::now()
+        );
     }
     const bool may_have_run = in_progress || request.progress.may_have_run;
     this->answer_own(
@@ -369,11 +377,7 @@
         !this->choose_host(request) || !this->may_repeat(request)) {
         return;
     }
-    request.cancel();
-    request.cancel = nullptr;
-    serving::instance_view& view = this->views[request.host];
-    view.in_flight -= view.in_flight > 0 ? 1 : 0;
-    serving::note_loss(view, this->choice, now);
+    serving::note_loss(this->cancel_attempt(request), this->choice, now);
     request.trail += fmt::format(
         "{}{}:silent", request.trail.empty() ? "" : ",", host_text(request.host)
     );
--- a/src/apricotstile/router/internal/key_texts.hpp
+++ b/src/apricotstile/router/internal/log_texts.hpp
@@ -1,7 +1,7 @@
 // Keys, hosts and guardians as log lines have them.
 
-#ifndef APRICOTSTILE_ROUTER_INTERNAL_KEY_TEXTS_HPP
-#define APRICOTSTILE_ROUTER_INTERNAL_KEY_TEXTS_HPP
+#ifndef APRICOTSTILE_ROUTER_INTERNAL_LOG_TEXTS_HPP
+#define APRICOTSTILE_ROUTER_INTERNAL_LOG_TEXTS_HPP
 
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/keys/guardian_id.hpp>
--- a/src/apricotstile/router/key_desk.cpp
+++ b/src/apricotstile/router/key_desk.cpp
@@ -2,7 +2,7 @@
 
 #include <apricotstile/router/key_desk.hpp>
 
-#include <apricotstile/router/internal/key_texts.hpp>
+#include <apricotstile/router/internal/log_texts.hpp>
 
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/log/logger.hpp>
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -190,7 +190,7 @@
         if (!failed) {
             serving::record(
                 this->times,
-                std::to_string(item.request.route),
+                item.request.route,
                 this->answered_at - item.started
             );
         }
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -308,9 +308,7 @@
 }
 
 duration local_instance::expected_time(std::uint32_t route) const {
-    return serving::expected(
-        this->times, std::to_string(route), fallback_service_time
-    );
+    return serving::expected(this->times, route, fallback_service_time);
 }
 
 std::size_t local_instance::unfinished() const {
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -2,6 +2,8 @@
 
 #include <apricotstile/router/peer_links.hpp>
 
+#include <apricotstile/router/internal/log_texts.hpp>
+
 #include <apricotstile/log/logger.hpp>
 #include <apricotstile/net/acceptor.hpp>
 #include <apricotstile/net/stream.hpp>
@@ -16,6 +18,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using internal::text_of;
 
 constexpr duration open_timeout = 300ms;
 /// A link with unanswered requests is asked for a sign after this time
@@ -32,10 +35,6 @@
 constexpr std::size_t max_unsent_bytes = 4U << 20U;
 constexpr auto log_prefix = "links";
 
-std::string text_of(host_id host) {
-    return to_string(peer_address(host));
-}
-
 routed_response without_answer(serving::attempt_outcome outcome) {
     routed_response response;
     response.outcome = outcome;
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -1,5 +1,6 @@
 // What daemons tell of themselves, over links and in the table.
 
+#include <apricotstile/router/internal/log_texts.hpp>
 #include <apricotstile/router/internal/router_parts.hpp>
 
 #include <apricotstile/core/codec.hpp>
@@ -12,6 +13,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using internal::text_of;
 
 constexpr duration entry_retry_pause = 250ms;
 /// Between two writes of the row. Peers hear of changes over links at once.
@@ -28,10 +30,6 @@
 
 constexpr auto log_prefix = "router";
 
-std::string text_of(host_id host) {
-    return to_string(peer_address(host));
-}
-
 platform::row_key member_row(host_id host) {
     return {"members//" + std::to_string(host.value)};
 }
--- a/src/apricotstile/serving/instance_choice.cpp
+++ b/src/apricotstile/serving/instance_choice.cpp
@@ -86,9 +86,8 @@
     duration target_latency,
     instant now
 ) {
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(target_latency) *
-        (policy.failure_reluctance * failing_now(view, now))
+    return scaled(
+        target_latency, policy.failure_reluctance * failing_now(view, now)
     );
 }
 
@@ -96,11 +95,7 @@
 
 double failing_now(const instance_view& view, instant now) {
     constexpr double thousandth = 0.001;
-    const std::chrono::duration<double> passed = now - view.told;
-    const std::chrono::duration<double> half_life =
-        service_times::failing_half_life;
-    return view.load.failing * thousandth *
-           std::exp2(-std::max(0.0, passed / half_life));
+    return faded_failures(view.load.failing * thousandth, view.told, now);
 }
 
 std::optional<host_id> choose_instance(
@@ -113,10 +108,7 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    const auto reluctance = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(target_latency) *
-        policy.far_reluctance
-    );
+    const duration reluctance = scaled(target_latency, policy.far_reluctance);
     const duration usual = usual_service(candidates);
     std::vector<scored> all;
     all.reserve(candidates.size());
@@ -176,6 +168,10 @@
     ++view.losses;
 }
 
+void note_end(instance_view& view) {
+    view.in_flight -= std::min(1U, view.in_flight);
+}
+
 void note_answer(instance_view& view) {
     view.losses = 0;
 }
--- a/src/apricotstile/serving/instance_choice.hpp
+++ b/src/apricotstile/serving/instance_choice.hpp
@@ -85,6 +85,9 @@
     random_source& random
 );
 
+/// A request of this daemon is there no more, however it ended.
+void note_end(instance_view& view);
+
 /// Requests were refused for lack of room.
 void note_refusal(
     instance_view& view,
--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -49,12 +49,10 @@
 bool may_wait_for_key(
     const request_progress& request, const progress_policy& policy, instant now
 ) {
-    const std::chrono::duration<double, duration::period> longest =
-        (request.deadline - request.arrived) * policy.key_wait_part;
+    const duration longest =
+        scaled(request.deadline - request.arrived, policy.key_wait_part);
     const instant next_try = now + policy.key_move_pause;
-    return next_try < request.target &&
-           next_try <
-               request.arrived + std::chrono::duration_cast<duration>(longest);
+    return next_try < request.target && next_try < request.arrived + longest;
 }
 
 /// The answer to a request that can't be tried again.
--- a/src/apricotstile/serving/service_times.cpp
+++ b/src/apricotstile/serving/service_times.cpp
@@ -21,11 +21,15 @@
 
 } // namespace
 
-double failing_part(const service_times& times, instant now) {
-    const std::chrono::duration<double> passed = now - times.failing_at;
+double faded_failures(double part, instant seen, instant now) {
+    const std::chrono::duration<double> passed = now - seen;
     const std::chrono::duration<double> half_life =
         service_times::failing_half_life;
-    return times.failing * std::exp2(-std::max(0.0, passed / half_life));
+    return part * std::exp2(-std::max(0.0, passed / half_life));
+}
+
+double failing_part(const service_times& times, instant now) {
+    return faded_failures(times.failing, times.failing_at, now);
 }
 
 void record_result(service_times& times, bool failed, instant now) {
@@ -34,14 +38,13 @@
     times.failing_at = now;
 }
 
-void record(service_times& times, const std::string& route, duration took) {
+void record(service_times& times, std::uint32_t route, duration took) {
     move_mean(times.overall, took);
     move_mean(times.means[route], took);
 }
 
-duration expected(
-    const service_times& times, const std::string& route, duration fallback
-) {
+duration
+expected(const service_times& times, std::uint32_t route, duration fallback) {
     const auto found = times.means.find(route);
     if (found != times.means.end()) {
         return found->second;
--- a/src/apricotstile/serving/service_times.hpp
+++ b/src/apricotstile/serving/service_times.hpp
@@ -6,14 +6,14 @@
 
 #include <apricotstile/core/time.hpp>
 
-#include <string>
+#include <cstdint>
 #include <unordered_map>
 
 namespace apricotstile::serving {
 
 struct service_times {
-    /// By route name.
-    std::unordered_map<std::string, duration> means;
+    /// By hash of the route's name.
+    std::unordered_map<std::uint32_t, duration> means;
     /// Over all requests; zero before the first.
     duration overall{0};
     /// The part of the answers that were failures, at `failing_at`. It is
@@ -24,18 +24,20 @@
     static constexpr duration failing_half_life{std::chrono::seconds{4}};
 };
 
+/// What a part of failures counts as, some time after it was `seen`.
+[[nodiscard]] double faded_failures(double part, instant seen, instant now);
+
 /// An answer came; a failure says nothing of how long requests take.
 void record_result(service_times& times, bool failed, instant now);
 
 /// The part of failures as it counts now.
 [[nodiscard]] double failing_part(const service_times& times, instant now);
 
-void record(service_times& times, const std::string& route, duration took);
+void record(service_times& times, std::uint32_t route, duration took);
 
 /// The mean of `route`, else the mean of all, else `fallback`.
-[[nodiscard]] duration expected(
-    const service_times& times, const std::string& route, duration fallback
-);
+[[nodiscard]] duration
+expected(const service_times& times, std::uint32_t route, duration fallback);
 
 } // namespace apricotstile::serving
 
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -29,12 +29,6 @@
     return {!work.nested, work.priority, is_late(work, now), queue.arrivals};
 }
 
-duration part_of(duration whole, double part) {
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(whole) * part
-    );
-}
-
 /// Whether work that starts after `wait` may wait for it.
 bool may_wait(
     const work_queue& queue,
@@ -45,14 +39,14 @@
     const work_queue_policy& policy = queue.policy;
     const duration end = wait + work.expected;
     if (work.nested) {
-        return end <= part_of(work.deadline - now, policy.nested_part);
+        return end <= scaled(work.deadline - now, policy.nested_part);
     }
     if (is_late(work, now)) {
-        return wait <= part_of(work.deadline - now, policy.late_part) &&
-               end <= part_of(work.deadline - now, policy.useful_part);
+        return wait <= scaled(work.deadline - now, policy.late_part) &&
+               end <= scaled(work.deadline - now, policy.useful_part);
     }
     const instant useful = std::min(work.target, work.deadline);
-    return end <= part_of(useful - now, policy.useful_part);
+    return end <= scaled(useful - now, policy.useful_part);
 }
 
 /// Before all work of the same priority.
@@ -210,22 +204,4 @@
     return actions;
 }
 
-std::vector<work_action> expire(work_queue& queue, instant now) {
-    std::vector<work_action> actions;
-    for (auto one = queue.waiting.begin(); one != queue.waiting.end();) {
-        const offered_work& work = one->second.work;
-        if (now + work.expected <= work.deadline) {
-            ++one;
-            continue;
-        }
-        actions.push_back(
-            {work.id, work_decision::refuse_expired, least_retry_after}
-        );
-        queue.places.erase(work.id);
-        one = queue.waiting.erase(one);
-    }
-    start_waiting(queue, now, actions);
-    return actions;
-}
-
 } // namespace apricotstile::serving
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -113,9 +113,6 @@
 /// Refuses everything that waits and all that comes until `open`.
 [[nodiscard]] std::vector<work_action> close(work_queue& queue);
 
-/// Refuses what waits for longer than its caller does.
-[[nodiscard]] std::vector<work_action> expire(work_queue& queue, instant now);
-
 /// How long `work` would wait if it came now.
 [[nodiscard]] duration
 expected_wait(const work_queue& queue, const offered_work& work, instant now);
