--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -1,6 +1,7 @@
 // Admission, start and end of requests at the local instance.
 
 #include <apricotstile/router/internal/local_work.hpp>
+#include <apricotstile/router/internal/log_format.hpp>
 
 #include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
@@ -12,6 +13,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using internal::format_for_log;
 using internal::millis_text;
 using internal::unanswered_response;
 
@@ -153,12 +155,40 @@
     this->crash_detector.request_quarantine.self = self;
 }
 
-void local_instance::handle_crash_report(const upstream::crash_report& report) {
-    upstream::merge(
-        this->crash_detector.request_quarantine, report, boot_clock::now()
+void local_instance::handle_crash_report(
+    host_id peer, const upstream::crash_report& report
+) {
+    const instant now = boot_clock::now();
+    upstream::quarantine& state = this->crash_detector.request_quarantine;
+    const upstream::quarantine_entry before =
+        upstream::describe(state, report.id, now);
+    upstream::merge(state, report, now);
+    if (before.action != upstream::describe(state, report.id, now).action) {
+        this->log_crash_counts(report.id, format_for_log(peer), now);
+    }
+}
+
+void local_instance::log_crash_counts(
+    upstream::fingerprint id, const std::string& source, instant now
+) const {
+    const upstream::quarantine_entry entry =
+        upstream::describe(this->crash_detector.request_quarantine, id, now);
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "Crash counts of a request changed.",
+        {{"fingerprint", std::to_string(id.value)},
+         {"crashes", std::to_string(entry.crashes)},
+         {"alone", std::to_string(entry.alone)},
+         {"action", std::string{upstream::name_of(entry.action)}},
+         {"source", source}}
     );
 }
 
+const upstream::quarantine& local_instance::request_quarantine() const {
+    return this->crash_detector.request_quarantine;
+}
+
 /// Any request that was in flight when the instance went down may be the cause.
 void local_instance::handle_instance_down() {
     auto reports =
@@ -173,9 +203,11 @@
         {{"instance", this->instance.id},
          {"requests", std::to_string(reports.size())}}
     );
-    upstream::forget_expired(
-        this->crash_detector.request_quarantine, boot_clock::now()
-    );
+    const instant now = boot_clock::now();
+    upstream::forget_expired(this->crash_detector.request_quarantine, now);
+    for (const upstream::crash_report& report : reports) {
+        this->log_crash_counts(report.id, "instance", now);
+    }
     this->on_crash_reports(std::move(reports));
 }
 
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -57,8 +57,10 @@
         const service_id& caller_service,
         response_handler done
     );
-    /// Merges another daemon's report about a request in flight at a crash.
-    void handle_crash_report(const upstream::crash_report& report);
+    /// Merges a report of the daemon of `peer` about a request in flight at a
+    /// crash.
+    void
+    handle_crash_report(host_id peer, const upstream::crash_report& report);
     /// Identifies this daemon in its reports.
     void set_self(const member::member_ref& self);
     /// Drops a request that nobody waits for any more. If it runs, its
@@ -75,6 +77,8 @@
     /// When the instance last answered.
     [[nodiscard]] instant last_answer() const;
     [[nodiscard]] std::size_t open_connections() const;
+    /// Crashes seen and requests suspected of causing them.
+    [[nodiscard]] const upstream::quarantine& request_quarantine() const;
 
 private:
     struct work;
@@ -91,6 +95,9 @@
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
     void handle_instance_down();
+    void log_crash_counts(
+        upstream::fingerprint id, const std::string& source, instant now
+    ) const;
     void log_unserved(const work& item, serving::attempt_outcome outcome) const;
     void handle_deadline(serving::work_id id);
     std::vector<http::header> headers_for(const work& item) const;
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -351,6 +351,8 @@
     const implementation& daemon = *this->impl;
     const request_router_counters& counted = daemon.callers.counters();
     const serving::reported_load load = daemon.instance.load();
+    const upstream::quarantine& quarantine =
+        daemon.instance.request_quarantine();
     return {
         {"ingress",
          {{"requests", counted.requests},
@@ -368,6 +370,10 @@
           {"running", load.running},
           {"waiting", load.waiting},
           {"connections", daemon.instance.open_connections()}}},
+        {"quarantine",
+         {{"crashes", quarantine.crashes},
+          {"refused", quarantine.refused},
+          {"requests", quarantine.crash_records.size()}}},
         {"links", {{"open", daemon.links.open_links()}}},
         {"directory", {{"members", daemon.known_daemons.entries.size()}}},
         {"config",
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -99,7 +99,7 @@
         this->apply_map_change(map_change->change);
     } else if (const auto* const crash_reports = std::get_if<crash_reports_frame>(&message)) {
         for (const upstream::crash_report& report : crash_reports->reports) {
-            this->instance.handle_crash_report(report);
+            this->instance.handle_crash_report(peer, report);
         }
     } else if (std::holds_alternative<config_request>(message)) {
         if (this->routes) {
--- a/src/apricotstile/upstream/quarantine.cpp
+++ b/src/apricotstile/upstream/quarantine.cpp
@@ -103,6 +103,18 @@
 
 } // namespace
 
+std::string_view name_of(quarantine_action action) {
+    switch (action) {
+    case quarantine_action::run:
+        return "run";
+    case quarantine_action::run_alone:
+        return "run_alone";
+    case quarantine_action::refuse:
+        return "refuse";
+    }
+    return "unknown";
+}
+
 quarantine_decision decide(quarantine& state, fingerprint id, instant now) {
     const auto found = state.crash_records.find(id);
     if (found == state.crash_records.end() ||
@@ -198,15 +210,30 @@
     });
 }
 
+quarantine_entry
+describe(const quarantine& state, fingerprint id, instant now) {
+    const auto found = state.crash_records.find(id);
+    if (found == state.crash_records.end() ||
+        has_expired(state, found->second, now)) {
+        return {id};
+    }
+    const crash_record& record = found->second;
+    const crash_count total = total_crashes(record);
+    return {
+        id,
+        record.label,
+        action_for(state, record),
+        total.crashes,
+        total.alone,
+        record.last_crash + state.policy.expiry - now};
+}
+
 std::vector<quarantine_entry> describe(const quarantine& state, instant now) {
     std::vector<quarantine_entry> lines;
     for (const auto& [id, record] : state.crash_records) {
-        const std::uint32_t crashes = total_crashes(record).crashes;
-        if (crashes > 0 && !has_expired(state, record, now)) {
-            const duration left = record.last_crash + state.policy.expiry - now;
-            lines.push_back(
-                {id, record.label, action_for(state, record), crashes, left}
-            );
+        const quarantine_entry line = describe(state, id, now);
+        if (line.crashes > 0) {
+            lines.push_back(line);
         }
     }
     std::sort(
--- a/src/apricotstile/upstream/quarantine.hpp
+++ b/src/apricotstile/upstream/quarantine.hpp
@@ -8,6 +8,7 @@
 #include <apricotstile/upstream/crash_record.hpp>
 #include <apricotstile/upstream/quarantine_policy.hpp>
 
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -83,6 +84,8 @@
     request_label label;
     upstream::quarantine_action action{quarantine_action::run};
     std::uint32_t crashes{0};
+    /// Crashes at which nothing else was in flight.
+    std::uint32_t alone{0};
     duration expires_in{0};
 };
 
@@ -90,6 +93,13 @@
 [[nodiscard]] std::vector<quarantine_entry>
 describe(const quarantine& state, instant now);
 
+/// Returns the entry of request `id`, without crashes if there is none.
+[[nodiscard]] quarantine_entry
+describe(const quarantine& state, fingerprint id, instant now);
+
+/// The action's name in logs.
+[[nodiscard]] std::string_view name_of(quarantine_action action);
+
 } // namespace apricotstile::upstream
 
 #endif
