--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -54,7 +54,7 @@
     }
     this->instance = instance;
     this->handle_instance_down();
-    this->perform_actions(serving::close(this->queue));
+    this->perform_actions(serving::refuse_waiting(this->queue));
     this->times = {};
     // Connections to an earlier run are of no use any more.
     std::vector<connection*> idle;
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -199,8 +199,7 @@
     return true;
 }
 
-std::vector<work_action> close(work_queue& queue) {
-    queue.open = false;
+std::vector<work_action> refuse_waiting(work_queue& queue) {
     std::vector<work_action> actions;
     for (const auto& [position, one] : queue.waiting) {
         actions.push_back(
@@ -212,4 +211,9 @@
     return actions;
 }
 
+std::vector<work_action> close(work_queue& queue) {
+    queue.open = false;
+    return refuse_waiting(queue);
+}
+
 } // namespace apricotstile::serving
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -111,6 +111,9 @@
 /// Removes waiting work. Returns whether it was waiting.
 bool withdraw(work_queue& queue, work_id id);
 
+/// Refuses all waiting work; new work is still accepted.
+[[nodiscard]] std::vector<work_action> refuse_waiting(work_queue& queue);
+
 /// Refuses all waiting work, and all new work until `open` is set.
 [[nodiscard]] std::vector<work_action> close(work_queue& queue);
 
--- /dev/null
+++ b/tests/router/daemon_group.cpp
@@ -0,0 +1,227 @@
+// Starts the daemons, and sends them heartbeats and requests.
+
+#include <tests/router/daemon_group.hpp>
+
+#include <tests/http/event_loop.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+
+#include <algorithm>
+
+namespace apricotstile::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t loopback = 0x7F000001;
+constexpr duration heartbeat_interval = 40ms;
+
+address free_address() {
+    QTcpServer probe;
+    REQUIRE(probe.listen(QHostAddress::LocalHost));
+    return {loopback, probe.serverPort()};
+}
+
+routing::routing_config config_for(const std::vector<std::string>& services) {
+    routing::routing_config config;
+    config.version = {1};
+    for (const std::string& service : services) {
+        if (config.services.contains({service})) {
+            continue;
+        }
+        routing::route route;
+        route.name = service;
+        route.host = "a.example";
+        route.prefix = "/" + service + "/";
+        route.idempotent = true;
+        route.timeout = 20s;
+        route.target_latency = 1s;
+        route.max_instances = 1;
+        route.services = {{{service}, 1}};
+        config.routes.push_back(route);
+        config.services[{service}].max_connections = 64;
+    }
+    return config;
+}
+
+} // namespace
+
+loopback_table::loopback_table(fake_table& rows, net::timer_queue& timers)
+    : rows(rows), timers(timers) {}
+
+loopback_table::~loopback_table() = default;
+
+void loopback_table::submit(
+    const platform::transaction& work, commit_handler done
+) {
+    this->timers.after(
+        0ms,
+        [this, work, done, guard = std::weak_ptr<bool>(this->alive)] {
+            if (!guard.expired()) {
+                done(commit(this->rows, work));
+            }
+        }
+    );
+}
+
+void loopback_table::read(const std::string& scope, read_handler done) {
+    this->timers.after(
+        0ms,
+        [this, scope, done, guard = std::weak_ptr<bool>(this->alive)] {
+            if (!guard.expired()) {
+                done(read_prefix(this->rows, scope));
+            }
+        }
+    );
+}
+
+void loopback_table::follow(const std::string&, change_handler) {}
+
+struct daemon_group::host {
+    router::router_settings settings;
+    routing::routing_config config;
+    std::unique_ptr<fake_upstream> upstream;
+    std::unique_ptr<loopback_table> table;
+    std::unique_ptr<router::router> daemon;
+    std::uint64_t sequence{0};
+    /// The run whose heartbeat was accepted last.
+    directory::instance_run accepted;
+};
+
+daemon_group::daemon_group(const std::vector<std::string>& services) {
+    need_application();
+    for (const std::string& service : services) {
+        auto added = std::make_unique<host>();
+        added->upstream = std::make_unique<fake_upstream>(
+            "i" + std::to_string(this->hosts.size())
+        );
+        added->settings.where = {{"region"}, {"domain"}};
+        added->settings.caller_address = free_address();
+        added->settings.peer_address = free_address();
+        added->settings.instance_address = added->upstream->where();
+        added->settings.service = {service};
+        added->settings.heartbeat_interval = 5s;
+        added->settings.names.request_id = "Request-Id";
+        added->settings.names.remaining_deadline = "Time-Left";
+        added->settings.names.caller_service = "Caller-Service";
+        added->settings.names.signature = "Signature";
+        added->settings.names.not_executed = "Not-Executed";
+        added->settings.names.expected_instance = "Expected-Instance";
+        added->config = config_for(services);
+        this->hosts.push_back(std::move(added));
+    }
+    for (const auto& one : this->hosts) {
+        this->start(*one);
+    }
+    this->timers.every(heartbeat_interval, [this] {
+        this->send_heartbeats();
+    });
+    this->wait_until_ready();
+}
+
+daemon_group::~daemon_group() {
+    for (const auto& one : this->hosts) {
+        one->daemon.reset();
+    }
+}
+
+void daemon_group::start(host& one) {
+    one.table = std::make_unique<loopback_table>(this->rows, this->timers);
+    one.daemon = std::make_unique<router::router>(one.settings, *one.table);
+    one.daemon->set_config_followed(true);
+    one.daemon->apply_config(one.config);
+    one.accepted = {};
+}
+
+void daemon_group::send_heartbeats() {
+    for (const auto& one : this->hosts) {
+        if (!one->upstream->is_up()) {
+            continue;
+        }
+        keys::heartbeat heartbeat;
+        heartbeat.service = one->settings.service;
+        heartbeat.instance = one->upstream->run();
+        heartbeat.sequence = ++one->sequence;
+        heartbeat.slots = 4;
+        keys::heartbeat_answer answer;
+        if (one->daemon->handle_heartbeat(heartbeat, answer) ==
+            router::heartbeat_result::accepted) {
+            one->accepted = heartbeat.instance;
+        }
+    }
+}
+
+void daemon_group::wait_until_ready() {
+    REQUIRE(wait_until([&] {
+        return std::all_of(
+            this->hosts.begin(),
+            this->hosts.end(),
+            [&](const std::unique_ptr<host>& one) {
+                const nlohmann::json state = one->daemon->describe();
+                return one->daemon->is_ready() &&
+                       (!one->upstream->is_up() ||
+                        one->accepted == one->upstream->run()) &&
+                       state["links"]["open"] == this->hosts.size() - 1;
+            }
+        );
+    }));
+}
+
+void daemon_group::restart_daemon(std::size_t index) {
+    host& one = *this->hosts.at(index);
+    one.daemon.reset();
+    this->start(one);
+    this->wait_until_ready();
+}
+
+void daemon_group::restart_crashed_upstreams() {
+    for (const auto& one : this->hosts) {
+        if (!one->upstream->is_up()) {
+            one->upstream->restart();
+        }
+    }
+    this->wait_until_ready();
+}
+
+int daemon_group::request(std::size_t index, const std::string& target) {
+    QTcpSocket caller;
+    caller.connectToHost(
+        QHostAddress::LocalHost,
+        this->hosts.at(index)->settings.caller_address.port
+    );
+    const std::string head =
+        "GET " + target + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " +
+        std::to_string(++this->last_request) + "\r\nTime-Left: 5000\r\n\r\n";
+    caller.write(head.c_str());
+    REQUIRE(wait_until([&] {
+        return caller.canReadLine();
+    }));
+    // "HTTP/1.1 200 OK"
+    return caller.readLine().split(' ').at(1).toInt();
+}
+
+fake_upstream& daemon_group::upstream(std::size_t index) {
+    return *this->hosts.at(index)->upstream;
+}
+
+nlohmann::json daemon_group::describe(std::size_t index) const {
+    return this->hosts.at(index)->daemon->describe();
+}
+
+std::size_t daemon_group::runs_of(const std::string& target) const {
+    std::size_t count = 0;
+    for (const auto& one : this->hosts) {
+        const std::vector<std::string>& seen = one->upstream->requests();
+        count += static_cast<std::size_t>(
+            std::count(seen.begin(), seen.end(), target)
+        );
+    }
+    return count;
+}
+
+} // namespace apricotstile::tests
--- /dev/null
+++ b/tests/router/daemon_group.hpp
@@ -0,0 +1,71 @@
+// Several daemons in one process, with an upstream beside each and a table that
+// they share. Everything runs on real sockets on the loopback interface.
+
+#ifndef APRICOTSTILE_TESTS_ROUTER_DAEMON_GROUP_HPP
+#define APRICOTSTILE_TESTS_ROUTER_DAEMON_GROUP_HPP
+
+#include <apricotstile/net/timer_queue.hpp>
+#include <apricotstile/router/router.hpp>
+#include <tests/router/fake_upstream.hpp>
+#include <tests/support/fake_table.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace apricotstile::tests {
+
+/// `fake_table` behind the daemons' interface; answers come from the event
+/// loop. Each daemon has one of its own, on the same rows.
+class loopback_table : public platform::shared_table {
+public:
+    loopback_table(fake_table& rows, net::timer_queue& timers);
+    ~loopback_table() override;
+
+    void
+    submit(const platform::transaction& work, commit_handler done) override;
+    void read(const std::string& scope, read_handler done) override;
+    void follow(const std::string& table, change_handler on_change) override;
+
+private:
+    fake_table& rows;
+    net::timer_queue& timers;
+    /// Expires with this object, so that late answers are dropped.
+    std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
+};
+
+class daemon_group {
+public:
+    /// Starts one daemon for each name in `services`, which is the service
+    /// beside it, and waits until all are linked and ready. Route "/SERVICE/"
+    /// leads to each service.
+    explicit daemon_group(const std::vector<std::string>& services);
+    ~daemon_group();
+
+    /// Kills and starts daemon `index`; returns when it is ready and linked.
+    void restart_daemon(std::size_t index);
+    /// Sends a request to daemon `index` and returns its answer's status.
+    int request(std::size_t index, const std::string& target);
+    [[nodiscard]] fake_upstream& upstream(std::size_t index);
+    [[nodiscard]] nlohmann::json describe(std::size_t index) const;
+    /// How often upstreams began to run `target`.
+    [[nodiscard]] std::size_t runs_of(const std::string& target) const;
+    /// Restarts the upstreams that are down and waits until their daemons have
+    /// accepted heartbeats of the new runs.
+    void restart_crashed_upstreams();
+
+private:
+    struct host;
+
+    void start(host& one);
+    void send_heartbeats();
+    void wait_until_ready();
+
+    fake_table rows;
+    net::timer_queue timers;
+    std::vector<std::unique_ptr<host>> hosts;
+    std::uint64_t last_request{0};
+};
+
+} // namespace apricotstile::tests
+
+#endif
--- /dev/null
+++ b/tests/router/fake_upstream.cpp
@@ -0,0 +1,112 @@
+// Reads requests without a body and answers them.
+
+#include <tests/router/fake_upstream.hpp>
+
+#include <tests/http/event_loop.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <QHostAddress>
+
+#include <utility>
+
+namespace apricotstile::tests {
+
+namespace {
+
+constexpr std::uint32_t loopback = 0x7F000001;
+
+/// The value of the header `name` in the head of a request; empty if absent.
+std::string header_in(const std::string& head, const std::string& name) {
+    const std::size_t begin = head.find("\r\n" + name + ": ");
+    if (begin == std::string::npos) {
+        return {};
+    }
+    const std::size_t value = begin + name.size() + 4;
+    return head.substr(value, head.find("\r\n", value) - value);
+}
+
+std::string target_in(const std::string& head) {
+    const std::size_t begin = head.find(' ') + 1;
+    return head.substr(begin, head.find(' ', begin) - begin);
+}
+
+} // namespace
+
+fake_upstream::fake_upstream(const std::string& id) : current_run{id, 1} {
+    need_application();
+    REQUIRE(this->server.listen(QHostAddress::LocalHost));
+    this->port = this->server.serverPort();
+    QObject::connect(&this->server, &QTcpServer::newConnection, [this] {
+        while (QTcpSocket* const connection =
+                   this->server.nextPendingConnection()) {
+            this->handle_connection(connection);
+        }
+    });
+}
+
+address fake_upstream::where() const {
+    return {loopback, this->port};
+}
+
+const directory::instance_run& fake_upstream::run() const {
+    return this->current_run;
+}
+
+bool fake_upstream::is_up() const {
+    return this->server.isListening();
+}
+
+const std::vector<std::string>& fake_upstream::requests() const {
+    return this->targets;
+}
+
+void fake_upstream::set_extra_headers(std::vector<http::header> headers) {
+    this->extra_headers = std::move(headers);
+}
+
+void fake_upstream::crash() {
+    this->server.close();
+    for (const QPointer<QTcpSocket>& one :
+         std::exchange(this->connections, {})) {
+        if (one) {
+            one->abort();
+            one->deleteLater();
+        }
+    }
+}
+
+void fake_upstream::restart() {
+    ++this->current_run.started_ms;
+    REQUIRE(this->server.listen(QHostAddress::LocalHost, this->port));
+}
+
+void fake_upstream::handle_connection(QTcpSocket* connection) {
+    this->connections.emplace_back(connection);
+    QObject::connect(connection, &QTcpSocket::readyRead, [this, connection] {
+        const std::string head = connection->readAll().toStdString();
+        if (head.ends_with("\r\n\r\n")) {
+            this->handle_request(connection, head);
+        }
+    });
+}
+
+void fake_upstream::handle_request(
+    QTcpSocket* connection, const std::string& head
+) {
+    const std::string target = target_in(head);
+    this->targets.push_back(target);
+    if (target.find("crash") != std::string::npos) {
+        this->crash();
+        return;
+    }
+    std::string answer = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                         "Content-Length: 0\r\nRequest-Id: " +
+                         header_in(head, "Request-Id") + "\r\n";
+    for (const http::header& one : this->extra_headers) {
+        answer += one.name + ": " + one.value + "\r\n";
+    }
+    connection->write((answer + "\r\n").c_str());
+}
+
+} // namespace apricotstile::tests
--- /dev/null
+++ b/tests/router/fake_upstream.hpp
@@ -0,0 +1,49 @@
+// An upstream instance on a loopback port. It answers each request at once and
+// crashes on requests whose target contains "crash".
+
+#ifndef APRICOTSTILE_TESTS_ROUTER_FAKE_UPSTREAM_HPP
+#define APRICOTSTILE_TESTS_ROUTER_FAKE_UPSTREAM_HPP
+
+#include <apricotstile/directory/entry.hpp>
+#include <apricotstile/host/address.hpp>
+#include <apricotstile/http/message.hpp>
+
+#include <QPointer>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <vector>
+
+namespace apricotstile::tests {
+
+class fake_upstream {
+public:
+    explicit fake_upstream(const std::string& id);
+
+    [[nodiscard]] address where() const;
+    [[nodiscard]] const directory::instance_run& run() const;
+    [[nodiscard]] bool is_up() const;
+    /// Targets of all requests that it began to run, over all of its runs.
+    [[nodiscard]] const std::vector<std::string>& requests() const;
+    /// Headers added to each answer.
+    void set_extra_headers(std::vector<http::header> headers);
+    /// Resets all connections and stops listening.
+    void crash();
+    /// Starts again as a new run at the same address.
+    void restart();
+
+private:
+    void handle_connection(QTcpSocket* connection);
+    void handle_request(QTcpSocket* connection, const std::string& head);
+
+    QTcpServer server;
+    std::uint16_t port{0};
+    directory::instance_run current_run;
+    std::vector<std::string> targets;
+    std::vector<http::header> extra_headers;
+    std::vector<QPointer<QTcpSocket>> connections;
+};
+
+} // namespace apricotstile::tests
+
+#endif
