--- a/benchmarks/instance_choice.cpp
+++ b/benchmarks/instance_choice.cpp
@@ -242,6 +242,11 @@
     );
 }
 
+request_identity identity(std::uint64_t id) {
+    constexpr std::uint64_t content_offset = 1000;
+    return {{id}, {id + content_offset}};
+}
+
 /// Resends a poison request 50 times to six owners; nine innocents are in
 /// flight at each. Returns the crashes, and counts the innocents refused.
 int crashes(const quarantine_policy& policy, int& innocents_refused) {
@@ -255,17 +260,18 @@
         quarantine& owner = owners.at(index);
         owner.policy = policy;
         owner.self = {{index + 1}, {1}};
-        std::vector<in_flight_request> in_flight{{{0}, {}}};
-        const quarantine_action said = decide(owner, {0}, now).action;
+        std::vector<in_flight_request> in_flight{{identity(0), {}}};
+        const quarantine_action said = decide(owner, identity(0), now).action;
         if (said == quarantine_action::refuse) {
             continue;
         }
         for (std::uint64_t id = 1; id < 10; ++id) {
-            const quarantine_action other = decide(owner, {id}, now).action;
+            const quarantine_action other =
+                decide(owner, identity(id), now).action;
             innocents_refused += other == quarantine_action::refuse ? 1 : 0;
             if (said == quarantine_action::run &&
                 other == quarantine_action::run) {
-                in_flight.push_back({{id}, {}});
+                in_flight.push_back({identity(id), {}});
             }
         }
         ++count;
--- a/benchmarks/request_costs.cpp
+++ b/benchmarks/request_costs.cpp
@@ -179,10 +179,11 @@
     upstream::quarantine state;
     const instant now{24h};
     for (std::uint64_t i = 0; i < 100; ++i) {
-        std::ignore = upstream_crashed(state, {{{i}, {}}}, now);
+        std::ignore = upstream_crashed(state, {{{{i}, {i}}, {}}}, now);
     }
     measure("quarantine judge and completed", [&](int i) {
-        const upstream::fingerprint id{static_cast<std::uint64_t>(i) + 1000};
+        const upstream::fingerprint hash{static_cast<std::uint64_t>(i) + 1000};
+        const upstream::request_identity id{hash, hash};
         std::ignore = decide(state, id, now);
         std::ignore = completed(state, id, now);
     });
@@ -190,7 +191,7 @@
     one.body = std::string(1000, 'x');
     measure("fingerprint of a request of 1000 bytes", [&](int i) {
         one.key = std::to_string(i);
-        std::ignore = upstream::fingerprint_of(one);
+        std::ignore = upstream::identity_of(one);
     });
 }
 
--- a/src/apricotstile/core/codec.hpp
+++ b/src/apricotstile/core/codec.hpp
@@ -9,6 +9,7 @@
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -41,7 +41,7 @@
     response_handler done;
     std::string request_id;
     /// The same for every attempt of the same request.
-    upstream::fingerprint fingerprint;
+    upstream::request_identity identity;
     instant deadline;
     instant started;
     net::timer_id timer;
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -183,7 +183,7 @@
         response.outcome = serving::attempt_outcome::answered;
         this->answered_at = boot_clock::now();
         auto reports = upstream::note_answered(
-            this->crash_detector, item.fingerprint, this->answered_at
+            this->crash_detector, item.identity, this->answered_at
         );
         if (!reports.empty()) {
             this->on_crash_reports(std::move(reports));
@@ -233,7 +233,7 @@
     item->conn = nullptr;
     if (was_open) {
         upstream::note_lost_request(
-            this->crash_detector, {item->fingerprint, {}}, boot_clock::now()
+            this->crash_detector, {item->identity, {}}, boot_clock::now()
         );
     } else {
         this->handle_instance_down();
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -23,6 +23,19 @@
 
 constexpr auto log_prefix = "instance";
 
+/// The same at every host. The sender is the service beside the daemon that
+/// the request came in at, which the instance is told.
+upstream::request_identity
+identity_of(const routed_request& request, const service_id& caller_service) {
+    upstream::request_identity result;
+    result.content = {
+        combined_hash({request.method, request.target, request.body})};
+    result.from_sender = {combined_hash(
+        {request.method, request.target, caller_service.value, request.body}
+    )};
+    return result;
+}
+
 } // namespace
 
 local_instance::local_instance(
@@ -110,15 +123,9 @@
         );
         return id;
     }
-    // The same for the same request, whoever sends it and at every host.
-    item.fingerprint = {combined_hash(
-        {item.request.method,
-         item.request.target,
-         caller_service.value,
-         item.request.body}
-    )};
+    item.identity = identity_of(item.request, caller_service);
     const upstream::quarantine_decision quarantine_decision = upstream::decide(
-        this->crash_detector.request_quarantine, item.fingerprint, now
+        this->crash_detector.request_quarantine, item.identity, now
     );
     if (quarantine_decision.action == upstream::quarantine_action::refuse) {
         const serving::work_id id = item.id;
--- a/src/apricotstile/upstream/crash_detector.cpp
+++ b/src/apricotstile/upstream/crash_detector.cpp
@@ -10,8 +10,9 @@
     detector.lost_requests.push_back({request, now});
 }
 
-std::vector<crash_report>
-note_answered(crash_detector& detector, fingerprint id, instant now) {
+std::vector<crash_report> note_answered(
+    crash_detector& detector, const request_identity& id, instant now
+) {
     detector.lost_requests.clear();
     return completed(detector.request_quarantine, id, now);
 }
--- a/src/apricotstile/upstream/crash_detector.hpp
+++ b/src/apricotstile/upstream/crash_detector.hpp
@@ -34,8 +34,9 @@
 
 /// Records that the upstream answered request `id`, which shows that it still
 /// runs. Returns the reports for the other daemons.
-[[nodiscard]] std::vector<crash_report>
-note_answered(crash_detector& detector, fingerprint id, instant now);
+[[nodiscard]] std::vector<crash_report> note_answered(
+    crash_detector& detector, const request_identity& id, instant now
+);
 
 /// Records that the upstream is down or has restarted: the requests lost since
 /// its last answer were in flight at a crash. Returns the reports for the other
--- a/src/apricotstile/upstream/crash_record.hpp
+++ b/src/apricotstile/upstream/crash_record.hpp
@@ -1,4 +1,5 @@
-// Crash counts of one request, combined from all daemons.
+// Crash counts of one request, combined from all daemons. They are kept twice:
+// by content and sender, and by content alone.
 
 #ifndef APRICOTSTILE_UPSTREAM_CRASH_RECORD_HPP
 #define APRICOTSTILE_UPSTREAM_CRASH_RECORD_HPP
@@ -11,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,8 +36,12 @@
     std::uint32_t alone{0};
 };
 
+/// Crashes of one fingerprint.
 struct crash_record {
     request_label label;
+    /// For a fingerprint of content alone: the fingerprints with sender of the
+    /// requests that were in flight. Empty for a fingerprint with sender.
+    std::set<fingerprint> senders;
     /// Incremented when the counts are reset: after a completion, after the
     /// expiry or by an operator.
     std::uint64_t generation{0};
@@ -49,6 +55,7 @@
     fingerprint id;
     request_label label;
     std::uint64_t generation{0};
+    std::set<fingerprint> senders;
     std::map<member::member_ref, crash_count> crashes_by_member;
     duration since_last_crash{0};
 };
@@ -67,7 +74,7 @@
 template <class Archive>
 void serialize(Archive& archive, crash_report& value) {
     archive(value.id, value.label, value.generation);
-    archive(value.crashes_by_member, value.since_last_crash);
+    archive(value.senders, value.crashes_by_member, value.since_last_crash);
 }
 
 } // namespace apricotstile::upstream
--- a/src/apricotstile/upstream/dispatch_work.hpp
+++ b/src/apricotstile/upstream/dispatch_work.hpp
@@ -24,7 +24,7 @@
     fencing_token token;
     instant deadline;
     /// Set by `receive`.
-    fingerprint request_fingerprint;
+    request_identity identity;
     /// Whether it must run with nothing else in flight.
     bool alone{false};
     /// Whether it has been sent to the upstream.
--- a/src/apricotstile/upstream/dispatcher.cpp
+++ b/src/apricotstile/upstream/dispatcher.cpp
@@ -116,7 +116,7 @@
 std::optional<request::routed_response>
 check_before_call(dispatcher& state, const dispatch_work& work, instant now) {
     const quarantine_decision decision =
-        decide(state.quarantine, work.request_fingerprint, now);
+        decide(state.quarantine, work.identity, now);
     if (decision.action == quarantine_action::refuse) {
         return refuse(
             outcome::not_run, refusal::quarantined, decision.retry_after
@@ -141,7 +141,7 @@
     }
     // Reports of crashes may have arrived while it was queued.
     const bool suspected =
-        decide(state.quarantine, work.request_fingerprint, now).action ==
+        decide(state.quarantine, work.identity, now).action ==
         quarantine_action::run_alone;
     if (suspected && !work.alone) {
         work.alone = true;
@@ -249,9 +249,9 @@
 
 dispatch_actions receive(dispatcher& state, dispatch_work work, instant now) {
     dispatch_actions actions;
-    work.request_fingerprint = fingerprint_of(work.request);
+    work.identity = identity_of(work.request);
     const quarantine_decision decision =
-        decide(state.quarantine, work.request_fingerprint, now);
+        decide(state.quarantine, work.identity, now);
     if (decision.action == quarantine_action::refuse) {
         const auto response = refuse(
             outcome::not_run, refusal::quarantined, decision.retry_after
@@ -279,7 +279,7 @@
         return actions;
     }
     if (result.end == call_end::answered) {
-        const fingerprint answered_id = found->second.request_fingerprint;
+        const request_identity answered_id = found->second.identity;
         add_reports(completed(state.quarantine, answered_id, now), actions);
     }
     store_and_respond(state, id, to_response(result), now, actions);
@@ -294,7 +294,7 @@
     std::vector<work_id> lost;
     for (const auto& [id, work] : state.work) {
         if (work.called) {
-            in_flight.push_back({work.request_fingerprint, label_of(work)});
+            in_flight.push_back({work.identity, label_of(work)});
             lost.push_back(id);
         }
     }
--- a/src/apricotstile/upstream/fingerprint.cpp
+++ b/src/apricotstile/upstream/fingerprint.cpp
@@ -8,12 +8,14 @@
 
 namespace apricotstile::upstream {
 
-fingerprint fingerprint_of(const request::routed_request& request) {
+request_identity identity_of(const request::routed_request& request) {
     constexpr std::uint64_t odd_multiplier = 0x9E3779B97F4A7C15ULL;
-    std::uint64_t hash = request::content_hash(request);
-    hash = (hash ^ stable_hash(request.service.value)) * odd_multiplier;
-    hash = (hash ^ stable_hash(request.customer.value)) * odd_multiplier;
-    return {hash};
+    const std::uint64_t content =
+        (request::content_hash(request) ^ stable_hash(request.service.value)) *
+        odd_multiplier;
+    const std::uint64_t from_sender =
+        (content ^ stable_hash(request.customer.value)) * odd_multiplier;
+    return {{from_sender}, {content}};
 }
 
 } // namespace apricotstile::upstream
--- a/src/apricotstile/upstream/fingerprint.hpp
+++ b/src/apricotstile/upstream/fingerprint.hpp
@@ -16,11 +16,24 @@
 
 namespace apricotstile::upstream {
 
-/// Hash of service, customer, method, key, target and body.
 using fingerprint = strong_id<struct fingerprint_tag, std::uint64_t>;
 
-[[nodiscard]] fingerprint fingerprint_of(const request::routed_request& request
-);
+/// Whether a request crashes an upstream may depend on its sender, which the
+/// upstream is told, or not. So it is known under two fingerprints.
+struct request_identity {
+    /// Hash of the content and the sender.
+    fingerprint from_sender;
+    /// Hash of the content, whoever sends it.
+    fingerprint content;
+
+    friend bool
+    operator==(const request_identity&, const request_identity&) = default;
+};
+
+/// The content is service, method, key, target and body; the sender is the
+/// customer.
+[[nodiscard]] request_identity
+identity_of(const request::routed_request& request);
 
 } // namespace apricotstile::upstream
 
--- a/src/apricotstile/upstream/quarantine.cpp
+++ b/src/apricotstile/upstream/quarantine.cpp
@@ -29,7 +29,11 @@
     if (state.policy.faults.refuses_all_in_flight && total.crashes > 0) {
         return quarantine_action::refuse;
     }
-    if (total.crashes >= state.policy.crashes_to_refuse && total.alone > 0) {
+    const bool any_sender =
+        record.senders.empty() ||
+        record.senders.size() >= state.policy.senders_to_refuse;
+    if (total.crashes >= state.policy.crashes_to_refuse && total.alone > 0 &&
+        any_sender) {
         return quarantine_action::refuse;
     }
     if (total.crashes >= state.policy.crashes_to_suspect &&
@@ -39,12 +43,29 @@
     return quarantine_action::run;
 }
 
+/// What the counts of one fingerprint say.
+quarantine_decision
+decision_for(const quarantine& state, fingerprint id, instant now) {
+    const auto found = state.crash_records.find(id);
+    if (found == state.crash_records.end() ||
+        has_expired(state, found->second, now)) {
+        return {};
+    }
+    const crash_record& record = found->second;
+    quarantine_decision result{action_for(state, record), duration{0}};
+    if (result.action == quarantine_action::refuse) {
+        result.retry_after = record.last_crash + state.policy.expiry - now;
+    }
+    return result;
+}
+
 crash_report
 make_report(fingerprint id, const crash_record& record, instant now) {
     return {
         id,
         record.label,
         record.generation,
+        record.senders,
         record.crashes_by_member,
         now - record.last_crash};
 }
@@ -75,19 +96,55 @@
 /// generations at the other daemons.
 void reset_counts(crash_record& record) {
     ++record.generation;
+    record.senders.clear();
     record.crashes_by_member.clear();
 }
 
-crash_record& update_record(
-    quarantine& state, const in_flight_request& request, instant now
+/// A fingerprint to count a crash against.
+struct counted_fingerprint {
+    request_label label;
+    std::set<fingerprint> senders;
+};
+
+/// Copies of the same request count once.
+using counted_fingerprints = std::map<fingerprint, counted_fingerprint>;
+
+void add_sender(
+    counted_fingerprints& counted, const in_flight_request& request
+) {
+    counted[request.id.from_sender].label = request.label;
+}
+
+void add_content(
+    counted_fingerprints& counted, const in_flight_request& request
 ) {
-    crash_record& record = state.crash_records[request.id];
-    if (!record.crashes_by_member.empty() && has_expired(state, record, now)) {
-        reset_counts(record);
+    counted_fingerprint& one = counted[request.id.content];
+    one.label = request.label;
+    one.senders.insert(request.id.from_sender);
+}
+
+/// Counts one crash against each fingerprint and returns their reports.
+std::vector<crash_report> count_crash(
+    quarantine& state, const counted_fingerprints& counted, instant now
+) {
+    const bool alone = counted.size() == 1;
+    std::vector<crash_report> reports;
+    reports.reserve(counted.size());
+    for (const auto& [id, one] : counted) {
+        crash_record& record = state.crash_records[id];
+        if (!record.crashes_by_member.empty() &&
+            has_expired(state, record, now)) {
+            reset_counts(record);
+        }
+        record.label = one.label;
+        record.senders.insert(one.senders.begin(), one.senders.end());
+        record.last_crash = now;
+        crash_count& own = record.crashes_by_member[state.self];
+        ++own.crashes;
+        own.alone += alone ? 1 : 0;
+        reports.push_back(make_report(id, record, now));
     }
-    record.label = request.label;
-    record.last_crash = now;
-    return record;
+    return reports;
 }
 
 std::vector<crash_report>
@@ -115,17 +172,14 @@
     return "unknown";
 }
 
-quarantine_decision decide(quarantine& state, fingerprint id, instant now) {
-    const auto found = state.crash_records.find(id);
-    if (found == state.crash_records.end() ||
-        has_expired(state, found->second, now)) {
-        return {};
-    }
-    const crash_record& record = found->second;
-    quarantine_decision result{action_for(state, record), duration{0}};
+quarantine_decision
+decide(quarantine& state, const request_identity& id, instant now) {
+    quarantine_decision result = decision_for(state, id.from_sender, now);
+    const quarantine_decision by_content = decision_for(state, id.content, now);
+    result.action = std::max(result.action, by_content.action);
+    result.retry_after = std::max(result.retry_after, by_content.retry_after);
     if (result.action == quarantine_action::refuse) {
         ++state.refused;
-        result.retry_after = record.last_crash + state.policy.expiry - now;
     }
     return result;
 }
@@ -136,34 +190,28 @@
     instant now
 ) {
     ++state.crashes;
-    std::vector<fingerprint> counted;
+    counted_fingerprints by_sender;
+    counted_fingerprints by_content;
     for (const in_flight_request& request : in_flight) {
-        // Two copies of the same request count once.
-        if (std::find(counted.begin(), counted.end(), request.id) ==
-            counted.end()) {
-            counted.push_back(request.id);
-            ++update_record(state, request, now)
-                  .crashes_by_member[state.self]
-                  .crashes;
-        }
+        add_sender(by_sender, request);
+        add_content(by_content, request);
     }
-    if (counted.size() == 1) {
-        ++state.crash_records.at(counted.front())
-              .crashes_by_member[state.self]
-              .alone;
-    }
-    std::vector<crash_report> reports;
-    reports.reserve(counted.size());
-    for (const fingerprint id : counted) {
-        reports.push_back(make_report(id, state.crash_records.at(id), now));
+    std::vector<crash_report> reports = count_crash(state, by_sender, now);
+    for (crash_report& report : count_crash(state, by_content, now)) {
+        reports.push_back(std::move(report));
     }
     enforce_max_entries(state);
     return reports;
 }
 
 std::vector<crash_report>
-completed(quarantine& state, fingerprint id, instant now) {
-    return reset_and_report(state, id, now);
+completed(quarantine& state, const request_identity& id, instant now) {
+    std::vector<crash_report> reports =
+        reset_and_report(state, id.from_sender, now);
+    for (crash_report& report : reset_and_report(state, id.content, now)) {
+        reports.push_back(std::move(report));
+    }
+    return reports;
 }
 
 void merge(quarantine& state, const crash_report& report, instant now) {
@@ -177,8 +225,10 @@
         std::max(record.last_crash, now - report.since_last_crash);
     if (report.generation > record.generation) {
         record.generation = report.generation;
+        record.senders = report.senders;
         record.crashes_by_member = report.crashes_by_member;
     } else if (report.generation == record.generation) {
+        record.senders.insert(report.senders.begin(), report.senders.end());
         for (const auto& [member, reported] : report.crashes_by_member) {
             crash_count& known = record.crashes_by_member[member];
             known.crashes = std::max(known.crashes, reported.crashes);
@@ -201,7 +251,20 @@
 
 std::vector<crash_report>
 clear(quarantine& state, fingerprint id, instant now) {
-    return reset_and_report(state, id, now);
+    std::set<fingerprint> related{id};
+    for (const auto& [content, record] : state.crash_records) {
+        if (content == id || record.senders.contains(id)) {
+            related.insert(content);
+            related.insert(record.senders.begin(), record.senders.end());
+        }
+    }
+    std::vector<crash_report> reports;
+    for (const fingerprint one : related) {
+        for (crash_report& report : reset_and_report(state, one, now)) {
+            reports.push_back(std::move(report));
+        }
+    }
+    return reports;
 }
 
 void forget_expired(quarantine& state, instant now) {
@@ -232,7 +295,8 @@
     std::vector<quarantine_entry> lines;
     for (const auto& [id, record] : state.crash_records) {
         const quarantine_entry line = describe(state, id, now);
-        if (line.crashes > 0) {
+        // A single sender's content says no more than the sender's own entry.
+        if (line.crashes > 0 && record.senders.size() != 1) {
             lines.push_back(line);
         }
     }
--- a/src/apricotstile/upstream/quarantine.hpp
+++ b/src/apricotstile/upstream/quarantine.hpp
@@ -39,13 +39,13 @@
 
 /// A request that was in flight when the upstream crashed.
 struct in_flight_request {
-    fingerprint id;
+    request_identity id;
     request_label label;
 };
 
 /// Decides whether and how request `id` may run.
 [[nodiscard]] quarantine_decision
-decide(quarantine& state, fingerprint id, instant now);
+decide(quarantine& state, const request_identity& id, instant now);
 
 /// Records a crash of the upstream while `in_flight` were running. Returns the
 /// reports for the other daemons.
@@ -58,7 +58,7 @@
 /// Records that the upstream answered request `id` and resets its crash counts.
 /// Returns the reports for the other daemons; empty if there were no counts.
 [[nodiscard]] std::vector<crash_report>
-completed(quarantine& state, fingerprint id, instant now);
+completed(quarantine& state, const request_identity& id, instant now);
 
 /// Merges a report from another daemon; idempotent and independent of order.
 void merge(quarantine& state, const crash_report& report, instant now);
@@ -69,8 +69,9 @@
 [[nodiscard]] std::vector<crash_report>
 report_all(const quarantine& state, instant now);
 
-/// Releases request `id` from quarantine on behalf of an operator. Returns the
-/// reports for the other daemons.
+/// Releases the listed entry `id` from quarantine on behalf of an operator,
+/// with the entries of the same content. Returns the reports for the other
+/// daemons.
 [[nodiscard]] std::vector<crash_report>
 clear(quarantine& state, fingerprint id, instant now);
 
--- a/src/apricotstile/upstream/quarantine_policy.hpp
+++ b/src/apricotstile/upstream/quarantine_policy.hpp
@@ -25,9 +25,14 @@
     /// Consecutive crashes, at least one of them while running alone, after
     /// which a request is refused. This also bounds the crashes that one
     /// request causes before `expiry`, provided that reports arrive between
-    /// its retries. Each other host where it was already running when the
+    /// its retries; one more if the first senders all are the same. Each other
+    /// host where it was already running when the
     /// first reports arrived may add one.
     std::uint32_t crashes_to_refuse{3};
+    /// A content is refused whoever sends it once this many senders' requests
+    /// were in flight at its crashes. Until then each sender's own crashes
+    /// count, since the crash may depend on the sender.
+    std::size_t senders_to_refuse{2};
     /// Time after the last crash at which the counts expire.
     duration expiry{std::chrono::minutes{30}};
     /// Above this number, entries with the fewest crashes are evicted.
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -61,6 +61,7 @@
                 return true;
             },
             [this](std::vector<upstream::crash_report>&& reports) {
+                ++this->crashes;
                 this->reported += reports.size();
             }
         );
@@ -91,6 +92,8 @@
     std::uint16_t port;
     header_names names;
     net::timer_queue timers;
+    /// Crashes and fingerprints that were reported.
+    std::size_t crashes{0};
     std::size_t reported{0};
     std::unique_ptr<local_instance> instance;
 };
@@ -105,7 +108,9 @@
     CHECK(daemon.run("/bad") == serving::attempt_outcome::lost);
     CHECK(daemon.reported == 0);
     CHECK(daemon.run("/next") == serving::attempt_outcome::refused_closed);
-    CHECK(daemon.reported == 1);
+    CHECK(daemon.crashes == 1);
+    // By content and sender, and by content alone.
+    CHECK(daemon.reported == 2);
 }
 
 TEST_CASE(
--- a/tests/upstream/crash_detector.tests.cpp
+++ b/tests/upstream/crash_detector.tests.cpp
@@ -14,8 +14,13 @@
 
 constexpr instant start{24h};
 
+request_identity identity(std::uint64_t id) {
+    constexpr std::uint64_t content_offset = 1000000;
+    return {fingerprint{id}, fingerprint{id + content_offset}};
+}
+
 in_flight_request request_of(std::uint64_t id) {
-    return {fingerprint{id}, {}};
+    return {identity(id), {}};
 }
 
 crash_detector detector_of(std::uint64_t host) {
@@ -32,7 +37,7 @@
 ) {
     crash_detector detector = detector_of(1);
     note_lost_request(detector, request_of(7), start);
-    CHECK(note_answered(detector, fingerprint{8}, start + 5ms).empty());
+    CHECK(note_answered(detector, identity(8), start + 5ms).empty());
     CHECK(note_crash(detector, start + 1s).empty());
 }
 
@@ -40,7 +45,8 @@
     crash_detector detector = detector_of(1);
     note_lost_request(detector, request_of(7), start);
     note_lost_request(detector, request_of(8), start);
-    CHECK(note_crash(detector, start + 5ms).size() == 2);
+    // Once by content and sender, and once by content alone.
+    CHECK(note_crash(detector, start + 5ms).size() == 4);
     CHECK(note_crash(detector, start + 6ms).empty());
 }
 
@@ -50,7 +56,7 @@
 ) {
     std::vector<crash_detector> hosts{
         detector_of(1), detector_of(2), detector_of(3)};
-    const fingerprint poison{7};
+    const request_identity poison = identity(7);
     instant now = start;
     std::uint64_t innocent = 100;
     for (crash_detector& host : hosts) {
@@ -61,7 +67,7 @@
         const bool alone =
             decide(host.request_quarantine, poison, now).action ==
             quarantine_action::run_alone;
-        note_lost_request(host, request_of(poison.value), now);
+        note_lost_request(host, request_of(7), now);
         for (int i = 0; !alone && i < 5; ++i) {
             note_lost_request(host, request_of(++innocent), now);
         }
@@ -80,7 +86,7 @@
             quarantine_action::refuse
         );
         CHECK(
-            decide(host.request_quarantine, fingerprint{101}, now).action ==
+            decide(host.request_quarantine, identity(101), now).action ==
             quarantine_action::run
         );
     }
@@ -93,12 +99,12 @@
         static_cast<void>(note_crash(detector, start));
     }
     CHECK(
-        decide(detector.request_quarantine, fingerprint{7}, start).action ==
+        decide(detector.request_quarantine, identity(7), start).action ==
         quarantine_action::run_alone
     );
-    CHECK(note_answered(detector, fingerprint{7}, start + 1s).size() == 1);
+    CHECK(note_answered(detector, identity(7), start + 1s).size() == 2);
     CHECK(
-        decide(detector.request_quarantine, fingerprint{7}, start + 1s)
-            .action == quarantine_action::run
+        decide(detector.request_quarantine, identity(7), start + 1s).action ==
+        quarantine_action::run
     );
 }
--- a/tests/upstream/quarantine.tests.cpp
+++ b/tests/upstream/quarantine.tests.cpp
@@ -12,7 +12,8 @@
 
 #include <algorithm>
 #include <array>
-#include <set>
+#include <map>
+#include <numeric>
 
 using namespace apricotstile;
 using namespace apricotstile::tests;
@@ -24,18 +25,27 @@
 constexpr std::size_t host_count = 3;
 constexpr std::uint64_t request_count = 10;
 constexpr std::uint64_t poison_count = 2;
+constexpr std::uint64_t sender_count = 2;
+
+/// Request `id` as sent by `sender`.
+request_identity identity(std::uint64_t id, std::uint64_t sender = 0) {
+    constexpr std::uint64_t content_offset = 1000;
+    return {{id * sender_count + sender}, {id + content_offset}};
+}
 
 /// One owner's daemon and the requests that its upstream is running.
 struct host {
     quarantine state;
-    std::set<std::uint64_t> running;
+    /// By request: its sender.
+    std::map<std::uint64_t, std::uint64_t> running;
     bool running_alone{false};
 };
 
 struct model {
     std::array<host, host_count> hosts;
     instant now{24h};
-    std::array<std::uint32_t, poison_count> crashes{};
+    /// By poison request and sender.
+    std::array<std::array<std::uint32_t, sender_count>, poison_count> crashes{};
     std::vector<std::pair<std::size_t, crash_report>> undelivered;
     violation broken;
 };
@@ -75,7 +85,7 @@
     });
 }
 
-void send(model& it, std::size_t to, std::uint64_t id) {
+void send(model& it, std::size_t to, std::uint64_t id, std::uint64_t sender) {
     host& target = it.hosts.at(to);
     // The caller retries only after its last attempt has ended.
     if (target.running_alone || runs_somewhere(it, id)) {
@@ -85,7 +95,7 @@
         deliver_all(it);
     }
     const quarantine_action decision =
-        decide(target.state, {id}, it.now).action;
+        decide(target.state, identity(id, sender), it.now).action;
     if (decision == quarantine_action::refuse) {
         it.broken = is_poison(id) ? it.broken : "refused a harmless request";
         return;
@@ -94,13 +104,13 @@
         return;
     }
     target.running_alone = decision == quarantine_action::run_alone;
-    target.running.insert(id);
+    target.running.emplace(id, sender);
 }
 
 void crash(model& it, host& one) {
     std::vector<in_flight_request> in_flight;
-    for (const std::uint64_t id : one.running) {
-        in_flight.push_back({{id}, {}});
+    for (const auto& [id, sender] : one.running) {
+        in_flight.push_back({identity(id, sender), {}});
     }
     one.running.clear();
     one.running_alone = false;
@@ -111,33 +121,60 @@
 /// completes.
 void end_run(model& it, host& one, std::uint64_t id) {
     if (is_poison(id)) {
-        const std::uint32_t count = ++it.crashes.at(id);
-        if (count > one.state.policy.crashes_to_refuse) {
+        auto& by_sender = it.crashes.at(id);
+        const quarantine_policy& policy = one.state.policy;
+        const std::uint32_t by_this = ++by_sender.at(one.running.at(id));
+        const std::size_t by_all =
+            std::accumulate(by_sender.begin(), by_sender.end(), 0U);
+        // The first crashes may all be one sender's.
+        const std::size_t most =
+            policy.crashes_to_refuse + policy.senders_to_refuse - 1;
+        if (by_this > policy.crashes_to_refuse || by_all > most) {
             it.broken = "a poison request crashed too many upstreams";
         }
         crash(it, one);
         return;
     }
+    const std::uint64_t sender = one.running.at(id);
     one.running.erase(id);
     one.running_alone = false;
-    broadcast(it, completed(one.state, {id}, it.now));
+    broadcast(it, completed(one.state, identity(id, sender), it.now));
+}
+
+/// Restarts a daemon, which forgets its counts, and lets it merge a peer's
+/// before it serves. Its upstream drops what it ran.
+void restart(model& it, std::size_t index) {
+    deliver_all(it);
+    host& one = it.hosts.at(index);
+    const quarantine_policy policy = one.state.policy;
+    const member::member_ref self = one.state.self;
+    one = {};
+    one.state.policy = policy;
+    one.state.self = {self.host, next(self.incarnation)};
+    const quarantine& peer = it.hosts.at((index + 1) % host_count).state;
+    for (const crash_report& report : report_all(peer, it.now)) {
+        merge(one.state, report, it.now);
+    }
 }
 
 void move_once(model& it, std::uint32_t number) {
     move_reader move{number};
-    const std::uint32_t kind = move.below(8);
+    const std::uint32_t kind = move.below(16);
     const std::size_t index = move.below(host_count);
-    if (kind < 4) {
-        send(it, index, move.below(request_count));
-    } else if (kind < 6) {
-        host& one = it.hosts.at(index);
+    host& one = it.hosts.at(index);
+    if (kind < 8) {
         const std::uint64_t id = move.below(request_count);
-        if (one.running.contains(id)) {
-            end_run(it, one, id);
-        }
-    } else if (kind == 6 && !it.undelivered.empty()) {
+        send(it, index, id, move.below(sender_count));
+    } else if (kind < 12 && !one.running.empty()) {
+        const auto count = static_cast<std::uint32_t>(one.running.size());
+        end_run(
+            it, one, std::next(one.running.begin(), move.below(count))->first
+        );
+    } else if (kind < 14 && !it.undelivered.empty()) {
         const auto count = static_cast<std::uint32_t>(it.undelivered.size());
         deliver(it, move.below(count), move.below(3) == 0);
+    } else if (kind == 14) {
+        restart(it, index);
     } else {
         it.now += 1s * move.below(3);
     }
@@ -177,7 +214,7 @@
     quarantine state;
     state.self = {{1}, {1}};
     for (int i = 0; i < count; ++i) {
-        std::ignore = upstream_crashed(state, {{{7}, {}}}, now);
+        std::ignore = upstream_crashed(state, {{identity(7), {}}}, now);
     }
     return state;
 }
@@ -213,13 +250,15 @@
 ) {
     const instant now{24h};
     quarantine state = after_crashes(3, now);
-    REQUIRE(decide(state, {7}, now).action == quarantine_action::refuse);
-    REQUIRE(decide(state, {7}, now).retry_after == state.policy.expiry);
+    REQUIRE(
+        decide(state, identity(7), now).action == quarantine_action::refuse
+    );
+    REQUIRE(decide(state, identity(7), now).retry_after == state.policy.expiry);
     REQUIRE(describe(state, now).front().crashes == 3);
     const instant later = now + state.policy.expiry;
-    REQUIRE(decide(state, {7}, later).action == quarantine_action::run);
-    REQUIRE(clear(state, {7}, now).size() == 1);
-    REQUIRE(decide(state, {7}, now).action == quarantine_action::run);
+    REQUIRE(decide(state, identity(7), later).action == quarantine_action::run);
+    REQUIRE(clear(state, identity(7).from_sender, now).size() == 2);
+    REQUIRE(decide(state, identity(7), now).action == quarantine_action::run);
     REQUIRE(describe(state, now).empty());
 }
 
@@ -232,9 +271,14 @@
     for (const crash_report& report : report_all(here, now)) {
         merge(there, decode<crash_report>(encode(report)), now);
     }
-    REQUIRE(decide(there, {7}, now).action == quarantine_action::refuse);
-    merge(there, clear(here, {7}, now).front(), now);
-    REQUIRE(decide(there, {7}, now).action == quarantine_action::run);
+    REQUIRE(
+        decide(there, identity(7), now).action == quarantine_action::refuse
+    );
+    for (const crash_report& report :
+         clear(here, identity(7).from_sender, now)) {
+        merge(there, report, now);
+    }
+    REQUIRE(decide(there, identity(7), now).action == quarantine_action::run);
 }
 
 TEST_CASE(
@@ -245,10 +289,12 @@
     quarantine state = after_crashes(3, now);
     state.policy.max_entries = 4;
     for (std::uint64_t id = 100; id < 120; ++id) {
-        std::ignore = upstream_crashed(state, {{{id}, {}}}, now);
+        std::ignore = upstream_crashed(state, {{identity(id), {}}}, now);
         REQUIRE(state.crash_records.size() <= 4);
     }
-    REQUIRE(decide(state, {7}, now).action == quarantine_action::refuse);
+    REQUIRE(
+        decide(state, identity(7), now).action == quarantine_action::refuse
+    );
 }
 
 TEST_CASE(
@@ -259,7 +305,10 @@
     one.key = "berth 1";
     request::routed_request other = one;
     other.id = {5};
-    REQUIRE(fingerprint_of(one) == fingerprint_of(other));
+    REQUIRE(identity_of(one) == identity_of(other));
+    other.customer = {"other"};
+    REQUIRE(identity_of(one).content == identity_of(other).content);
+    REQUIRE(identity_of(one).from_sender != identity_of(other).from_sender);
     other.body = "x";
-    REQUIRE(fingerprint_of(one) != fingerprint_of(other));
+    REQUIRE(identity_of(one).content != identity_of(other).content);
 }
