--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -60,6 +60,7 @@
         const service_id& caller_service
     );
     void send_crash_reports(std::vector<upstream::crash_report>&& reports);
+    void send_all_crash_reports(host_id peer);
     void record_key_request(const routed_request& request);
     void start_key_management();
     bool stop_notice_passed() const;
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -48,6 +48,8 @@
     /// Null while the link is closed.
     net::stream* stream{nullptr};
     bool open{false};
+    /// Whether the peer's entry has arrived since the link was opened.
+    bool is_ready{false};
     std::string received;
     header_table sent_headers;
     header_table received_headers;
@@ -127,6 +129,7 @@
 
 void peer_links::open(outgoing_link& link) {
     link.open = false;
+    link.is_ready = false;
     link.received.clear();
     link.sent_headers = {};
     link.received_headers = {};
@@ -205,6 +208,10 @@
                    decode_frame(link.received, link.received_headers)) {
             if (const auto* const entry = std::get_if<entry_frame>(&*one)) {
                 this->events.on_entry(link.peer, *entry);
+                if (!link.is_ready) {
+                    link.is_ready = true;
+                    this->events.on_link_ready(link.peer);
+                }
                 continue;
             }
             if (std::holds_alternative<pong_frame>(*one)) {
--- a/src/apricotstile/router/peer_links.hpp
+++ b/src/apricotstile/router/peer_links.hpp
@@ -41,6 +41,9 @@
     /// The peer no longer waits for the response, or its connection ended.
     std::function<void(peer_request_id)> on_cancel;
     std::function<void(host_id, const entry_frame&)> on_entry;
+    /// A link that this daemon opened has brought the peer's entry: the peer
+    /// runs, and may have missed messages sent before.
+    std::function<void(host_id)> on_link_ready;
     /// Any other frame from a peer, with a function that sends a reply.
     std::function<
         void(host_id, const frame&, const std::function<void(const frame&)>&)>
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -56,6 +56,9 @@
         this->callers.update_load(received.member.host, received.load);
         this->merge_entry(received.member, "link");
     };
+    result.on_link_ready = [this](host_id peer) {
+        this->send_all_crash_reports(peer);
+    };
     result.on_control = [this](
                             host_id peer,
                             const frame& message,
@@ -164,6 +167,22 @@
     }
 }
 
+/// Brings a peer of the same service up to date, which may have started after
+/// the reports were sent or have been unreachable then.
+void router::implementation::send_all_crash_reports(host_id peer) {
+    const auto found = this->known_daemons.entries.find(peer);
+    if (found == this->known_daemons.entries.end() ||
+        found->second.service != this->own_entry.service) {
+        return;
+    }
+    crash_reports_frame message{upstream::report_all(
+        this->instance.request_quarantine(), boot_clock::now()
+    )};
+    if (!message.reports.empty()) {
+        this->links.send_message(peer, message);
+    }
+}
+
 void router::implementation::record_key_request(const routed_request& request) {
     if (request.key && this->local_keys) {
         this->local_keys->add_request_work(
