--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -183,7 +183,7 @@
         response.outcome = serving::attempt_outcome::answered;
         this->answered_at = boot_clock::now();
         auto reports = upstream::note_answered(
-            this->crash_detector, item.identity, this->answered_at
+            this->crash_detector, item.identity, item.started, this->answered_at
         );
         if (!reports.empty()) {
             this->on_crash_reports(std::move(reports));
--- a/src/apricotstile/upstream/crash_detector.cpp
+++ b/src/apricotstile/upstream/crash_detector.cpp
@@ -11,9 +11,17 @@
 }
 
 std::vector<crash_report> note_answered(
-    crash_detector& detector, const request_identity& id, instant now
+    crash_detector& detector,
+    const request_identity& id,
+    instant sent,
+    instant now
 ) {
-    detector.lost_requests.clear();
+    std::erase_if(
+        detector.lost_requests,
+        [sent](const crash_detector::lost_request& one) {
+            return one.lost_at < sent;
+        }
+    );
     return completed(detector.request_quarantine, id, now);
 }
 
--- a/src/apricotstile/upstream/crash_detector.hpp
+++ b/src/apricotstile/upstream/crash_detector.hpp
@@ -20,7 +20,8 @@
         instant lost_at;
     };
 
-    /// Requests whose connections broke since the last answer of the upstream.
+    /// Requests whose connections broke and after which no request was sent
+    /// that the upstream has answered.
     std::vector<lost_request> lost_requests;
     /// Lost requests older than this aren't counted at a crash: an earlier
     /// connection loss is unrelated to it.
@@ -32,15 +33,20 @@
     crash_detector& detector, const in_flight_request& request, instant now
 );
 
-/// Records that the upstream answered request `id`, which shows that it still
-/// runs. Returns the reports for the other daemons.
+/// Records that the upstream answered request `id`, which was sent at `sent`.
+/// So it ran after all losses before `sent`; later ones may still be due to a
+/// crash, as an answer from before the crash may be read after them. Returns
+/// the reports for the other daemons.
 [[nodiscard]] std::vector<crash_report> note_answered(
-    crash_detector& detector, const request_identity& id, instant now
+    crash_detector& detector,
+    const request_identity& id,
+    instant sent,
+    instant now
 );
 
 /// Records that the upstream is down or has restarted: the requests lost since
-/// its last answer were in flight at a crash. Returns the reports for the other
-/// daemons; empty if the same crash is reported again.
+/// it last was known to run were in flight at a crash. Returns the reports for
+/// the other daemons; empty if the same crash is reported again.
 [[nodiscard]] std::vector<crash_report>
 note_crash(crash_detector& detector, instant now);
 
--- a/tests/upstream/crash_detector.tests.cpp
+++ b/tests/upstream/crash_detector.tests.cpp
@@ -37,7 +37,8 @@
 ) {
     crash_detector detector = detector_of(1);
     note_lost_request(detector, request_of(7), start);
-    CHECK(note_answered(detector, identity(8), start + 5ms).empty());
+    CHECK(note_answered(detector, identity(8), start + 1ms, start + 5ms).empty()
+    );
     CHECK(note_crash(detector, start + 1s).empty());
 }
 
@@ -102,9 +103,23 @@
         decide(detector.request_quarantine, identity(7), start).action ==
         quarantine_action::run_alone
     );
-    CHECK(note_answered(detector, identity(7), start + 1s).size() == 2);
+    CHECK(
+        note_answered(detector, identity(7), start + 1ms, start + 1s).size() ==
+        2
+    );
     CHECK(
         decide(detector.request_quarantine, identity(7), start + 1s).action ==
         quarantine_action::run
     );
 }
+
+TEST_CASE(
+    "an answer from before a crash doesn't hide what was in flight at it",
+    "[upstream]"
+) {
+    crash_detector detector = detector_of(1);
+    note_lost_request(detector, request_of(7), start);
+    CHECK(note_answered(detector, identity(8), start - 1ms, start + 1ms).empty()
+    );
+    CHECK(note_crash(detector, start + 5ms).size() == 2);
+}
