--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -232,9 +232,7 @@
     }
     item->conn = nullptr;
     if (was_open) {
-        upstream::note_lost_request(
-            this->crash_detector, {item->identity, {}}, boot_clock::now()
-        );
+        this->note_unanswered(*item);
     } else {
         this->handle_instance_down();
     }
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -196,6 +196,14 @@
     return this->crash_detector.request_quarantine;
 }
 
+/// Records that the instance had a request and didn't answer it. If it turns
+/// out to have crashed, the request may be the cause.
+void local_instance::note_unanswered(const work& item) {
+    upstream::note_lost_request(
+        this->crash_detector, {item.identity, {}}, boot_clock::now()
+    );
+}
+
 /// Any request that was in flight when the instance went down may be the cause.
 void local_instance::handle_instance_down() {
     auto reports =
@@ -322,6 +330,7 @@
         );
         return;
     }
+    this->note_unanswered(item);
     connection& conn = *item.conn;
     item.conn = nullptr;
     conn.current = nullptr;
@@ -338,6 +347,7 @@
     }
     work& item = *found->second;
     if (item.conn != nullptr) {
+        this->note_unanswered(item);
         connection& conn = *item.conn;
         conn.current = nullptr;
         item.conn = nullptr;
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -94,6 +94,7 @@
     void handle_answer(connection& conn);
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
+    void note_unanswered(const work& item);
     void handle_instance_down();
     void log_crash_counts(
         upstream::fingerprint id, const std::string& source, instant now
--- a/src/apricotstile/upstream/crash_detector.cpp
+++ b/src/apricotstile/upstream/crash_detector.cpp
@@ -7,6 +7,12 @@
 void note_lost_request(
     crash_detector& detector, const in_flight_request& request, instant now
 ) {
+    std::erase_if(
+        detector.lost_requests,
+        [&](const crash_detector::lost_request& one) {
+            return now - one.lost_at > detector.loss_window;
+        }
+    );
     detector.lost_requests.push_back({request, now});
 }
 
--- a/src/apricotstile/upstream/crash_detector.hpp
+++ b/src/apricotstile/upstream/crash_detector.hpp
@@ -20,7 +20,7 @@
         instant lost_at;
     };
 
-    /// Requests whose connections broke and after which no request was sent
+    /// Requests without an answer, after which no request was sent
     /// that the upstream has answered.
     std::vector<lost_request> lost_requests;
     /// Lost requests older than this aren't counted at a crash: an earlier
@@ -28,7 +28,8 @@
     duration loss_window{std::chrono::seconds{15}};
 };
 
-/// Records that a connection broke while the upstream ran the request.
+/// Records that the upstream was sent the request and didn't answer it: the
+/// connection broke, the deadline passed or the caller left.
 void note_lost_request(
     crash_detector& detector, const in_flight_request& request, instant now
 );
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -21,7 +21,8 @@
 constexpr std::uint32_t loopback = 0x7F000001;
 
 /// An instance that resets the connection of each request except one for
-/// "/good", and with `crashes` also stops listening.
+/// "/good", and with `crashes` also stops listening. It never answers "/hang",
+/// and answers "/error" with its own error.
 struct crashing_instance {
     crashing_instance() {
         tests::need_application();
@@ -35,6 +36,14 @@
                                   "Content-Length: 0\r\n\r\n");
                     return;
                 }
+                if (read.startsWith("GET /hang")) {
+                    return;
+                }
+                if (read.startsWith("GET /error")) {
+                    caller->write("HTTP/1.1 500 Error\r\n"
+                                  "Content-Length: 0\r\n\r\n");
+                    return;
+                }
                 if (this->crashes) {
                     this->server.close();
                 }
@@ -69,20 +78,29 @@
         this->instance->set_open(true);
     }
 
-    serving::attempt_outcome run(const std::string& target) {
-        std::optional<serving::attempt_outcome> outcome;
+    serving::work_id submit(
+        const std::string& target,
+        std::optional<serving::attempt_outcome>& outcome,
+        duration time_to_deadline = 5s
+    ) {
         routed_request request;
         request.method = "GET";
         request.target = target;
         request.time_to_target = 1s;
-        request.time_to_deadline = 5s;
-        this->instance->submit(
+        request.time_to_deadline = time_to_deadline;
+        return this->instance->submit(
             std::move(request),
             {"caller"},
             [&](routed_response&& response) {
                 outcome = response.outcome;
             }
         );
+    }
+
+    serving::attempt_outcome
+    run(const std::string& target, duration time_to_deadline = 5s) {
+        std::optional<serving::attempt_outcome> outcome;
+        this->submit(target, outcome, time_to_deadline);
         REQUIRE(tests::wait_until([&] {
             return outcome.has_value();
         }));
@@ -137,3 +155,20 @@
     CHECK(daemon.run("/bad") == serving::attempt_outcome::refused_quarantined);
     CHECK(daemon.run("/good") == serving::attempt_outcome::answered);
 }
+
+TEST_CASE(
+    "a request that an instance left without an answer counts at its crash",
+    "[router][instance]"
+) {
+    crashing_instance crashing;
+    local_daemon daemon{crashing};
+    SECTION("its deadline passed") {
+        CHECK(daemon.run("/hang", 50ms) == serving::attempt_outcome::timed_out);
+    }
+    SECTION("its caller left") {
+        std::optional<serving::attempt_outcome> outcome;
+        daemon.instance->withdraw(daemon.submit("/hang", outcome));
+    }
+    daemon.instance->set_instance({"i", 2}, 4);
+    CHECK(daemon.crashes == 1);
+}
