--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -18,6 +18,9 @@
 
 constexpr duration open_timeout = 1s;
 
+/// Time for all resets of a crash to arrive before the check for one.
+constexpr duration listening_check_delay = 20ms;
+
 /// An idle connection is closed this long before the instance closes it.
 constexpr duration idle_margin = 1500ms;
 
@@ -60,6 +63,7 @@
 local_instance::connection& local_instance::open_connection() {
     auto added = std::make_unique<connection>();
     connection& result = *added;
+    result.idle_since = boot_clock::now();
     result.stream = new net::stream{this->where, open_timeout};
     result.stream->on_open = [&result] {
         result.open = true;
@@ -227,14 +231,16 @@
     }
     conn.current = nullptr;
     this->close_connection(conn);
+    if (!was_open) {
+        this->handle_instance_down();
+    }
     if (item == nullptr || item->conn != &conn) {
         return;
     }
     item->conn = nullptr;
     if (was_open) {
         this->note_unanswered(*item);
-    } else {
-        this->handle_instance_down();
+        this->check_still_listening();
     }
     this->finish(
         *item,
@@ -245,6 +251,19 @@
     );
 }
 
+/// Opens a connection, which the next request uses. If the instance has crashed
+/// it can't be opened, which shows the crash without waiting for a request.
+void local_instance::check_still_listening() {
+    if (this->listening_check_due) {
+        return;
+    }
+    this->listening_check_due = true;
+    this->timers.after(listening_check_delay, [this] {
+        this->listening_check_due = false;
+        this->open_connection();
+    });
+}
+
 /// Closes a connection and removes it.
 void local_instance::close_connection(connection& conn) {
     if (conn.stream != nullptr) {
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -95,6 +95,7 @@
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
     void note_unanswered(const work& item);
+    void check_still_listening();
     void handle_instance_down();
     void log_crash_counts(
         upstream::fingerprint id, const std::string& source, instant now
@@ -118,6 +119,8 @@
     std::vector<std::unique_ptr<connection>> connections;
     serving::work_id last_id;
     instant answered_at;
+    /// Whether a check that the instance still listens is due.
+    bool listening_check_due{false};
 };
 
 } // namespace apricotstile::router
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -172,3 +172,15 @@
     daemon.instance->set_instance({"i", 2}, 4);
     CHECK(daemon.crashes == 1);
 }
+
+TEST_CASE(
+    "a crash is reported although no other request follows",
+    "[router][instance]"
+) {
+    crashing_instance crashing;
+    local_daemon daemon{crashing};
+    CHECK(daemon.run("/bad") == serving::attempt_outcome::lost);
+    CHECK(tests::wait_until([&] {
+        return daemon.crashes == 1;
+    }));
+}
