--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -204,6 +204,10 @@
     );
 }
 
+void local_instance::handle_silence() {
+    this->handle_instance_down();
+}
+
 /// Any request that was in flight when the instance went down may be the cause.
 void local_instance::handle_instance_down() {
     auto reports =
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -50,6 +50,9 @@
     void set_open(bool open);
     void set_max_connections(std::uint32_t connections);
 
+    /// The instance sends no heartbeats and answers nothing.
+    void handle_silence();
+
     /// Submits a request. `done` is called once, possibly before this returns,
     /// unless the request is withdrawn.
     serving::work_id submit(
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -198,6 +198,7 @@
     if (boot_clock::now() - last_heard >
         this->settings.heartbeat_interval * max_missed_heartbeats) {
         this->change_state(directory::instance_state::absent, "silent");
+        this->instance.handle_silence();
         if (this->local_keys) {
             this->local_keys->handle_instance_stopped();
         }
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -184,3 +184,14 @@
         return daemon.crashes == 1;
     }));
 }
+
+TEST_CASE(
+    "an instance that falls silent has crashed as far as its requests count",
+    "[router][instance]"
+) {
+    crashing_instance crashing;
+    local_daemon daemon{crashing};
+    CHECK(daemon.run("/hang", 50ms) == serving::attempt_outcome::timed_out);
+    daemon.instance->handle_silence();
+    CHECK(daemon.crashes == 1);
+}
