--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -186,20 +186,11 @@
     } else {
         response.outcome = serving::attempt_outcome::answered;
         this->answered_at = boot_clock::now();
-        auto reports = upstream::note_answered(
-            this->crash_detector, item.identity, item.started, this->answered_at
-        );
-        if (!reports.empty()) {
-            this->on_crash_reports(std::move(reports));
-        }
+        upstream::note_answered(this->crash_detector, item.started);
         const bool failed = answer.status >= first_server_error;
         serving::record_result(this->times, failed, this->answered_at);
         if (!failed) {
-            serving::record_service_time(
-                this->times,
-                item.request.route_hash,
-                this->answered_at - item.started
-            );
+            this->note_completed(item);
         }
     }
     for (http::header& one : answer.headers) {
@@ -219,6 +210,19 @@
     this->finish(item, std::move(response));
 }
 
+/// Records that the instance ran a request without an error.
+void local_instance::note_completed(const work& item) {
+    serving::record_service_time(
+        this->times, item.request.route_hash, this->answered_at - item.started
+    );
+    auto reports = upstream::note_completed(
+        this->crash_detector, item.identity, this->answered_at
+    );
+    if (!reports.empty()) {
+        this->on_crash_reports(std::move(reports));
+    }
+}
+
 void local_instance::handle_end(connection& conn, bool orderly, bool was_open) {
     work* const item = conn.current;
     if (item != nullptr && orderly &&
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -98,6 +98,7 @@
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
     void note_unanswered(const work& item);
+    void note_completed(const work& item);
     void check_still_listening();
     void handle_instance_down();
     void log_crash_counts(
--- a/src/apricotstile/upstream/crash_detector.cpp
+++ b/src/apricotstile/upstream/crash_detector.cpp
@@ -16,18 +16,18 @@
     detector.lost_requests.push_back({request, now});
 }
 
-std::vector<crash_report> note_answered(
-    crash_detector& detector,
-    const request_identity& id,
-    instant sent,
-    instant now
-) {
+void note_answered(crash_detector& detector, instant sent) {
     std::erase_if(
         detector.lost_requests,
         [sent](const crash_detector::lost_request& one) {
             return one.lost_at < sent;
         }
     );
+}
+
+std::vector<crash_report> note_completed(
+    crash_detector& detector, const request_identity& id, instant now
+) {
     return completed(detector.request_quarantine, id, now);
 }
 
--- a/src/apricotstile/upstream/crash_detector.hpp
+++ b/src/apricotstile/upstream/crash_detector.hpp
@@ -34,15 +34,16 @@
     crash_detector& detector, const in_flight_request& request, instant now
 );
 
-/// Records that the upstream answered request `id`, which was sent at `sent`.
-/// So it ran after all losses before `sent`; later ones may still be due to a
-/// crash, as an answer from before the crash may be read after them. Returns
-/// the reports for the other daemons.
-[[nodiscard]] std::vector<crash_report> note_answered(
-    crash_detector& detector,
-    const request_identity& id,
-    instant sent,
-    instant now
+/// Records that the upstream answered a request that was sent at `sent`. So it
+/// ran after all losses before `sent`; later ones may still be due to a crash,
+/// as an answer from before the crash may be read after them.
+void note_answered(crash_detector& detector, instant sent);
+
+/// Records that the upstream ran request `id` without an error, which shows
+/// that the request doesn't crash each upstream. Returns the reports for the
+/// other daemons.
+[[nodiscard]] std::vector<crash_report> note_completed(
+    crash_detector& detector, const request_identity& id, instant now
 );
 
 /// Records that the upstream is down or has restarted: the requests lost since
--- a/src/apricotstile/upstream/dispatcher.cpp
+++ b/src/apricotstile/upstream/dispatcher.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::uint16_t first_server_error = 500;
+
 using request::outcome;
 using request::refusal;
 
@@ -278,7 +280,8 @@
     if (found == state.work.end() || !found->second.called) {
         return actions;
     }
-    if (result.end == call_end::answered) {
+    if (result.end == call_end::answered &&
+        result.status < first_server_error) {
         const request_identity answered_id = found->second.identity;
         add_reports(completed(state.quarantine, answered_id, now), actions);
     }
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -21,8 +21,8 @@
 constexpr std::uint32_t loopback = 0x7F000001;
 
 /// An instance that resets the connection of each request except one for
-/// "/good", and with `crashes` also stops listening. It never answers "/hang",
-/// and answers "/error" with its own error.
+/// "/good", and with `crashes` also stops listening. It never answers "/hang";
+/// with `errors` it answers everything else with an error of its own.
 struct crashing_instance {
     crashing_instance() {
         tests::need_application();
@@ -39,7 +39,7 @@
                 if (read.startsWith("GET /hang")) {
                     return;
                 }
-                if (read.startsWith("GET /error")) {
+                if (this->errors) {
                     caller->write("HTTP/1.1 500 Error\r\n"
                                   "Content-Length: 0\r\n\r\n");
                     return;
@@ -54,6 +54,7 @@
 
     QTcpServer server;
     bool crashes{true};
+    bool errors{false};
 };
 
 struct local_daemon {
@@ -195,3 +196,21 @@
     daemon.instance->handle_silence();
     CHECK(daemon.crashes == 1);
 }
+
+TEST_CASE(
+    "an error of the instance doesn't clear a request of its crashes",
+    "[router][instance]"
+) {
+    crashing_instance crashing;
+    local_daemon daemon{crashing};
+    for (std::int64_t started_ms = 2; started_ms < 5; ++started_ms) {
+        crashing.errors = true;
+        CHECK(daemon.run("/bad") == serving::attempt_outcome::answered);
+        crashing.errors = false;
+        CHECK(daemon.run("/bad") == serving::attempt_outcome::lost);
+        REQUIRE(crashing.server.listen(QHostAddress::LocalHost, daemon.port));
+        daemon.instance->set_instance({"i", started_ms}, 4);
+        daemon.instance->set_open(true);
+    }
+    CHECK(daemon.run("/bad") == serving::attempt_outcome::refused_quarantined);
+}
--- a/tests/upstream/crash_detector.tests.cpp
+++ b/tests/upstream/crash_detector.tests.cpp
@@ -37,8 +37,7 @@
 ) {
     crash_detector detector = detector_of(1);
     note_lost_request(detector, request_of(7), start);
-    CHECK(note_answered(detector, identity(8), start + 1ms, start + 5ms).empty()
-    );
+    note_answered(detector, start + 1ms);
     CHECK(note_crash(detector, start + 1s).empty());
 }
 
@@ -93,7 +92,9 @@
     }
 }
 
-TEST_CASE("an answer resets the crash counts of a request", "[upstream]") {
+TEST_CASE(
+    "a completed run resets the crash counts of a request", "[upstream]"
+) {
     crash_detector detector = detector_of(1);
     for (int i = 0; i < 2; ++i) {
         note_lost_request(detector, request_of(7), start);
@@ -103,10 +104,7 @@
         decide(detector.request_quarantine, identity(7), start).action ==
         quarantine_action::run_alone
     );
-    CHECK(
-        note_answered(detector, identity(7), start + 1ms, start + 1s).size() ==
-        2
-    );
+    CHECK(note_completed(detector, identity(7), start + 1s).size() == 2);
     CHECK(
         decide(detector.request_quarantine, identity(7), start + 1s).action ==
         quarantine_action::run
@@ -119,7 +117,6 @@
 ) {
     crash_detector detector = detector_of(1);
     note_lost_request(detector, request_of(7), start);
-    CHECK(note_answered(detector, identity(8), start - 1ms, start + 1ms).empty()
-    );
+    note_answered(detector, start - 1ms);
     CHECK(note_crash(detector, start + 5ms).size() == 2);
 }
