--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -124,23 +124,16 @@
         return id;
     }
     item.identity = identity_of(item.request, caller_service);
-    const upstream::quarantine_decision quarantine_decision = upstream::decide(
+    const serving::work_id id = item.id;
+    const upstream::quarantine_decision decision = upstream::decide(
         this->crash_detector.request_quarantine, item.identity, now
     );
-    if (quarantine_decision.action == upstream::quarantine_action::refuse) {
-        const serving::work_id id = item.id;
-        this->finish(
-            item,
-            unanswered_response(
-                serving::attempt_outcome::refused_quarantined,
-                quarantine_decision.retry_after
-            )
-        );
+    if (decision.action == upstream::quarantine_action::refuse) {
+        this->refuse_quarantined(item, decision);
         return id;
     }
     serving::offered_work offered;
-    offered.alone =
-        quarantine_decision.action == upstream::quarantine_action::run_alone;
+    offered.alone = decision.action == upstream::quarantine_action::run_alone;
     offered.id = item.id;
     serving::note_origin(
         this->origins, item.request.route_hash, item.caller_service
@@ -150,7 +143,6 @@
     offered.target = now + item.request.time_to_target;
     offered.deadline = item.deadline;
     offered.expected = this->expected_service_time(item.request.route_hash);
-    const serving::work_id id = item.id;
     item.timer = this->timers.at(item.deadline, [this, id] {
         this->handle_deadline(id);
     });
@@ -281,10 +273,29 @@
         return;
     }
     item.started = boot_clock::now();
+    // Reports of crashes may have arrived while the request waited.
+    const upstream::quarantine_decision decision = upstream::decide(
+        this->crash_detector.request_quarantine, item.identity, item.started
+    );
+    if (decision.action == upstream::quarantine_action::refuse) {
+        this->refuse_quarantined(item, decision);
+        return;
+    }
     connection* const idle = this->find_idle_connection();
     this->send(item, idle != nullptr ? *idle : this->open_connection());
 }
 
+void local_instance::refuse_quarantined(
+    work& item, const upstream::quarantine_decision& decision
+) {
+    this->finish(
+        item,
+        unanswered_response(
+            serving::attempt_outcome::refused_quarantined, decision.retry_after
+        )
+    );
+}
+
 void local_instance::finish(work& item, routed_response&& response) {
     const auto found = this->work_items.find(item.id);
     const std::unique_ptr<work> taken = std::move(found->second);
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -89,6 +89,9 @@
 
     void perform_actions(const std::vector<serving::work_action>& actions);
     void start(work& item);
+    void refuse_quarantined(
+        work& item, const upstream::quarantine_decision& decision
+    );
     void send(work& item, connection& conn);
     connection* find_idle_connection();
     connection& open_connection();
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -214,3 +214,32 @@
     }
     CHECK(daemon.run("/bad") == serving::attempt_outcome::refused_quarantined);
 }
+
+TEST_CASE(
+    "a waiting request that is quarantined meanwhile doesn't start",
+    "[router][instance]"
+) {
+    crashing_instance crashing;
+    local_daemon daemon{crashing};
+    daemon.instance->set_instance({"i", 2}, 1);
+    std::optional<serving::attempt_outcome> running;
+    std::optional<serving::attempt_outcome> waiting;
+    const serving::work_id hanging = daemon.submit("/hang", running);
+    daemon.submit("/bad", waiting);
+    local_daemon elsewhere{crashing};
+    for (std::int64_t started_ms = 2; started_ms < 5; ++started_ms) {
+        CHECK(elsewhere.run("/bad") == serving::attempt_outcome::lost);
+        REQUIRE(crashing.server.listen(QHostAddress::LocalHost, daemon.port));
+        elsewhere.instance->set_instance({"i", started_ms}, 4);
+    }
+    for (const upstream::crash_report& report : upstream::report_all(
+             elsewhere.instance->request_quarantine(), boot_clock::now()
+         )) {
+        daemon.instance->handle_crash_report(host_id{2}, report);
+    }
+    daemon.instance->withdraw(hanging);
+    REQUIRE(tests::wait_until([&] {
+        return waiting.has_value();
+    }));
+    CHECK(*waiting == serving::attempt_outcome::refused_quarantined);
+}
