--- a/src/apricotstile/router/header_names.hpp
+++ b/src/apricotstile/router/header_names.hpp
@@ -28,6 +28,9 @@
     /// In a response: the instance's running requests, waiting requests and
     /// slots.
     std::string server_load;
+    /// In a response: the requests a second that the instance accepts, as a
+    /// decimal number. Without it there is no such limit.
+    std::string server_limit;
 };
 
 } // namespace apricotstile::router
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cmath>
 
 namespace apricotstile::router {
 
@@ -143,6 +145,31 @@
     }
 }
 
+/// Each answer says whether the instance limits its requests. A value that is
+/// no number changes nothing.
+void local_instance::read_rate_limit(const std::vector<http::header>& headers) {
+    const std::string_view text =
+        http::header_value(headers, this->names.server_limit);
+    if (text.empty()) {
+        this->set_rate_limit(std::nullopt);
+        return;
+    }
+    double value = 0;
+    const char* const end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, value);
+    if (read.ec != std::errc{} || read.ptr != end || !std::isfinite(value) ||
+        value < 0) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Ignoring a malformed limit of the instance.",
+            {{"instance", this->instance.id}, {"value", std::string{text}}}
+        );
+        return;
+    }
+    this->set_rate_limit(value);
+}
+
 void local_instance::handle_answer(connection& conn) {
     work& item = *conn.current;
     http::received_response answer = conn.reader.take();
@@ -172,6 +199,7 @@
         );
         return;
     }
+    this->read_rate_limit(answer.headers);
     const bool is_signed =
         !http::header_value(answer.headers, this->names.signature).empty();
     const bool is_encoded =
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -6,6 +6,8 @@
 #include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace apricotstile::router {
@@ -69,6 +71,7 @@
     this->handle_instance_down();
     this->perform_actions(serving::refuse_waiting(this->queue));
     this->times = {};
+    this->set_rate_limit(std::nullopt);
     // Connections to an earlier run are of no use any more.
     std::vector<connection*> idle;
     for (const auto& one : this->connections) {
@@ -184,6 +187,25 @@
     );
 }
 
+std::optional<double> local_instance::rate_limit() const {
+    return this->named_limit;
+}
+
+void local_instance::set_rate_limit(std::optional<double> per_second) {
+    if (this->named_limit == per_second) {
+        return;
+    }
+    this->named_limit = per_second;
+    log::write(
+        log::level::info,
+        log_prefix,
+        per_second ? "Instance limits its requests."
+                   : "Instance no longer limits its requests.",
+        {{"instance", this->instance.id},
+         {"per_second", per_second ? fmt::format("{}", *per_second) : "none"}}
+    );
+}
+
 const upstream::quarantine& local_instance::request_quarantine() const {
     return this->crash_detector.request_quarantine;
 }
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -80,6 +81,9 @@
     /// When the instance last answered.
     [[nodiscard]] instant last_answer() const;
     [[nodiscard]] std::size_t open_connections() const;
+    /// The requests a second that the instance accepts; nothing if it doesn't
+    /// limit them.
+    [[nodiscard]] std::optional<double> rate_limit() const;
     /// Crashes seen and requests suspected of causing them.
     [[nodiscard]] const upstream::quarantine& request_quarantine() const;
 
@@ -98,6 +102,8 @@
     void handle_data(connection& conn, std::string_view bytes);
     void handle_end(connection& conn, bool orderly, bool was_open);
     void handle_answer(connection& conn);
+    void read_rate_limit(const std::vector<http::header>& headers);
+    void set_rate_limit(std::optional<double> per_second);
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
     void note_unanswered(const work& item);
@@ -124,6 +130,8 @@
     serving::caller_origins origins;
     std::unordered_map<serving::work_id, std::unique_ptr<work>> work_items;
     std::vector<std::unique_ptr<connection>> connections;
+    /// Requests a second, as the last answer has it.
+    std::optional<double> named_limit;
     serving::work_id last_id;
     instant answered_at;
     /// Whether a check that the instance still listens is due.
