--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -112,6 +112,7 @@
         added->settings.names.signature = "Signature";
         added->settings.names.not_executed = "Not-Executed";
         added->settings.names.expected_instance = "Expected-Instance";
+        added->settings.names.server_limit = "Server-Limit";
         added->config = config_for(services);
         this->hosts.push_back(std::move(added));
     }
--- /dev/null
+++ b/tests/router/named_limit.tests.cpp
@@ -0,0 +1,25 @@
+// Guards against an upstream that gets more requests than the limit that it
+// names in its answers, from all daemons together.
+
+#include <tests/router/daemon_group.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace apricotstile::tests;
+
+TEST_CASE(
+    "an upstream gets no more requests than the limit that it named",
+    "[router][limit]"
+) {
+    daemon_group group{{"s", "t"}};
+    group.upstream(0).set_extra_headers({{"Server-Limit", "0.5"}});
+    for (int i = 0; i < 60; ++i) {
+        static_cast<void>(group.request(0, "/s/1"));
+        static_cast<void>(group.request(1, "/s/1"));
+    }
+    // Half a request a second: more than these would take longer than the
+    // test's time limit.
+    CHECK(group.runs_of("/s/1") < 30);
+}
