--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -196,6 +196,8 @@
         return;
     }
     this->named_limit = per_second;
+    const auto actions =
+        serving::set_start_limit(this->queue, per_second, boot_clock::now());
     log::write(
         log::level::info,
         log_prefix,
@@ -204,6 +206,22 @@
         {{"instance", this->instance.id},
          {"per_second", per_second ? fmt::format("{}", *per_second) : "none"}}
     );
+    this->perform_actions(actions);
+}
+
+/// Starts waiting work as soon as the instance's limit allows it.
+void local_instance::schedule_start() {
+    const instant now = boot_clock::now();
+    const auto next_start = serving::next_start(this->queue, now);
+    if (!next_start || this->start_scheduled) {
+        return;
+    }
+    this->start_scheduled = true;
+    this->timers.at(*next_start, [this] {
+        this->start_scheduled = false;
+        this->perform_actions(serving::start_due(this->queue, boot_clock::now())
+        );
+    });
 }
 
 const upstream::quarantine& local_instance::request_quarantine() const {
@@ -283,6 +301,7 @@
             break;
         }
     }
+    this->schedule_start();
 }
 
 void local_instance::start(work& item) {
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -104,6 +104,7 @@
     void handle_answer(connection& conn);
     void read_rate_limit(const std::vector<http::header>& headers);
     void set_rate_limit(std::optional<double> per_second);
+    void schedule_start();
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
     void note_unanswered(const work& item);
@@ -134,6 +135,8 @@
     std::optional<double> named_limit;
     serving::work_id last_id;
     instant answered_at;
+    /// Whether waiting work is to be started by a timer.
+    bool start_scheduled{false};
     /// Whether a check that the instance still listens is due.
     bool listening_check_due{false};
 };
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -3,6 +3,7 @@
 #include <apricotstile/serving/work_queue.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace apricotstile::serving {
 
@@ -11,7 +12,7 @@
 /// Shortest delay that a refused caller is asked to wait.
 constexpr duration min_retry_after = std::chrono::milliseconds{20};
 
-bool has_capacity(const work_queue& queue, const offered_work& work) {
+bool has_slot(const work_queue& queue, const offered_work& work) {
     if (!queue.open || queue.alone) {
         return false;
     }
@@ -19,6 +20,13 @@
                       : queue.running.size() < queue.policy.slots;
 }
 
+bool has_capacity(
+    const work_queue& queue, const offered_work& work, instant now
+) {
+    return has_slot(queue, work) &&
+           wait_for_starts(queue.limit, 1, now) == duration{0};
+}
+
 /// Whether work that isn't nested would miss its target even if it started now.
 bool is_late(const offered_work& work, instant now) {
     return !work.nested && now + work.expected > work.target;
@@ -78,14 +86,37 @@
     const auto interval =
         static_cast<duration::rep>(queue.policy.fair_start_interval);
     const auto slots = static_cast<duration::rep>(queue.policy.slots);
-    return work.expected * (ahead + 1) * interval / slots;
+    const auto starts = static_cast<std::size_t>((ahead + 1) * interval);
+    return std::max(
+        work.expected * (ahead + 1) * interval / slots,
+        wait_for_starts(queue.limit, starts, now)
+    );
+}
+
+/// A moment within the policy's spread, different for each refusal, and spread
+/// evenly over any number of them.
+duration next_spread(work_queue& queue) {
+    constexpr double golden_ratio_fraction = 0.6180339887498949;
+    const double position =
+        static_cast<double>(++queue.limited) * golden_ratio_fraction;
+    return scaled(queue.policy.retry_spread, position - std::floor(position));
+}
+
+/// When refused work should be offered again.
+duration retry_delay(work_queue& queue, duration wait, instant now) {
+    const bool is_limited = wait_for_starts(queue.limit, 1, now) > duration{0};
+    return std::max(
+        min_retry_after, is_limited ? wait + next_spread(queue) : wait
+    );
 }
 
 void start(
     work_queue& queue,
     const offered_work& work,
+    instant now,
     std::vector<work_action>& actions
 ) {
+    count_start(queue.limit, now);
     queue.running.emplace(work.id, work);
     if (work.alone) {
         queue.alone = work.id;
@@ -104,7 +135,7 @@
         const auto first =
             is_fair_turn ? least_urgent(queue) : queue.waiting.begin();
         const offered_work work = first->second.work;
-        if (!has_capacity(queue, work)) {
+        if (!has_capacity(queue, work, now)) {
             return;
         }
         queue.positions.erase(work.id);
@@ -116,7 +147,7 @@
             continue;
         }
         ++queue.starts;
-        start(queue, work, actions);
+        start(queue, work, now, actions);
     }
 }
 
@@ -125,15 +156,17 @@
 duration
 expected_wait(const work_queue& queue, const offered_work& work, instant now) {
     if (queue.running.size() < queue.policy.slots && queue.waiting.empty()) {
-        return duration{0};
+        return wait_for_starts(queue.limit, 1, now);
     }
     const work_queue::queue_position position = position_of(queue, work, now);
     duration ahead{0};
+    std::size_t starts = 1;
     for (const auto& [other_position, one] : queue.waiting) {
         if (other_position > position) {
             break;
         }
         ahead += one.work.expected;
+        ++starts;
     }
     duration running{0};
     for (const auto& [id, one] : queue.running) {
@@ -145,7 +178,9 @@
     const auto busy = static_cast<duration::rep>(queue.running.size());
     const duration first_end =
         busy == 0 ? duration{0} : running / busy / (slots + 1);
-    return first_end + ahead / slots;
+    return std::max(
+        first_end + ahead / slots, wait_for_starts(queue.limit, starts, now)
+    );
 }
 
 std::vector<work_action>
@@ -157,8 +192,8 @@
         );
         return actions;
     }
-    if (has_capacity(queue, work) && queue.waiting.empty()) {
-        start(queue, work, actions);
+    if (has_capacity(queue, work, now) && queue.waiting.empty()) {
+        start(queue, work, now, actions);
         return actions;
     }
     const duration wait =
@@ -166,9 +201,7 @@
     if (queue.waiting.size() >= queue.policy.max_waiting ||
         !may_wait(queue, work, wait, now)) {
         actions.push_back(
-            {work.id,
-             work_decision::refuse_busy,
-             std::max(min_retry_after, wait)}
+            {work.id, work_decision::refuse_busy, retry_delay(queue, wait, now)}
         );
         return actions;
     }
@@ -189,6 +222,29 @@
     return actions;
 }
 
+std::vector<work_action> set_start_limit(
+    work_queue& queue, std::optional<double> per_second, instant now
+) {
+    set_rate(queue.limit, per_second, now);
+    return start_due(queue, now);
+}
+
+std::optional<instant> next_start(const work_queue& queue, instant now) {
+    if (queue.waiting.empty() ||
+        !has_slot(queue, queue.waiting.begin()->second.work)) {
+        return std::nullopt;
+    }
+    const duration wait = wait_for_starts(queue.limit, 1, now);
+    // Without a wait, the work waits for something else.
+    return wait > duration{0} ? std::optional{now + wait} : std::nullopt;
+}
+
+std::vector<work_action> start_due(work_queue& queue, instant now) {
+    std::vector<work_action> actions;
+    start_waiting(queue, now, actions);
+    return actions;
+}
+
 bool withdraw(work_queue& queue, work_id id) {
     const auto position = queue.positions.find(id);
     if (position == queue.positions.end()) {
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -11,6 +11,7 @@
 
 #include <apricotstile/core/strong_id.hpp>
 #include <apricotstile/core/time.hpp>
+#include <apricotstile/serving/start_limit.hpp>
 
 #include <cstdint>
 #include <map>
@@ -57,6 +58,9 @@
     /// One in this many starts goes to the least urgent waiting work, so that
     /// it is served too while urgent work alone would fill the instance.
     std::uint64_t fair_start_interval{8};
+    /// Work refused because of the start limit is asked to return within this
+    /// time after its turn would come, each at another moment.
+    duration retry_spread{std::chrono::milliseconds{500}};
 };
 
 struct work_queue {
@@ -81,6 +85,9 @@
     std::uint64_t arrivals{0};
     /// Starts of work that had waited.
     std::uint64_t starts{0};
+    start_limit limit;
+    /// Refusals because of the start limit.
+    std::uint64_t limited{0};
 };
 
 enum class work_decision : std::uint8_t {
@@ -108,6 +115,20 @@
 [[nodiscard]] std::vector<work_action>
 finished(work_queue& queue, work_id id, instant now);
 
+/// Sets or removes the limit on starts; waiting work may start.
+[[nodiscard]] std::vector<work_action> set_start_limit(
+    work_queue& queue, std::optional<double> per_second, instant now
+);
+
+/// When `start_due` is to be called, if waiting work waits for nothing but the
+/// start limit.
+[[nodiscard]] std::optional<instant>
+next_start(const work_queue& queue, instant now);
+
+/// Starts the waiting work that the start limit allows by now.
+[[nodiscard]] std::vector<work_action>
+start_due(work_queue& queue, instant now);
+
 /// Removes waiting work. Returns whether it was waiting.
 bool withdraw(work_queue& queue, work_id id);
 
