--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -110,6 +110,7 @@
 }
 
 /// A healthy member with less than half of an even share of the keys, or null.
+/// An instance that limits its requests has few keys because of that.
 const key_member* find_new_member(
     const key_owner& state,
     const takeover_policy& policy,
@@ -117,7 +118,7 @@
 ) {
     const std::uint64_t even = key_count / view.members.size();
     for (const key_member& one : view.members) {
-        if (one.host != state.self &&
+        if (one.host != state.self && !one.limited &&
             one.failure_ratio <= policy.healthy_threshold &&
             owned_key_count(state.map, one.host) < even / 2) {
             return &one;
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -17,6 +17,8 @@
     directory::instance_run instance;
     /// Running and waiting requests per slot of its instance, as last reported.
     double requests_per_slot{0};
+    /// Whether its instance accepts fewer requests than its slots could serve.
+    bool limited{false};
     /// Mean service time of its instance; zero while unknown.
     duration mean_service_time{0};
     /// Failure ratio of its instance's answers, from 0 to 1.
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace apricotstile::router {
 
@@ -415,7 +416,8 @@
 
 serving::reported_load local_instance::load() const {
     serving::reported_load result;
-    result.slots = this->queue.policy.slots;
+    result.slots =
+        static_cast<std::uint32_t>(std::lround(this->usable_slots()));
     result.running = static_cast<std::uint32_t>(this->queue.running.size());
     result.waiting = static_cast<std::uint32_t>(this->queue.waiting.size());
     result.mean_service_time = this->times.overall_mean;
@@ -436,11 +438,23 @@
     return this->work_items.size();
 }
 
+double local_instance::usable_slots() const {
+    constexpr double least = 0.1;
+    const duration mean = this->times.overall_mean > duration{0}
+                              ? this->times.overall_mean
+                              : default_service_time;
+    return std::max(least, serving::usable_slots(this->queue, mean));
+}
+
 double local_instance::requests_per_slot() const {
     return static_cast<double>(
                this->queue.running.size() + this->queue.waiting.size()
            ) /
-           this->queue.policy.slots;
+           this->usable_slots();
+}
+
+bool local_instance::is_limited() const {
+    return this->usable_slots() < this->queue.policy.slots;
 }
 
 instant local_instance::last_answer() const {
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -76,8 +76,13 @@
     [[nodiscard]] duration expected_service_time(std::uint32_t route) const;
     /// Requests that are waiting or running.
     [[nodiscard]] std::size_t unfinished() const;
-    /// Waiting and running requests per slot.
+    /// Slots that requests can keep busy: those of the instance, or fewer if it
+    /// limits its requests.
+    [[nodiscard]] double usable_slots() const;
+    /// Waiting and running requests per usable slot.
     [[nodiscard]] double requests_per_slot() const;
+    /// Whether the instance's limit leaves some of its slots unused.
+    [[nodiscard]] bool is_limited() const;
     /// When the instance last answered.
     [[nodiscard]] instant last_answer() const;
     [[nodiscard]] std::size_t open_connections() const;
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -66,7 +66,7 @@
             [this] {
                 const serving::reported_load load = this->instance.load();
                 return keys::instance_load{
-                    static_cast<double>(load.slots),
+                    this->instance.usable_slots(),
                     0,
                     static_cast<double>(load.running + load.waiting),
                     load.mean_service_time};
@@ -114,6 +114,7 @@
         keys::key_member member{one->host, one->instance};
         if (one->host == this->own_host) {
             member.requests_per_slot = this->instance.requests_per_slot();
+            member.limited = this->instance.is_limited();
             const serving::reported_load load = this->instance.load();
             member.mean_service_time = load.mean_service_time;
             member.failure_ratio =
@@ -123,6 +124,8 @@
             member.requests_per_slot =
                 static_cast<double>(load.running + load.waiting) /
                 std::max<std::uint32_t>(load.slots, 1);
+            member.limited =
+                seen->load_reported_at != instant{} && load.slots < one->slots;
             member.mean_service_time = load.mean_service_time;
             member.failure_ratio =
                 serving::failure_ratio_now(*seen, boot_clock::now());
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -245,6 +245,15 @@
     return actions;
 }
 
+double usable_slots(const work_queue& queue, duration mean) {
+    const double slots = queue.policy.slots;
+    if (!queue.limit.per_second) {
+        return slots;
+    }
+    const double seconds = std::chrono::duration<double>(mean).count();
+    return std::min(slots, *queue.limit.per_second * seconds);
+}
+
 bool withdraw(work_queue& queue, work_id id) {
     const auto position = queue.positions.find(id);
     if (position == queue.positions.end()) {
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -138,6 +138,10 @@
 /// Refuses all waiting work, and all new work until `open` is set.
 [[nodiscard]] std::vector<work_action> close(work_queue& queue);
 
+/// The slots that work of duration `mean` can keep busy under the start limit;
+/// all of them if there is none.
+[[nodiscard]] double usable_slots(const work_queue& queue, duration mean);
+
 /// How long `work` would wait if it arrived now.
 [[nodiscard]] duration
 expected_wait(const work_queue& queue, const offered_work& work, instant now);
--- a/tests/keys/takeover.tests.cpp
+++ b/tests/keys/takeover.tests.cpp
@@ -151,3 +151,15 @@
     view.members[3].failure_ratio = 0.05;
     CHECK(plan_newcomer_move(state, {}, view));
 }
+
+TEST_CASE(
+    "an instance that limits its requests gets no keys for having few",
+    "[keys][takeover][limit]"
+) {
+    const key_owner state = first_of_owners(3);
+    membership_view view = view_of(4);
+    view.members[3].limited = true;
+    CHECK_FALSE(plan_newcomer_move(state, {}, view));
+    view.members[3].limited = false;
+    CHECK(plan_newcomer_move(state, {}, view));
+}
--- a/tests/router/named_limit.tests.cpp
+++ b/tests/router/named_limit.tests.cpp
@@ -23,3 +23,17 @@
     // test's time limit.
     CHECK(group.runs_of("/s/1") < 30);
 }
+
+TEST_CASE(
+    "requests above an upstream's limit go to another upstream",
+    "[router][limit]"
+) {
+    daemon_group group{{"s", "s"}};
+    group.upstream(0).set_extra_headers({{"Server-Limit", "0.5"}});
+    int answered = 0;
+    for (int i = 0; i < 60; ++i) {
+        answered += group.request(0, "/s/1") == 200 ? 1 : 0;
+    }
+    CHECK(group.upstream(0).requests().size() < 30);
+    CHECK(answered == 60);
+}
--- a/tests/serving/start_limit.tests.cpp
+++ b/tests/serving/start_limit.tests.cpp
@@ -192,3 +192,9 @@
     CHECK(start_due(queue, start + 3900ms).empty());
     CHECK(start_due(queue, start + 4s).size() == 1);
 }
+
+TEST_CASE("a limited instance has fewer usable slots", "[serving][limit]") {
+    CHECK(usable_slots(limited_queue(10), 100ms) == Approx(1));
+    CHECK(usable_slots(limited_queue(10), 2s) == Approx(8));
+    CHECK(usable_slots(work_queue{}, 2s) == Approx(1));
+}
