--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -98,6 +98,7 @@
 void serialize(Archive& archive, request_frame& value) {
     serialize_varint(archive, value.stream.value);
     archive(value.request);
+    serialize_varint(archive, value.config.value);
 }
 
 template <class Archive>
@@ -105,6 +106,7 @@
     serialize_varint(archive, value.stream.value);
     archive(value.response);
     serialize_load(archive, value.load);
+    serialize_varint(archive, value.config.value);
 }
 
 template <class Archive>
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -54,12 +54,16 @@
 struct request_frame {
     stream_id stream;
     routed_request request;
+    /// Version of the configuration that the sender has applied.
+    routing::config_version config;
 };
 
 struct response_frame {
     stream_id stream;
     routed_response response;
     serving::reported_load load;
+    /// Version of the configuration that the sender has applied.
+    routing::config_version config;
 };
 
 struct cancel_frame {
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -31,6 +31,8 @@
     merge_entry(const directory::member_entry& received, const char* source);
     void apply_config(routing::routing_config config, const char* source);
     void request_config_from_peer();
+    void handle_newer_config(host_id peer, routing::config_version version);
+    void update_config_current();
     void read_members();
     void merge_member_rows(const std::vector<platform::row>& rows);
     void read_map(const service_id& service);
@@ -89,6 +91,12 @@
     bool members_loaded{false};
     instant started;
     instant config_requested_at;
+    /// Whether the adapter receives configuration changes.
+    bool config_followed{false};
+    /// The newest configuration that a peer is known to have applied.
+    routing::config_version newest_known_config;
+    bool config_request_due{false};
+    std::function<void()> on_stale_config;
 
     /// Lease promises that this daemon made to others, as a guardian.
     keys::key_lease_guardian lease_guardian;
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -182,9 +182,9 @@
         });
         return stream;
     }
-    link.stream->write(
-        encode_frame(request_frame{stream, request}, link.sent_headers)
-    );
+    link.stream->write(encode_frame(
+        request_frame{stream, request, this->own_config}, link.sent_headers
+    ));
     return stream;
 }
 
@@ -223,6 +223,7 @@
                 continue;
             }
             this->events.on_load(link.peer, response->load);
+            this->compare_config(link.peer, response->config);
             const auto found = link.waiting.find(response->stream);
             if (found == link.waiting.end()) {
                 continue;
@@ -304,6 +305,7 @@
                 this->events.on_entry(link.peer, *entry);
             } else if (auto* const request = std::get_if<request_frame>(&*one);
                        request != nullptr && link.is_known) {
+                this->compare_config(link.peer, request->config);
                 link.unanswered.insert(request->stream);
                 this->events.on_request(
                     {link.connection, request->stream},
@@ -353,14 +355,25 @@
     }
 }
 
-void peer_links::respond(peer_request_id to, const response_frame& response) {
+void peer_links::set_config_version(routing::config_version version) {
+    this->own_config = version;
+}
+
+void peer_links::compare_config(host_id peer, routing::config_version version) {
+    if (version > this->own_config) {
+        this->events.on_newer_config(peer, version);
+    }
+}
+
+void peer_links::respond(peer_request_id to, response_frame&& response) {
     const auto found = this->incoming_links.find(to.connection);
     if (found == this->incoming_links.end() ||
         found->second->unanswered.erase(to.stream) == 0) {
         return;
     }
     incoming_link& link = *found->second;
-    link.stream->write(encode_frame(response, link.sent_headers));
+    response.config = this->own_config;
+    link.stream->write(encode_frame(std::move(response), link.sent_headers));
 }
 
 void peer_links::publish_entry(const entry_frame& entry) {
--- a/src/apricotstile/router/peer_links.hpp
+++ b/src/apricotstile/router/peer_links.hpp
@@ -53,6 +53,8 @@
     /// The load that came with a response; called before the response is
     /// handled.
     std::function<void(host_id, const serving::reported_load&)> on_load;
+    /// A peer has applied a newer configuration than this daemon.
+    std::function<void(host_id, routing::config_version)> on_newer_config;
 };
 
 class peer_links {
@@ -74,7 +76,9 @@
     /// Cancels a request at the peer; `done` isn't called.
     void cancel(host_id peer, stream_id stream);
     /// Answers a peer's request. Ignored if its connection has ended.
-    void respond(peer_request_id to, const response_frame& response);
+    void respond(peer_request_id to, response_frame&& response);
+    /// Sets the version that requests and responses to peers carry.
+    void set_config_version(routing::config_version version);
     /// Sends this daemon's entry to all peers, now and whenever a link opens.
     void publish_entry(const entry_frame& own_entry);
     /// Sends a message to all peers whose links are open.
@@ -97,12 +101,14 @@
     void handle_outgoing_data(outgoing_link& link, std::string_view bytes);
     void handle_outgoing_end(outgoing_link& link, bool was_open);
     void check_liveness();
+    void compare_config(host_id peer, routing::config_version version);
     void handle_accept(int descriptor);
     void handle_incoming_data(incoming_link& link, std::string_view bytes);
     void handle_incoming_end(peer_connection_id connection);
 
     net::timer_queue& timers;
     peer_link_events events;
+    routing::config_version own_config;
     entry_frame own_entry;
     bool has_own_entry{false};
     std::unordered_map<host_id, std::unique_ptr<outgoing_link>> outgoing_links;
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -1,5 +1,6 @@
 // Start, instance state, configuration and stop of a daemon.
 
+#include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/router_implementation.hpp>
 
 #include <apricotstile/log/logger.hpp>
@@ -26,6 +27,9 @@
 /// heartbeat or an answer.
 constexpr int max_missed_heartbeats = 3;
 
+/// How long the store may take to deliver a configuration that a peer has.
+constexpr duration config_request_delay = 400ms;
+
 /// Time between the request to stop and the refusal of new connections.
 constexpr duration stop_notice_duration = 2500ms;
 
@@ -150,6 +154,8 @@
         routing::make_route_table(std::move(config))
     );
     this->callers.set_config(this->routes);
+    this->links.set_config_version(this->routes->config.version);
+    this->update_config_current();
     const auto& services = this->routes->config.services;
     const auto service = services.find(this->settings.service);
     if (service != services.end()) {
@@ -175,6 +181,47 @@
     }
 }
 
+/// A route that isn't known may be in a newer configuration.
+void router::implementation::update_config_current() {
+    const routing::config_version own =
+        this->routes ? this->routes->config.version : routing::config_version{};
+    this->callers.set_config_current(
+        this->config_followed && own >= this->newest_known_config
+    );
+}
+
+/// Usually the store delivers the change right after. If it doesn't, the
+/// configuration is requested from the peer.
+void router::implementation::handle_newer_config(
+    host_id peer, routing::config_version version
+) {
+    if (version > this->newest_known_config) {
+        this->newest_known_config = version;
+        this->update_config_current();
+    }
+    if (this->config_request_due) {
+        return;
+    }
+    this->config_request_due = true;
+    this->timers.after(config_request_delay, [this, peer, version] {
+        this->config_request_due = false;
+        if (this->routes && this->routes->config.version >= version) {
+            return;
+        }
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Requesting a peer's newer configuration.",
+            {{"peer", internal::format_for_log(peer)},
+             {"version", std::to_string(version.value)}}
+        );
+        this->links.send_message(peer, config_request{});
+        if (this->on_stale_config) {
+            this->on_stale_config();
+        }
+    });
+}
+
 void router::implementation::run_periodic_tasks() {
     this->poll_table();
     this->request_config_from_peer();
@@ -244,7 +291,12 @@
 }
 
 void router::set_config_followed(bool current) {
-    this->impl->callers.set_config_current(current);
+    this->impl->config_followed = current;
+    this->impl->update_config_current();
+}
+
+void router::set_stale_config_handler(std::function<void()> on_stale_config) {
+    this->impl->on_stale_config = std::move(on_stale_config);
 }
 
 heartbeat_result router::handle_heartbeat(
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -67,6 +67,10 @@
     /// Sets whether configuration changes reach this daemon.
     void set_config_followed(bool current);
 
+    /// Sets a function that is called when a peer has had a newer configuration
+    /// for a while, so that the store's changes seem not to arrive.
+    void set_stale_config_handler(std::function<void()> on_stale_config);
+
     heartbeat_result handle_heartbeat(
         const keys::heartbeat& heartbeat, keys::heartbeat_answer& answer
     );
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -69,6 +69,10 @@
     result.on_unresponsive = [this](host_id peer) {
         this->callers.handle_unresponsive_peer(peer);
     };
+    result.on_newer_config =
+        [this](host_id peer, routing::config_version version) {
+            this->handle_newer_config(peer, version);
+        };
     result.on_load = [this](host_id peer, const serving::reported_load& load) {
         this->callers.update_load(peer, load);
     };
@@ -200,7 +204,7 @@
     const auto respond = [this, from](routed_response&& response) {
         this->peer_work.erase(from);
         this->links.respond(
-            from, {from.stream, std::move(response), this->instance.load()}
+            from, {from.stream, std::move(response), this->instance.load(), {}}
         );
     };
     if (request.service_hash != name_hash(this->settings.service.value)) {
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -189,6 +189,13 @@
     this->wait_until_ready();
 }
 
+void daemon_group::apply_config(std::size_t index, std::uint64_t version) {
+    host& one = *this->hosts.at(index);
+    routing::routing_config config = one.config;
+    config.version = {version};
+    one.daemon->apply_config(std::move(config));
+}
+
 int daemon_group::request(std::size_t index, const std::string& target) {
     QTcpSocket caller;
     caller.connectToHost(
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -43,6 +43,9 @@
 
     /// Kills and starts daemon `index`; returns when it is ready and linked.
     void restart_daemon(std::size_t index);
+    /// Applies a configuration of this version, with the same routes, to one
+    /// daemon.
+    void apply_config(std::size_t index, std::uint64_t version);
     /// Sends a request to daemon `index` and returns its answer's status.
     int request(std::size_t index, const std::string& target);
     [[nodiscard]] fake_upstream& upstream(std::size_t index);
