--- /dev/null
+++ b/tests/adapter/fake_store.cpp
@@ -0,0 +1,134 @@
+// Answers the calls of one table client.
+
+#include <tests/adapter/fake_store.hpp>
+
+#include <tests/http/event_loop.hpp>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <QHostAddress>
+
+#include <utility>
+
+namespace apricotstile::tests {
+
+namespace {
+
+constexpr std::uint32_t loopback = 0x7F000001;
+constexpr int status_ok = 200;
+
+} // namespace
+
+fake_store::fake_store() {
+    need_application();
+    REQUIRE(this->server.listen(QHostAddress::LocalHost));
+    QObject::connect(&this->server, &QTcpServer::newConnection, [this] {
+        while (QTcpSocket* const connection =
+                   this->server.nextPendingConnection()) {
+            this->handle_connection(connection);
+        }
+    });
+}
+
+address fake_store::where() const {
+    return {loopback, this->server.serverPort()};
+}
+
+std::size_t fake_store::feed_calls() const {
+    return this->feeds;
+}
+
+std::string fake_store::last_feed_after() const {
+    return this->feed_after;
+}
+
+std::size_t fake_store::table_reads() const {
+    return this->listings;
+}
+
+void fake_store::set_silent(bool value) {
+    this->silent = value;
+    this->waiting.clear();
+}
+
+void fake_store::fail_next_feed(int status) {
+    this->next_feed_status = status;
+}
+
+void fake_store::write_row(const std::string& base64_value) {
+    ++this->version;
+    this->value = base64_value;
+    for (const QPointer<QTcpSocket>& one : std::exchange(this->waiting, {})) {
+        if (one) {
+            this->respond(one, status_ok, this->rows_body());
+        }
+    }
+}
+
+void fake_store::handle_connection(QTcpSocket* connection) {
+    QObject::connect(connection, &QTcpSocket::readyRead, [this, connection] {
+        this->handle_call(connection, connection->readAll().toStdString());
+    });
+}
+
+void fake_store::handle_call(QTcpSocket* connection, const std::string& head) {
+    const bool is_feed = head.find("/v1/rows-feed") != std::string::npos;
+    if (is_feed) {
+        ++this->feeds;
+        const std::size_t after = head.find("after=") + 6;
+        this->feed_after = head.substr(after, head.find('&', after) - after);
+    }
+    if (this->silent) {
+        return;
+    }
+    if (!is_feed) {
+        const bool lists = head.find("/v1/rows-parts") != std::string::npos;
+        this->listings += lists ? 1 : 0;
+        this->respond(
+            connection,
+            status_ok,
+            lists ? fmt::format(
+                        R"({{"parts":[""],"schemaVersion":{}}})", this->version
+                    )
+                  : this->rows_body()
+        );
+        return;
+    }
+    if (this->next_feed_status != 0) {
+        this->respond(
+            connection, std::exchange(this->next_feed_status, 0), "{}"
+        );
+    } else if (std::to_string(this->version) != this->feed_after) {
+        this->respond(connection, status_ok, this->rows_body());
+    } else {
+        this->waiting.emplace_back(connection);
+    }
+}
+
+void fake_store::respond(
+    QTcpSocket* connection, int status, const std::string& body
+) {
+    connection->write(fmt::format(
+                          "HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}",
+                          status,
+                          body.size(),
+                          body
+    )
+                          .c_str());
+}
+
+std::string fake_store::rows_body() const {
+    const std::string row = fmt::format(
+        R"({{"table":"t","part":"","key":"k","schemaVersion":{},"value":"{}"}})",
+        this->version,
+        this->value
+    );
+    return fmt::format(
+        R"({{"rows":[{}],"hasMore":false,"schemaVersion":{}}})",
+        this->value.empty() ? "" : row,
+        this->version
+    );
+}
+
+} // namespace apricotstile::tests
