--- a/src/apricotstile/router/header_names.hpp
+++ b/src/apricotstile/router/header_names.hpp
@@ -4,7 +4,10 @@
 #ifndef APRICOTSTILE_ROUTER_HEADER_NAMES_HPP
 #define APRICOTSTILE_ROUTER_HEADER_NAMES_HPP
 
+#include <apricotstile/http/message.hpp>
+
 #include <string>
+#include <vector>
 
 namespace apricotstile::router {
 
@@ -31,8 +34,17 @@
     /// In a response: the requests a second that the instance accepts, as a
     /// decimal number. Without it there is no such limit.
     std::string server_limit;
+    /// In a response: "1" if the instance is leaving.
+    std::string server_leaving;
 };
 
+/// Whether an instance says in its response that it leaves.
+[[nodiscard]] inline bool says_leaving(
+    const std::vector<http::header>& headers, const header_names& names
+) {
+    return http::header_value(headers, names.server_leaving) == "1";
+}
+
 } // namespace apricotstile::router
 
 #endif
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -19,6 +19,10 @@
 
 namespace apricotstile::router {
 
+/// A draining instance gets its last requests this long before its drain
+/// timeout.
+inline constexpr duration drain_margin = std::chrono::milliseconds{400};
+
 struct router::implementation {
     implementation(
         const router_settings& settings, platform::shared_table& table
@@ -26,6 +30,7 @@
 
     void publish_entry();
     void change_state(directory::instance_state state, const char* why);
+    void handle_leaving();
     void write_entry();
     void
     merge_entry(const directory::member_entry& received, const char* source);
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -145,6 +145,13 @@
     }
 }
 
+void local_instance::read_leaving(const std::vector<http::header>& headers) {
+    if (!this->leaving && says_leaving(headers, this->names)) {
+        this->leaving = true;
+        this->on_leaving();
+    }
+}
+
 /// Each answer says whether the instance limits its requests. A value that is
 /// no number changes nothing.
 void local_instance::read_rate_limit(const std::vector<http::header>& headers) {
@@ -200,6 +207,7 @@
         return;
     }
     this->read_rate_limit(answer.headers);
+    this->read_leaving(answer.headers);
     const bool is_signed =
         !http::header_value(answer.headers, this->names.signature).empty();
     const bool is_encoded =
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -46,11 +46,13 @@
     const header_names& names,
     net::timer_queue& timers,
     key_check holds_key,
-    crash_report_handler on_crash_reports
+    crash_report_handler on_crash_reports,
+    leaving_handler on_leaving
 )
     : where(where), names(names), timers(timers),
       holds_key(std::move(holds_key)),
       on_crash_reports(std::move(on_crash_reports)),
+      on_leaving(std::move(on_leaving)),
       max_connections(default_max_connections) {}
 
 local_instance::~local_instance() {
@@ -72,6 +74,7 @@
     this->handle_instance_down();
     this->perform_actions(serving::refuse_waiting(this->queue));
     this->times = {};
+    this->leaving = false;
     this->set_rate_limit(std::nullopt);
     // Connections to an earlier run are of no use any more.
     std::vector<connection*> idle;
@@ -188,6 +191,10 @@
     );
 }
 
+bool local_instance::is_leaving() const {
+    return this->leaving;
+}
+
 std::optional<double> local_instance::rate_limit() const {
     return this->named_limit;
 }
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -32,12 +32,17 @@
     using crash_report_handler =
         std::function<void(std::vector<upstream::crash_report>&&)>;
 
+    /// The instance says in an answer that it leaves, for the first time in its
+    /// run.
+    using leaving_handler = std::function<void()>;
+
     local_instance(
         const address& where,
         const header_names& names,
         net::timer_queue& timers,
         key_check holds_key,
-        crash_report_handler on_crash_reports
+        crash_report_handler on_crash_reports,
+        leaving_handler on_leaving
     );
     local_instance(const local_instance&) = delete;
     local_instance& operator=(const local_instance&) = delete;
@@ -86,6 +91,8 @@
     /// When the instance last answered.
     [[nodiscard]] instant last_answer() const;
     [[nodiscard]] std::size_t open_connections() const;
+    /// Whether the instance has said in an answer that it leaves.
+    [[nodiscard]] bool is_leaving() const;
     /// The requests a second that the instance accepts; nothing if it doesn't
     /// limit them.
     [[nodiscard]] std::optional<double> rate_limit() const;
@@ -107,6 +114,7 @@
     void handle_data(connection& conn, std::string_view bytes);
     void handle_end(connection& conn, bool orderly, bool was_open);
     void handle_answer(connection& conn);
+    void read_leaving(const std::vector<http::header>& headers);
     void read_rate_limit(const std::vector<http::header>& headers);
     void set_rate_limit(std::optional<double> per_second);
     void schedule_start();
@@ -128,6 +136,7 @@
     net::timer_queue& timers;
     key_check holds_key;
     crash_report_handler on_crash_reports;
+    leaving_handler on_leaving;
     upstream::crash_detector crash_detector;
     directory::instance_run instance;
     std::uint32_t max_connections;
@@ -136,6 +145,7 @@
     serving::caller_origins origins;
     std::unordered_map<serving::work_id, std::unique_ptr<work>> work_items;
     std::vector<std::unique_ptr<connection>> connections;
+    bool leaving{false};
     /// Requests a second, as the last answer has it.
     std::optional<double> named_limit;
     serving::work_id last_id;
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -35,6 +35,9 @@
     location where;
     header_names names;
     serving::windowed_retry_budget_policy retry_budget;
+    /// A leaving instance gets no requests later than this after one of its
+    /// answers said so.
+    duration leaving_grace{0};
     const directory::directory* known{nullptr};
     /// The owner of a service's key, or nothing if none is known.
     std::function<std::optional<host_id>(const service_id&, keys::key_number)>
@@ -107,6 +110,8 @@
     void start_attempt(pending_request& request);
     void abandon_attempt(pending_request& request);
     std::optional<host_id> choose_host(pending_request& request);
+    void note_leaving(host_id host, const routed_response& response);
+    [[nodiscard]] bool has_left(host_id host) const;
     serving::locality_tier locality_of(const location& where) const;
     void handle_attempt_end(
         caller_id caller,
@@ -153,6 +158,15 @@
     /// At most one for each connection.
     std::unordered_map<caller_id, std::unique_ptr<pending_request>> requests;
     std::unordered_map<host_id, serving::instance_view> views;
+
+    /// An instance that said in an answer to this daemon that it leaves. Kept
+    /// here too, as the daemon beside it may restart and forget it.
+    struct leaving_instance {
+        directory::instance_run instance;
+        instant last_request_at;
+    };
+
+    std::unordered_map<host_id, leaving_instance> leaving_instances;
     std::map<service_id, serving::windowed_retry_budget> budgets;
     serving::retrying_callers retrying_callers;
     serving::choice_policy choice_policy;
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -55,8 +55,10 @@
     if (request.key) {
         const auto owner =
             this->dependencies.owner_of(request.service, *request.key);
-        return owner && this->dependencies.is_reachable(*owner) ? owner
-                                                                : std::nullopt;
+        const bool is_usable = owner &&
+                               this->dependencies.is_reachable(*owner) &&
+                               !this->has_left(*owner);
+        return is_usable ? owner : std::nullopt;
     }
     std::vector<serving::candidate> candidates;
     for (const directory::member_entry* const one : directory::ready_instances(
@@ -66,7 +68,8 @@
         if (std::find(tried_hosts.begin(), tried_hosts.end(), one->host) !=
                 tried_hosts.end() ||
             (one->stopping && one->host != this->dependencies.self) ||
-            !this->dependencies.is_reachable(one->host)) {
+            !this->dependencies.is_reachable(one->host) ||
+            this->has_left(one->host)) {
             continue;
         }
         candidates.push_back(
@@ -114,6 +117,36 @@
     return result;
 }
 
+void request_router::note_leaving(
+    host_id host, const routed_response& response
+) {
+    const auto entry = this->dependencies.known->entries.find(host);
+    if (entry == this->dependencies.known->entries.end() ||
+        !says_leaving(response.headers, this->dependencies.names)) {
+        return;
+    }
+    const auto found = this->leaving_instances.find(host);
+    if (found != this->leaving_instances.end() &&
+        found->second.instance == entry->second.instance) {
+        return;
+    }
+    this->leaving_instances[host] = {
+        entry->second.instance,
+        boot_clock::now() + this->dependencies.leaving_grace};
+}
+
+/// Whether the instance beside `host` is leaving and must get no more requests.
+bool request_router::has_left(host_id host) const {
+    const auto found = this->leaving_instances.find(host);
+    if (found == this->leaving_instances.end() ||
+        boot_clock::now() < found->second.last_request_at) {
+        return false;
+    }
+    const auto entry = this->dependencies.known->entries.find(host);
+    return entry != this->dependencies.known->entries.end() &&
+           entry->second.instance == found->second.instance;
+}
+
 void request_router::start_attempt(pending_request& request) {
     const std::optional<host_id> host = this->choose_host(request);
     const caller_id caller = request.caller;
@@ -163,6 +196,7 @@
         switch (response.outcome) {
         case serving::attempt_outcome::answered:
             serving::note_answer(view);
+            this->note_leaving(host, response);
             break;
         case serving::attempt_outcome::not_executed:
         case serving::attempt_outcome::refused_busy:
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -39,10 +39,6 @@
 /// Requests are answered this long before connections are closed.
 constexpr duration last_answers_margin = 200ms;
 
-/// A draining instance gets its last requests this long before its drain
-/// timeout.
-constexpr duration drain_margin = 400ms;
-
 constexpr auto log_prefix = "router";
 
 /// Increases with each start unless the clock was set back; in that case the
@@ -75,6 +71,9 @@
           },
           [this](std::vector<upstream::crash_report>&& reports) {
               this->send_crash_reports(std::move(reports));
+          },
+          [this] {
+              this->handle_leaving();
           }
       ),
       links(settings.peer_address, timers, this->make_link_events()),
@@ -135,6 +134,18 @@
     this->publish_entry();
 }
 
+/// An instance may say that it leaves in its answers only; its heartbeats may
+/// go on to say that it is ready.
+void router::implementation::handle_leaving() {
+    if (this->own_entry.state != directory::instance_state::ready) {
+        return;
+    }
+    this->change_state(directory::instance_state::draining, "answer");
+    if (this->local_keys) {
+        this->local_keys->release_all_keys();
+    }
+}
+
 void router::implementation::apply_config(
     routing::routing_config config, const char* source
 ) {
@@ -300,9 +311,10 @@
 }
 
 heartbeat_result router::handle_heartbeat(
-    const keys::heartbeat& heartbeat, keys::heartbeat_answer& answer
+    const keys::heartbeat& received, keys::heartbeat_answer& answer
 ) {
     implementation& daemon = *this->impl;
+    keys::heartbeat heartbeat = received;
     if (heartbeat.service != daemon.settings.service) {
         return heartbeat_result::other_instance;
     }
@@ -317,6 +329,9 @@
     daemon.last_sequence = heartbeat.sequence;
     daemon.last_heartbeat = boot_clock::now();
     daemon.instance.set_instance(heartbeat.instance, heartbeat.slots);
+    if (daemon.instance.is_leaving()) {
+        heartbeat.state = directory::instance_state::draining;
+    }
     if (!same_instance || daemon.own_entry.slots != heartbeat.slots) {
         log::write(
             log::level::info,
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -12,6 +12,7 @@
     result.where = this->settings.where;
     result.names = this->settings.names;
     result.retry_budget = this->settings.retry_budget;
+    result.leaving_grace = this->settings.drain_timeout - drain_margin;
     result.known = &this->known_daemons;
     result.owner_of = [this](const service_id& service, keys::key_number key) {
         return this->owner_of(service, key);
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -106,6 +106,7 @@
         added->settings.instance_address = added->upstream->where();
         added->settings.service = {service};
         added->settings.heartbeat_interval = 5s;
+        added->settings.drain_timeout = 600ms;
         added->settings.names.request_id = "Request-Id";
         added->settings.names.remaining_deadline = "Time-Left";
         added->settings.names.caller_service = "Caller-Service";
@@ -113,6 +114,7 @@
         added->settings.names.not_executed = "Not-Executed";
         added->settings.names.expected_instance = "Expected-Instance";
         added->settings.names.server_limit = "Server-Limit";
+        added->settings.names.server_leaving = "Server-Leaving";
         added->config = config_for(services);
         this->hosts.push_back(std::move(added));
     }
@@ -221,6 +223,10 @@
     return this->hosts.at(index)->daemon->describe();
 }
 
+duration daemon_group::drain_timeout() const {
+    return this->hosts.front()->settings.drain_timeout;
+}
+
 std::size_t daemon_group::runs_of(const std::string& target) const {
     std::size_t count = 0;
     for (const auto& one : this->hosts) {
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -50,6 +50,8 @@
     int request(std::size_t index, const std::string& target);
     [[nodiscard]] fake_upstream& upstream(std::size_t index);
     [[nodiscard]] nlohmann::json describe(std::size_t index) const;
+    /// How long a leaving upstream may still get requests.
+    [[nodiscard]] duration drain_timeout() const;
     /// How often upstreams began to run `target`.
     [[nodiscard]] std::size_t runs_of(const std::string& target) const;
     /// Restarts the upstreams that are down and waits until their daemons have
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -73,7 +73,8 @@
             [this](std::vector<upstream::crash_report>&& reports) {
                 ++this->crashes;
                 this->reported += reports.size();
-            }
+            },
+            [] {}
         );
         this->instance->set_instance({"i", 1}, 4);
         this->instance->set_open(true);
