--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -377,6 +377,18 @@
     return heartbeat_result::accepted;
 }
 
+daemon_position router::position() const {
+    const implementation& daemon = *this->impl;
+    daemon_position result;
+    for (const auto& [peer, entry] : daemon.known_daemons.entries) {
+        if (peer != daemon.own_host && daemon.links.is_reachable(peer)) {
+            ++result.daemons;
+            result.rank += peer < daemon.own_host ? 1 : 0;
+        }
+    }
+    return result;
+}
+
 bool router::is_ready() const {
     const implementation& daemon = *this->impl;
     const bool knows_peers =
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -53,6 +53,13 @@
     other_instance
 };
 
+/// A daemon among all that it can reach, in the order of their hosts.
+struct daemon_position {
+    std::size_t rank{0};
+    /// At least one: this daemon counts too.
+    std::size_t daemons{1};
+};
+
 class router {
 public:
     /// `table` must outlive the router. Throws `std::runtime_error` if an
@@ -79,6 +86,8 @@
     heartbeat_result
     handle_deregistration(const std::string& instance, std::int64_t started_ms);
 
+    /// This daemon's position among those that it can reach.
+    [[nodiscard]] daemon_position position() const;
     /// Whether this daemon can serve callers now.
     [[nodiscard]] bool is_ready() const;
     /// Finishes requests in progress, then calls `on_stopped` within
