--- a/src/apricotstile/control/action.hpp
+++ b/src/apricotstile/control/action.hpp
@@ -20,7 +20,7 @@
 /// performing any later action.
 struct publish_owner {};
 
-/// A message for the plan desk.
+/// A message for the plan controller.
 struct plan_arrived {
     host_id from;
     plan::plan_message message;
--- a/src/apricotstile/control/plan_desk.cpp
+++ b/src/apricotstile/control/plan_controller.cpp
@@ -1,6 +1,6 @@
 // Routes events and actions between the follower, the applies and the lender.
 
-#include <apricotstile/control/plan_desk.hpp>
+#include <apricotstile/control/plan_controller.hpp>
 
 #include <apricotstile/core/hashing.hpp>
 
@@ -15,15 +15,18 @@
 constexpr duration tick_interval = 100ms;
 
 /// The state of one call of `step`.
-class plan_desk_step {
+class plan_controller_step {
 public:
-    plan_desk_step(
-        plan_desk& state, instant at, random_source& source, desk_actions& out
+    plan_controller_step(
+        plan_controller& state,
+        instant at,
+        random_source& source,
+        plan_actions& out
     )
-        : desk(state), now(at), random(source), actions(out) {}
+        : state(state), now(at), random(source), actions(out) {}
 
-    void handle(const desk_tick& what);
-    void handle(const desk_members& what);
+    void handle(const plan_tick& what);
+    void handle(const running_members_changed& what);
     void handle(const plan_message_received& what);
     void handle(const share_message_received& what);
     void handle(const apply_ordered& what);
@@ -39,35 +42,36 @@
     template <class Call>
     void submit_call(std::uint64_t apply_number, Call call);
 
-    plan_desk& desk;
+    plan_controller& state;
     instant now;
     random_source& random;
-    desk_actions& actions;
+    plan_actions& actions;
 };
 
 template <class Call>
-void plan_desk_step::submit_call(std::uint64_t apply_number, Call call) {
-    this->desk.last_operation = next(this->desk.last_operation);
-    this->desk.operations[this->desk.last_operation] = {apply_number, call.id};
-    call.id = this->desk.last_operation;
+void plan_controller_step::submit_call(std::uint64_t apply_number, Call call) {
+    this->state.last_operation = next(this->state.last_operation);
+    this->state.operations[this->state.last_operation] = {
+        apply_number, call.id};
+    call.id = this->state.last_operation;
     this->actions.emplace_back(std::move(call));
 }
 
-void plan_desk_step::adopt_version() {
-    const plan::held_version* const held = plan::in_force(this->desk.follower);
+void plan_controller_step::adopt_version() {
+    const plan::held_version* const held = plan::in_force(this->state.follower);
     if (held == nullptr) {
         return;
     }
-    this->desk.book = std::make_shared<const plan::plan_book>(
+    this->state.book = std::make_shared<const plan::plan_book>(
         plan::compile(held->record.version, held->lists)
     );
     this->actions.emplace_back(publish_book{});
     this->to_lender(share::lender_tick{});
 }
 
-void plan_desk_step::to_follower(const plan::follower_event& what) {
+void plan_controller_step::to_follower(const plan::follower_event& what) {
     for (const plan::follower_action& one :
-         plan::step(this->desk.follower, what, this->now, this->random)) {
+         plan::step(this->state.follower, what, this->now, this->random)) {
         if (const auto* sent = std::get_if<plan::send_plan_message>(&one)) {
             this->actions.emplace_back(send_plan{sent->to, sent->message});
         } else if (std::holds_alternative<plan::version_in_force>(one)) {
@@ -80,11 +84,11 @@
     }
 }
 
-void plan_desk_step::to_apply(
+void plan_controller_step::to_apply(
     std::uint64_t apply_number, const plan::apply_event& what
 ) {
-    const auto found = this->desk.applies.find(apply_number);
-    if (found == this->desk.applies.end()) {
+    const auto found = this->state.applies.find(apply_number);
+    if (found == this->state.applies.end()) {
         return;
     }
     for (const plan::apply_action& one :
@@ -93,7 +97,7 @@
             this->actions.emplace_back(apply_settled{apply_number, *report});
             const bool applied = report->status == plan::apply_status::applied;
             const plan::apply_request request = found->second.request;
-            this->desk.applies.erase(found);
+            this->state.applies.erase(found);
             if (applied) {
                 this->to_follower(plan::version_applied{
                     {report->version, request.id, request.lists}});
@@ -112,43 +116,43 @@
     }
 }
 
-void plan_desk_step::to_lender(const share::lender_event& what) {
-    if (this->desk.book == nullptr) {
+void plan_controller_step::to_lender(const share::lender_event& what) {
+    if (this->state.book == nullptr) {
         return;
     }
     const share::ownership_lookup ownership_of =
         [this](const customer_id& customer
         ) -> std::optional<share::customer_ownership> {
         const auto found =
-            this->desk.owned.find(slice_of(customer.value, customers_slices));
-        if (found == this->desk.owned.end()) {
+            this->state.owned.find(slice_of(customer.value, customers_slices));
+        if (found == this->state.owned.end()) {
             return std::nullopt;
         }
         return share::customer_ownership{
-            found->second.token, found->second.since, this->desk.lease_until};
+            found->second.token, found->second.since, this->state.lease_until};
     };
     for (const share::send_grants& one : share::step(
-             this->desk.lender,
+             this->state.lender,
              what,
-             {*this->desk.book, ownership_of},
+             {*this->state.book, ownership_of},
              this->now
          )) {
         this->actions.emplace_back(send_share{one.to, one.grants});
     }
 }
 
-void plan_desk_step::handle(const desk_tick& /*what*/) {
-    if (this->now < this->desk.next_tick) {
+void plan_controller_step::handle(const plan_tick& /*what*/) {
+    if (this->now < this->state.next_tick) {
         return;
     }
-    this->desk.next_tick = this->now + tick_interval;
-    if (!this->desk.started) {
-        this->desk.started = true;
+    this->state.next_tick = this->now + tick_interval;
+    if (!this->state.started) {
+        this->state.started = true;
         this->to_follower(plan::follower_started{});
     }
     this->to_follower(plan::follower_tick{});
     std::vector<std::uint64_t> apply_numbers;
-    for (const auto& [apply_number, state] : this->desk.applies) {
+    for (const auto& [apply_number, state] : this->state.applies) {
         apply_numbers.push_back(apply_number);
     }
     for (const std::uint64_t apply_number : apply_numbers) {
@@ -157,15 +161,15 @@
     this->to_lender(share::lender_tick{});
 }
 
-void plan_desk_step::handle(const desk_members& what) {
+void plan_controller_step::handle(const running_members_changed& what) {
     this->to_follower(plan::plan_members_changed{what.hosts});
 }
 
-void plan_desk_step::handle(const plan_message_received& what) {
+void plan_controller_step::handle(const plan_message_received& what) {
     this->to_follower(plan::plan_message_received{what.from, what.message});
 }
 
-void plan_desk_step::handle(const share_message_received& what) {
+void plan_controller_step::handle(const share_message_received& what) {
     if (const auto* claims = std::get_if<share::share_claims>(&what.message)) {
         this->to_lender(share::claims_received{what.from, *claims});
     } else if (const auto* handover = std::get_if<share::share_handover>(&what.message)) {
@@ -173,23 +177,23 @@
     }
 }
 
-void plan_desk_step::handle(const apply_ordered& what) {
-    this->desk.applies.try_emplace(what.order);
+void plan_controller_step::handle(const apply_ordered& what) {
+    this->state.applies.try_emplace(what.order);
     this->to_apply(what.order, what.request);
 }
 
-void plan_desk_step::handle(const status_ordered& /*what*/) {
+void plan_controller_step::handle(const status_ordered& /*what*/) {
     this->to_follower(plan::status_requested{});
 }
 
 template <class Result>
-void plan_desk_step::handle(const Result& result) {
-    const auto found = this->desk.operations.find(result.id);
-    if (found == this->desk.operations.end()) {
+void plan_controller_step::handle(const Result& result) {
+    const auto found = this->state.operations.find(result.id);
+    if (found == this->state.operations.end()) {
         return;
     }
-    const pending_desk_operation pending = found->second;
-    this->desk.operations.erase(found);
+    const pending_plan_operation pending = found->second;
+    this->state.operations.erase(found);
     Result own = result;
     own.id = pending.id;
     constexpr bool follower_takes_it =
@@ -204,27 +208,28 @@
 
 } // namespace
 
-plan_desk make_plan_desk(host_id self) {
-    plan_desk desk;
-    desk.follower.self = self;
-    desk.lender.slice_count = customers_slices;
-    return desk;
+plan_controller make_plan_controller(host_id self) {
+    plan_controller state;
+    state.follower.self = self;
+    state.lender.slice_count = customers_slices;
+    return state;
 }
 
 void take_ownership(
-    plan_desk& desk,
+    plan_controller& state,
     const member::member_ref& self,
     const assignment::assignment_map& map,
     instant lease_until,
     instant now
 ) {
-    desk.lease_until = lease_until;
-    const bool same = desk.self == self && desk.seen_map_version == map.version;
+    state.lease_until = lease_until;
+    const bool same =
+        state.self == self && state.seen_map_version == map.version;
     if (same) {
         return;
     }
-    desk.self = self;
-    desk.seen_map_version = map.version;
+    state.self = self;
+    state.seen_map_version = map.version;
     std::map<slice_id, customer_slice> owned;
     const auto found = map.services.find(customers_service);
     if (found != map.services.end()) {
@@ -233,21 +238,24 @@
             if (slices[index].owner != self) {
                 continue;
             }
-            const auto before = desk.owned.find({index});
-            const bool kept = before != desk.owned.end() &&
+            const auto before = state.owned.find({index});
+            const bool kept = before != state.owned.end() &&
                               before->second.token == slices[index].token;
             owned[{index}] = kept ? before->second
                                   : customer_slice{slices[index].token, now};
         }
     }
-    desk.owned = std::move(owned);
+    state.owned = std::move(owned);
 }
 
-desk_actions step(
-    plan_desk& desk, const desk_event& what, instant now, random_source& random
+plan_actions step(
+    plan_controller& state,
+    const plan_event& what,
+    instant now,
+    random_source& random
 ) {
-    desk_actions actions;
-    plan_desk_step current{desk, now, random, actions};
+    plan_actions actions;
+    plan_controller_step current{state, now, random, actions};
     std::visit(
         [&](const auto& one) {
             current.handle(one);
@@ -257,8 +265,8 @@
     return actions;
 }
 
-bool is_desk_operation(platform::operation_id id) {
-    return id > first_desk_operation;
+bool is_plan_operation(platform::operation_id id) {
+    return id > first_plan_operation;
 }
 
 } // namespace apricotstile::control
--- a/src/apricotstile/control/plan_desk.hpp
+++ b/src/apricotstile/control/plan_controller.hpp
@@ -2,11 +2,11 @@
 // daemon: the version in force, operators' applies, and the lending of
 // customers' limits to other daemons.
 
-#ifndef APRICOTSTILE_CONTROL_PLAN_DESK_HPP
-#define APRICOTSTILE_CONTROL_PLAN_DESK_HPP
+#ifndef APRICOTSTILE_CONTROL_PLAN_CONTROLLER_HPP
+#define APRICOTSTILE_CONTROL_PLAN_CONTROLLER_HPP
 
 #include <apricotstile/assignment/assignment_map.hpp>
-#include <apricotstile/control/plan_desk_events.hpp>
+#include <apricotstile/control/plan_controller_events.hpp>
 #include <apricotstile/core/random.hpp>
 #include <apricotstile/plan/apply.hpp>
 #include <apricotstile/plan/follower.hpp>
@@ -32,14 +32,14 @@
 };
 
 /// A platform call in flight and the component that requested it.
-struct pending_desk_operation {
+struct pending_plan_operation {
     /// Number of the apply that requested the call; zero for the follower.
     std::uint64_t apply_number{0};
     /// The id that the component gave to the call.
     platform::operation_id id;
 };
 
-struct plan_desk {
+struct plan_controller {
     member::member_ref self;
     plan::follower_state follower;
     share::lender_state lender;
@@ -50,19 +50,19 @@
     std::map<slice_id, customer_slice> owned;
     instant lease_until;
     map_version seen_map_version;
-    std::map<platform::operation_id, pending_desk_operation> operations;
+    std::map<platform::operation_id, pending_plan_operation> operations;
     /// The last id given to a platform call.
-    platform::operation_id last_operation{first_desk_operation};
+    platform::operation_id last_operation{first_plan_operation};
     instant next_tick;
     bool started{false};
 };
 
-[[nodiscard]] plan_desk make_plan_desk(host_id self);
+[[nodiscard]] plan_controller make_plan_controller(host_id self);
 
 /// Updates this daemon's member reference, the customer slices that it owns
 /// and its lease. Call it before `step` whenever one of them may have changed.
 void take_ownership(
-    plan_desk& desk,
+    plan_controller& state,
     const member::member_ref& self,
     const assignment::assignment_map& map,
     instant lease_until,
@@ -70,12 +70,15 @@
 );
 
 /// Handles one event. The caller performs the returned actions in order.
-[[nodiscard]] desk_actions step(
-    plan_desk& desk, const desk_event& what, instant now, random_source& random
+[[nodiscard]] plan_actions step(
+    plan_controller& state,
+    const plan_event& what,
+    instant now,
+    random_source& random
 );
 
-/// Whether the platform call `id` was requested by a plan desk.
-[[nodiscard]] bool is_desk_operation(platform::operation_id id);
+/// Whether the platform call `id` was requested by a plan controller.
+[[nodiscard]] bool is_plan_operation(platform::operation_id id);
 
 } // namespace apricotstile::control
 
--- a/src/apricotstile/control/plan_desk_events.hpp
+++ b/src/apricotstile/control/plan_controller_events.hpp
@@ -1,7 +1,7 @@
-// Events and actions of a plan desk.
+// Events and actions of a plan controller.
 
-#ifndef APRICOTSTILE_CONTROL_PLAN_DESK_EVENTS_HPP
-#define APRICOTSTILE_CONTROL_PLAN_DESK_EVENTS_HPP
+#ifndef APRICOTSTILE_CONTROL_PLAN_CONTROLLER_EVENTS_HPP
+#define APRICOTSTILE_CONTROL_PLAN_CONTROLLER_EVENTS_HPP
 
 #include <apricotstile/plan/apply.hpp>
 #include <apricotstile/plan/plan_message.hpp>
@@ -13,14 +13,14 @@
 
 namespace apricotstile::control {
 
-/// The ids of a plan desk's platform calls are greater than this, so that they
-/// differ from the ids of all other calls.
-constexpr platform::operation_id first_desk_operation{std::uint64_t{1} << 62U};
+/// The ids of a plan controller's platform calls are greater than this, so that
+/// they differ from the ids of all other calls.
+constexpr platform::operation_id first_plan_operation{std::uint64_t{1} << 62U};
 
-struct desk_tick {};
+struct plan_tick {};
 
 /// The hosts of all running members.
-struct desk_members {
+struct running_members_changed {
     std::vector<host_id> hosts;
 };
 
@@ -44,9 +44,9 @@
 /// An operator has requested a fresh status.
 struct status_ordered {};
 
-using desk_event = std::variant<
-    desk_tick,
-    desk_members,
+using plan_event = std::variant<
+    plan_tick,
+    running_members_changed,
     plan_message_received,
     share_message_received,
     apply_ordered,
@@ -74,7 +74,7 @@
     plan::apply_report report;
 };
 
-using desk_action = std::variant<
+using plan_action = std::variant<
     send_plan,
     send_share,
     publish_book,
@@ -84,7 +84,7 @@
     platform::put_object,
     platform::get_object>;
 
-using desk_actions = std::vector<desk_action>;
+using plan_actions = std::vector<plan_action>;
 
 } // namespace apricotstile::control
 
--- a/src/apricotstile/daemon/control_duty.cpp
+++ b/src/apricotstile/daemon/control_duty.cpp
@@ -51,7 +51,9 @@
 control_duty::control_duty(const control_wiring& parts)
     : duty("control"), messages(inbox_capacity), wiring(parts),
       controller(control::make_controller(settings_of(parts.settings))),
-      desk(control::make_plan_desk(host_at(parts.settings.listen.peers))) {
+      plan_controller(
+          control::make_plan_controller(host_at(parts.settings.listen.peers))
+      ) {
     std::random_device device;
     this->random.seed((static_cast<std::uint64_t>(device()) << 32U) | device());
 }
@@ -96,7 +98,7 @@
         this->context(),
         [this] {
             this->feed(control::tick{});
-            this->feed_desk(control::desk_tick{});
+            this->apply_plan_event(control::plan_tick{});
             this->feed_shares(share::ingress_tick{});
         }
     );
@@ -117,7 +119,7 @@
     if (auto* result = std::get_if<store_result>(&message)) {
         this->take_result(*result);
     } else if (auto* ordered = std::get_if<control::apply_ordered>(&message)) {
-        this->feed_desk(*ordered);
+        this->apply_plan_event(*ordered);
     } else if (auto* needed = std::get_if<share_needed>(&message)) {
         this->feed_shares(share::share_wanted{needed->customer});
     } else if (auto* bulk = std::get_if<incoming_control>(&message)) {
@@ -140,21 +142,21 @@
 
 void control_duty::take_result(const store_result& result) {
     if (const auto* done = std::get_if<platform::transaction_done>(&result)) {
-        if (control::is_desk_operation(done->id)) {
-            this->feed_desk(*done);
+        if (control::is_plan_operation(done->id)) {
+            this->apply_plan_event(*done);
         } else {
             this->feed(*done);
         }
     } else if (const auto* rows = std::get_if<platform::rows_read>(&result)) {
-        if (control::is_desk_operation(rows->id)) {
-            this->feed_desk(*rows);
+        if (control::is_plan_operation(rows->id)) {
+            this->apply_plan_event(*rows);
         } else {
             this->feed(*rows);
         }
     } else if (const auto* put = std::get_if<platform::object_put>(&result)) {
-        this->feed_desk(*put);
+        this->apply_plan_event(*put);
     } else if (const auto* got = std::get_if<platform::object_got>(&result)) {
-        this->feed_desk(*got);
+        this->apply_plan_event(*got);
     }
 }
 
@@ -231,14 +233,14 @@
     } else if (const auto* report = std::get_if<upstream::crash_report>(&what)) {
         this->wiring.dispatch.push(*report);
     } else if (const auto* plan = std::get_if<control::plan_arrived>(&what)) {
-        this->feed_desk(control::plan_message_received{
+        this->apply_plan_event(control::plan_message_received{
             plan->from, plan->message});
     } else if (const auto* share = std::get_if<control::share_arrived>(&what)) {
         if (const auto* grants =
                 std::get_if<share::share_grants>(&share->message)) {
             this->feed_shares(share::grants_received{*grants});
         } else {
-            this->feed_desk(control::share_message_received{
+            this->apply_plan_event(control::share_message_received{
                 share->from, share->message});
         }
     } else if (std::holds_alternative<control::left>(what)) {
@@ -291,7 +293,7 @@
     }
     this->wiring.shares.set_self(view->self);
     this->wiring.state.view.store(std::move(view));
-    this->tell_desk_members();
+    this->send_running_members();
 }
 
 void control_duty::publish_owner() {
@@ -334,9 +336,9 @@
         {"map_version", this->controller.follower.map.version.value},
         {"plan_version", this->wiring.shares.version().value},
         {"customers_in_use", this->wiring.shares.customers()},
-        {"customer_slices_owned", this->desk.owned.size()},
-        {"customers_lent", this->desk.lender.customers.size()},
-        {"applies_running", this->desk.applies.size()},
+        {"customer_slices_owned", this->plan_controller.owned.size()},
+        {"customers_lent", this->plan_controller.lender.customers.size()},
+        {"applies_running", this->plan_controller.applies.size()},
         {"releases", this->controller.owner.releases.size()},
         {"operations_in_flight", this->controller.operations.size()},
         {"datagrams_sent", this->datagrams_sent},
--- a/src/apricotstile/daemon/control_duty.hpp
+++ b/src/apricotstile/daemon/control_duty.hpp
@@ -5,7 +5,7 @@
 #define APRICOTSTILE_DAEMON_CONTROL_DUTY_HPP
 
 #include <apricotstile/control/controller.hpp>
-#include <apricotstile/control/plan_desk.hpp>
+#include <apricotstile/control/plan_controller.hpp>
 #include <apricotstile/daemon/duty.hpp>
 #include <apricotstile/daemon/inbox.hpp>
 #include <apricotstile/daemon/messages.hpp>
@@ -65,14 +65,14 @@
     void send(const control::envelope& what);
     void publish_view();
     void publish_owner();
-    void feed_desk(const control::desk_event& what);
-    void perform_for_desk(const control::desk_action& what);
+    void apply_plan_event(const control::plan_event& what);
+    void perform_plan_action(const control::plan_action& what);
     void feed_shares(const share::ingress_event& what);
-    void tell_desk_members();
+    void send_running_members();
 
     control_wiring wiring;
     control::controller controller;
-    control::plan_desk desk;
+    control::plan_controller plan_controller;
     instant shares_tick_at;
     random_source random;
     std::unique_ptr<QTimer> timer;
--- a/src/apricotstile/daemon/control_plans.cpp
+++ b/src/apricotstile/daemon/control_plans.cpp
@@ -1,5 +1,5 @@
-// The control duty's part for the two lists: the desk's actions, this daemon's
-// claims for shares and operators' questions.
+// The control duty's part for the two lists: the plan controller's actions,
+// this daemon's claims for shares and operators' questions.
 
 #include <apricotstile/daemon/control_duty.hpp>
 
@@ -21,22 +21,22 @@
 
 } // namespace
 
-void control_duty::feed_desk(const control::desk_event& what) {
+void control_duty::apply_plan_event(const control::plan_event& what) {
     const instant now = boot_clock::now();
     control::take_ownership(
-        this->desk,
+        this->plan_controller,
         control::self_ref(this->controller),
         this->controller.follower.map,
         control::lease_valid_until(this->controller),
         now
     );
-    for (const control::desk_action& one :
-         control::step(this->desk, what, now, this->random)) {
-        this->perform_for_desk(one);
+    for (const control::plan_action& one :
+         control::step(this->plan_controller, what, now, this->random)) {
+        this->perform_plan_action(one);
     }
 }
 
-void control_duty::perform_for_desk(const control::desk_action& what) {
+void control_duty::perform_plan_action(const control::plan_action& what) {
     const host_id self = host_at(this->wiring.settings.listen.peers);
     if (const auto* plan = std::get_if<control::send_plan>(&what)) {
         this->send(
@@ -58,13 +58,15 @@
              share->message}
         );
     } else if (std::holds_alternative<control::publish_book>(what)) {
-        this->wiring.shares.set_book(this->desk.book);
+        this->wiring.shares.set_book(this->plan_controller.book);
         log::write(
             log::level::info,
             log_prefix,
             "Lists in force.",
-            {{"version", std::to_string(this->desk.book->version.value)},
-             {"customers", std::to_string(this->desk.book->customers.size())}}
+            {{"version",
+              std::to_string(this->plan_controller.book->version.value)},
+             {"customers",
+              std::to_string(this->plan_controller.book->customers.size())}}
         );
     } else if (const auto* settled = std::get_if<control::apply_settled>(&what)) {
         this->wiring.on_apply(*settled);
@@ -106,8 +108,8 @@
         }
         const auto& claims = std::get<share::send_claims>(one);
         if (claims.to == self) {
-            this->feed_desk(control::share_message_received{self, claims.claims}
-            );
+            this->apply_plan_event(control::share_message_received{
+                self, claims.claims});
         } else {
             this->send(
                 {self,
@@ -119,8 +121,8 @@
     }
 }
 
-void control_duty::tell_desk_members() {
-    control::desk_members members;
+void control_duty::send_running_members() {
+    control::running_members_changed members;
     for (const member::member_record& one :
          control::member_records(this->controller)) {
         if (one.state == member::member_state::active ||
@@ -128,17 +130,17 @@
             members.hosts.push_back(one.self.host);
         }
     }
-    this->feed_desk(members);
+    this->apply_plan_event(members);
 }
 
 plan::plan_status control_duty::plan_status() {
     this->run([this] {
-        this->feed_desk(control::status_ordered{});
+        this->apply_plan_event(control::status_ordered{});
     });
     std::this_thread::sleep_for(status_patience);
     plan::plan_status status;
     this->run([&] {
-        status = plan::describe_status(this->desk.follower);
+        status = plan::describe_status(this->plan_controller.follower);
     });
     return status;
 }
--- a/src/apricotstile/daemon/dispatch_upstreams.cpp
+++ b/src/apricotstile/daemon/dispatch_upstreams.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t side_connections = 2;
 constexpr duration announcement_timeout = 2s;
 constexpr duration probe_timeout = 300ms;
-constexpr duration handover_patience = 5s;
+constexpr duration handover_timeout = 5s;
 /// How long a request waits for the memory of the owner before.
 constexpr duration handover_wait = 1s;
 constexpr auto log_prefix = "upstream";
@@ -325,7 +325,7 @@
     std::deque<std::pair<instant, assignment::range_released>> waiting;
     waiting.swap(this->unsent_memories);
     for (auto& [since, range] : waiting) {
-        if (!this->hand_over(range, now) && now - since < handover_patience) {
+        if (!this->hand_over(range, now) && now - since < handover_timeout) {
             this->unsent_memories.emplace_back(since, std::move(range));
         }
     }
@@ -344,7 +344,7 @@
         if (taken) {
             ++this->taken_over;
             this->expected.erase({memory.service, memory.slice});
-        } else if (now - arrived < handover_patience) {
+        } else if (now - arrived < handover_timeout) {
             this->handovers.emplace_back(arrived, std::move(memory));
         }
     }
--- a/src/apricotstile/daemon/messages.hpp
+++ b/src/apricotstile/daemon/messages.hpp
@@ -6,7 +6,7 @@
 
 #include <apricotstile/assignment/load_report.hpp>
 #include <apricotstile/assignment/owner.hpp>
-#include <apricotstile/control/plan_desk_events.hpp>
+#include <apricotstile/control/plan_controller_events.hpp>
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/member/member_record.hpp>
 #include <apricotstile/platform/operations.hpp>
--- a/src/apricotstile/daemon/operators_duty.hpp
+++ b/src/apricotstile/daemon/operators_duty.hpp
@@ -3,7 +3,7 @@
 #ifndef APRICOTSTILE_DAEMON_OPERATORS_DUTY_HPP
 #define APRICOTSTILE_DAEMON_OPERATORS_DUTY_HPP
 
-#include <apricotstile/control/plan_desk_events.hpp>
+#include <apricotstile/control/plan_controller_events.hpp>
 #include <apricotstile/daemon/duty.hpp>
 #include <apricotstile/daemon/routing_view.hpp>
 #include <apricotstile/host/address.hpp>
