--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -28,7 +28,7 @@
 constexpr int max_missed_heartbeats = 3;
 
 /// How long the store may take to deliver a configuration that a peer has.
-constexpr duration config_request_delay = 400ms;
+constexpr duration config_request_delay = 300ms;
 
 /// Time between the request to stop and the refusal of new connections.
 constexpr duration stop_notice_duration = 2500ms;
--- a/tests/adapter/feed_schedule.tests.cpp
+++ b/tests/adapter/feed_schedule.tests.cpp
@@ -27,7 +27,7 @@
 constexpr duration apply_limit = 2s;
 constexpr duration store_latency = 10ms;
 /// How long a daemon that knows of a newer version waits for the store.
-constexpr duration config_request_delay = 400ms;
+constexpr duration config_request_delay = 300ms;
 /// Between two requests from one daemon to another, on average.
 constexpr duration contact_interval = 20ms;
 constexpr duration end_of_run = 40s;
@@ -107,7 +107,7 @@
         });
         return;
     }
-    at(it, it.now + note_failure(one.schedule, it.random), [&] {
+    at(it, it.now + note_failure(one.schedule, one.position, it.random), [&] {
         if (!one.waits) {
             call_store(it, one);
         }
