--- a/src/apricotstile/http/message_reader.cpp
+++ b/src/apricotstile/http/message_reader.cpp
@@ -94,9 +94,12 @@
     return seconds;
 }
 
-/// Passes `received` to `parser` and removes the bytes that it consumed.
+/// Passes `received` to `parser` and removes the bytes that it consumed. The
+/// parser leaves an unfinished line or trailer there, without a limit of its
+/// own in a chunked body.
 template <class Parser>
-boost::system::error_code parse_bytes(Parser& parser, std::string& received) {
+boost::system::error_code
+parse_bytes(Parser& parser, std::string& received, std::size_t max_unfinished) {
     boost::system::error_code error;
     while (!received.empty() && !parser.is_done()) {
         const std::size_t consumed =
@@ -109,6 +112,9 @@
     if (error == beast_http::error::need_more) {
         error = {};
     }
+    if (!error && !parser.is_done() && received.size() > max_unfinished) {
+        error = beast_http::error::header_limit;
+    }
     return error;
 }
 
@@ -140,8 +146,9 @@
         if (this->progress != read_progress::incomplete) {
             return;
         }
-        const boost::system::error_code error =
-            parse_bytes(*this->parser, this->received);
+        const boost::system::error_code error = parse_bytes(
+            *this->parser, this->received, this->limits.header_bytes
+        );
         if (error) {
             this->refusal_status = error_status(error);
             this->progress = read_progress::malformed;
@@ -233,7 +240,9 @@
 
     void parse_received() {
         while (this->progress == read_progress::incomplete) {
-            if (parse_bytes(*this->parser, this->received)) {
+            if (parse_bytes(
+                    *this->parser, this->received, max_response_header_bytes
+                )) {
                 this->progress = read_progress::malformed;
                 return;
             }
--- a/tests/http/message_reader.tests.cpp
+++ b/tests/http/message_reader.tests.cpp
@@ -112,3 +112,82 @@
     CHECK(response.idle_timeout_s == 7U);
     CHECK(reader.has_unread_bytes());
 }
+
+namespace {
+
+/// Feeds `begin` and then `part` again and again; returns how many bytes the
+/// reader accepts before it finds that they are no response.
+std::size_t bytes_accepted(const std::string& begin, const std::string& part) {
+    constexpr std::uint64_t body_limit = 1U << 20U;
+    constexpr std::size_t most = 4U << 20U;
+    response_reader reader{body_limit};
+    reader.expect("GET");
+    std::size_t fed = begin.size();
+    read_progress progress = reader.put(begin);
+    while (progress == read_progress::incomplete && fed < most) {
+        progress = reader.put(part);
+        fed += part.size();
+    }
+    return fed;
+}
+
+} // namespace
+
+TEST_CASE("bytes without end are no response", "[http][endless]") {
+    constexpr std::size_t most_outside_body = 160U << 10U;
+    constexpr std::size_t most_in_body = (1U << 20U) + most_outside_body;
+    const std::string line(4096, 'x');
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    SECTION("in the status line") {
+        CHECK(bytes_accepted("HTTP/1.1 200 ", line) <= most_outside_body);
+    }
+    SECTION("without a line's end") {
+        CHECK(bytes_accepted("", line) <= most_outside_body);
+    }
+    SECTION("in a header") {
+        CHECK(
+            bytes_accepted("HTTP/1.1 200 OK\r\nX: ", line) <= most_outside_body
+        );
+    }
+    SECTION("in headers") {
+        CHECK(
+            bytes_accepted("HTTP/1.1 200 OK\r\n", "X: " + line + "\r\n") <=
+            most_outside_body
+        );
+    }
+    SECTION("in a chunk header") {
+        CHECK(bytes_accepted(chunked + "1;", line) <= most_outside_body);
+    }
+    SECTION("in a trailer") {
+        CHECK(bytes_accepted(chunked + "0\r\nX: ", line) <= most_outside_body);
+    }
+    SECTION("in trailers") {
+        CHECK(
+            bytes_accepted(chunked + "0\r\n", "X: " + line + "\r\n") <=
+            most_outside_body
+        );
+    }
+    SECTION("in a body without a length") {
+        CHECK(bytes_accepted("HTTP/1.1 200 OK\r\n\r\n", line) <= most_in_body);
+    }
+    SECTION("in chunks") {
+        CHECK(
+            bytes_accepted(chunked, "1000\r\n" + line + "\r\n") <= most_in_body
+        );
+    }
+}
+
+TEST_CASE("a request's chunk header has an end", "[http][endless]") {
+    request_reader reader{{16U << 10U, 1U << 20U}};
+    read_progress progress = reader.put(
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;"
+    );
+    const std::string line(4096, 'x');
+    int parts = 0;
+    for (; progress == read_progress::incomplete && parts < 100; ++parts) {
+        progress = reader.put(line);
+    }
+    CHECK(parts <= 10);
+    CHECK(reader.refusal_status() == 431);
+}
