--- a/src/apricotstile/http/message_reader.cpp
+++ b/src/apricotstile/http/message_reader.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint16_t status_not_implemented = 501;
 constexpr std::uint32_t max_response_header_bytes = 64U << 10U;
 constexpr unsigned first_final_status = 200;
+/// Interim (1xx) responses before a final one.
+constexpr unsigned max_interim_responses = 16;
 
 std::string_view to_string_view(boost::beast::string_view text) {
     return {text.data(), text.size()};
@@ -225,6 +227,7 @@
 struct response_reader::implementation {
     std::uint64_t body_limit{0};
     bool skip_body{false};
+    unsigned interim_responses{0};
     std::optional<response_parser> parser;
     std::string received;
     read_progress progress{read_progress::incomplete};
@@ -251,6 +254,10 @@
             }
             // Skips interim (1xx) responses, which precede the final one.
             if (this->parser->get().result_int() < first_final_status) {
+                if (++this->interim_responses > max_interim_responses) {
+                    this->progress = read_progress::malformed;
+                    return;
+                }
                 this->restart();
                 continue;
             }
@@ -269,6 +276,7 @@
 
 void response_reader::expect(std::string_view method) {
     this->impl->skip_body = method == "HEAD";
+    this->impl->interim_responses = 0;
     this->impl->restart();
 }
 
--- a/tests/http/message_reader.tests.cpp
+++ b/tests/http/message_reader.tests.cpp
@@ -176,6 +176,12 @@
             bytes_accepted(chunked, "1000\r\n" + line + "\r\n") <= most_in_body
         );
     }
+    SECTION("in empty interim responses") {
+        CHECK(
+            bytes_accepted("", "HTTP/1.1 100 Continue\r\n\r\n") <=
+            most_outside_body
+        );
+    }
 }
 
 TEST_CASE("a request's chunk header has an end", "[http][endless]") {
