--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -11,6 +11,7 @@
 
 namespace internal {
 
+/// Of one answer, and of all unfinished answers together.
 inline constexpr std::uint64_t max_answer_bytes = 16U << 20U;
 /// Used if an instance doesn't state its idle timeout.
 inline constexpr duration default_idle_timeout = std::chrono::seconds{4};
@@ -55,6 +56,8 @@
     /// The work whose answer is awaited; null while idle.
     work* current{nullptr};
     bool open{false};
+    /// Bytes received of the awaited answer.
+    std::size_t answer_bytes{0};
     /// Whether it has carried an exchange before.
     bool used{false};
     /// Whether it may carry another exchange.
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -124,13 +124,27 @@
     ));
 }
 
+/// Whether the unfinished answers hold too much memory, so that this one of the
+/// larger ones among them is given up.
+bool local_instance::is_too_large(const connection& conn) const {
+    const std::size_t even_share =
+        internal::max_answer_bytes / this->connections.size();
+    return conn.answer_bytes >= even_share &&
+           this->unfinished_answer_bytes() > internal::max_answer_bytes;
+}
+
 void local_instance::handle_data(connection& conn, std::string_view bytes) {
     if (conn.current == nullptr) {
         // Data that no request asked for.
         this->close_connection(conn);
         return;
     }
+    conn.answer_bytes += bytes.size();
     http::read_progress progress = conn.reader.put(bytes);
+    if (progress == http::read_progress::incomplete &&
+        this->is_too_large(conn)) {
+        progress = http::read_progress::malformed;
+    }
     while (progress == http::read_progress::complete && conn.current != nullptr
     ) {
         this->handle_answer(conn);
@@ -180,6 +194,7 @@
 void local_instance::handle_answer(connection& conn) {
     work& item = *conn.current;
     http::received_response answer = conn.reader.take();
+    conn.answer_bytes = 0;
     conn.reusable = conn.reusable && answer.keep_alive;
     if (answer.idle_timeout_s) {
         conn.idle_timeout = std::chrono::seconds{*answer.idle_timeout_s};
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -191,6 +191,14 @@
     );
 }
 
+std::size_t local_instance::unfinished_answer_bytes() const {
+    std::size_t total = 0;
+    for (const auto& one : this->connections) {
+        total += one->answer_bytes;
+    }
+    return total;
+}
+
 bool local_instance::is_leaving() const {
     return this->leaving;
 }
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -91,6 +91,8 @@
     /// When the instance last answered.
     [[nodiscard]] instant last_answer() const;
     [[nodiscard]] std::size_t open_connections() const;
+    /// Bytes of answers that aren't complete yet.
+    [[nodiscard]] std::size_t unfinished_answer_bytes() const;
     /// Whether the instance has said in an answer that it leaves.
     [[nodiscard]] bool is_leaving() const;
     /// The requests a second that the instance accepts; nothing if it doesn't
@@ -112,6 +114,7 @@
     connection* find_idle_connection();
     connection& open_connection();
     void handle_data(connection& conn, std::string_view bytes);
+    [[nodiscard]] bool is_too_large(const connection& conn) const;
     void handle_end(connection& conn, bool orderly, bool was_open);
     void handle_answer(connection& conn);
     void read_leaving(const std::vector<http::header>& headers);
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -12,6 +12,10 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
+#include <algorithm>
+#include <optional>
+#include <vector>
+
 using namespace apricotstile;
 using namespace apricotstile::router;
 using namespace std::chrono_literals;
@@ -59,7 +63,9 @@
 
 struct local_daemon {
     explicit local_daemon(const crashing_instance& crashing)
-        : port(crashing.server.serverPort()) {
+        : local_daemon(crashing.server.serverPort()) {}
+
+    explicit local_daemon(std::uint16_t port) : port(port) {
         this->names.request_id = "Request-Id";
         this->names.signature = "Signature";
         this->names.not_executed = "Not-Executed";
@@ -244,3 +250,71 @@
     }));
     CHECK(*waiting == serving::attempt_outcome::refused_quarantined);
 }
+
+namespace {
+
+/// An instance whose answers have bodies without end.
+struct endless_instance {
+    endless_instance() {
+        tests::need_application();
+        REQUIRE(this->server.listen(QHostAddress::LocalHost));
+        QObject::connect(&this->server, &QTcpServer::newConnection, [this] {
+            QTcpSocket* const caller = this->server.nextPendingConnection();
+            QObject::connect(caller, &QTcpSocket::readyRead, [this, caller] {
+                caller->readAll();
+                caller->write("HTTP/1.1 200 OK\r\nSignature: s\r\n\r\n");
+                this->send_more(*caller);
+            });
+            QObject::connect(caller, &QTcpSocket::bytesWritten, [this, caller] {
+                this->send_more(*caller);
+            });
+        });
+    }
+
+    void send_more(QTcpSocket& caller) {
+        constexpr qint64 most_buffered = 1 << 16;
+        if (caller.bytesToWrite() < most_buffered) {
+            const std::string part(most_buffered, 'x');
+            caller.write(part.c_str(), most_buffered);
+            this->sent += part.size();
+        }
+    }
+
+    QTcpServer server;
+    std::size_t sent{0};
+};
+
+} // namespace
+
+TEST_CASE(
+    "answers without end take no more memory than one answer may have",
+    "[router][instance][endless]"
+) {
+    constexpr std::size_t answers = 8;
+    constexpr std::size_t most_in_memory = 16U << 20U;
+    // Each connection's socket buffers hold some more.
+    constexpr std::size_t most_sent = most_in_memory + answers * (8U << 20U);
+    endless_instance endless;
+    local_daemon daemon{endless.server.serverPort()};
+    daemon.instance->set_instance({"i", 1}, answers);
+    std::vector<std::optional<serving::attempt_outcome>> outcomes(answers);
+    for (auto& one : outcomes) {
+        daemon.submit("/endless", one, 15s);
+    }
+    std::size_t largest = 0;
+    REQUIRE(tests::wait_until([&] {
+        largest = std::max(largest, daemon.instance->unfinished_answer_bytes());
+        return std::all_of(
+            outcomes.begin(),
+            outcomes.end(),
+            [](const auto& one) {
+                return one.has_value();
+            }
+        );
+    }));
+    CHECK(largest <= most_in_memory);
+    CHECK(endless.sent <= most_sent);
+    for (const auto& one : outcomes) {
+        CHECK(*one == serving::attempt_outcome::lost);
+    }
+}
