--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -16,6 +16,9 @@
 /// Used if an instance doesn't state its idle timeout.
 inline constexpr duration default_idle_timeout = std::chrono::seconds{4};
 
+/// Service time that is assumed before the first answer.
+inline constexpr duration default_service_time = std::chrono::milliseconds{50};
+
 /// A response for work that the instance didn't answer.
 [[nodiscard]] inline routed_response unanswered_response(
     serving::attempt_outcome outcome, duration retry_after = duration{0}
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -7,8 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <cmath>
 
 namespace apricotstile::router {
 
@@ -159,38 +157,6 @@
     }
 }
 
-void local_instance::read_leaving(const std::vector<http::header>& headers) {
-    if (!this->leaving && says_leaving(headers, this->names)) {
-        this->leaving = true;
-        this->on_leaving();
-    }
-}
-
-/// Each answer says whether the instance limits its requests. A value that is
-/// no number changes nothing.
-void local_instance::read_rate_limit(const std::vector<http::header>& headers) {
-    const std::string_view text =
-        http::header_value(headers, this->names.server_limit);
-    if (text.empty()) {
-        this->set_rate_limit(std::nullopt);
-        return;
-    }
-    double value = 0;
-    const char* const end = text.data() + text.size();
-    const auto read = std::from_chars(text.data(), end, value);
-    if (read.ec != std::errc{} || read.ptr != end || !std::isfinite(value) ||
-        value < 0) {
-        log::write(
-            log::level::warning,
-            log_prefix,
-            "Ignoring a malformed limit of the instance.",
-            {{"instance", this->instance.id}, {"value", std::string{text}}}
-        );
-        return;
-    }
-    this->set_rate_limit(value);
-}
-
 void local_instance::handle_answer(connection& conn) {
     work& item = *conn.current;
     http::received_response answer = conn.reader.take();
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -1,13 +1,10 @@
 // Admission, start and end of requests at the local instance.
 
 #include <apricotstile/router/internal/local_work.hpp>
-#include <apricotstile/router/internal/log_format.hpp>
 
 #include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -16,14 +13,12 @@
 namespace {
 
 using namespace std::chrono_literals;
-using internal::format_for_log;
+using internal::default_service_time;
 using internal::millis_text;
 using internal::unanswered_response;
 
 constexpr std::uint32_t default_max_connections = 64;
 
-constexpr duration default_service_time = 50ms;
-
 constexpr auto log_prefix = "instance";
 
 /// The same at every host. The sender is the service beside the daemon that
@@ -157,40 +152,6 @@
     return id;
 }
 
-void local_instance::set_self(const member::member_ref& self) {
-    this->crash_detector.request_quarantine.self = self;
-}
-
-void local_instance::handle_crash_report(
-    host_id peer, const upstream::crash_report& report
-) {
-    const instant now = boot_clock::now();
-    upstream::quarantine& state = this->crash_detector.request_quarantine;
-    const upstream::quarantine_entry before =
-        upstream::describe(state, report.id, now);
-    upstream::merge(state, report, now);
-    if (before.action != upstream::describe(state, report.id, now).action) {
-        this->log_crash_counts(report.id, format_for_log(peer), now);
-    }
-}
-
-void local_instance::log_crash_counts(
-    upstream::fingerprint id, const std::string& source, instant now
-) const {
-    const upstream::quarantine_entry entry =
-        upstream::describe(this->crash_detector.request_quarantine, id, now);
-    log::write(
-        log::level::warning,
-        log_prefix,
-        "Crash counts of a request changed.",
-        {{"fingerprint", std::to_string(id.value)},
-         {"crashes", std::to_string(entry.crashes)},
-         {"alone", std::to_string(entry.alone)},
-         {"action", std::string{upstream::name_of(entry.action)}},
-         {"source", source}}
-    );
-}
-
 std::size_t local_instance::unfinished_answer_bytes() const {
     std::size_t total = 0;
     for (const auto& one : this->connections) {
@@ -199,85 +160,6 @@
     return total;
 }
 
-bool local_instance::is_leaving() const {
-    return this->leaving;
-}
-
-std::optional<double> local_instance::rate_limit() const {
-    return this->named_limit;
-}
-
-void local_instance::set_rate_limit(std::optional<double> per_second) {
-    if (this->named_limit == per_second) {
-        return;
-    }
-    this->named_limit = per_second;
-    const auto actions =
-        serving::set_start_limit(this->queue, per_second, boot_clock::now());
-    log::write(
-        log::level::info,
-        log_prefix,
-        per_second ? "Instance limits its requests."
-                   : "Instance no longer limits its requests.",
-        {{"instance", this->instance.id},
-         {"per_second", per_second ? fmt::format("{}", *per_second) : "none"}}
-    );
-    this->perform_actions(actions);
-}
-
-/// Starts waiting work as soon as the instance's limit allows it.
-void local_instance::schedule_start() {
-    const instant now = boot_clock::now();
-    const auto next_start = serving::next_start(this->queue, now);
-    if (!next_start || this->start_scheduled) {
-        return;
-    }
-    this->start_scheduled = true;
-    this->timers.at(*next_start, [this] {
-        this->start_scheduled = false;
-        this->perform_actions(serving::start_due(this->queue, boot_clock::now())
-        );
-    });
-}
-
-const upstream::quarantine& local_instance::request_quarantine() const {
-    return this->crash_detector.request_quarantine;
-}
-
-/// Records that the instance had a request and didn't answer it. If it turns
-/// out to have crashed, the request may be the cause.
-void local_instance::note_unanswered(const work& item) {
-    upstream::note_lost_request(
-        this->crash_detector, {item.identity, {}}, boot_clock::now()
-    );
-}
-
-void local_instance::handle_silence() {
-    this->handle_instance_down();
-}
-
-/// Any request that was in flight when the instance went down may be the cause.
-void local_instance::handle_instance_down() {
-    auto reports =
-        upstream::note_crash(this->crash_detector, boot_clock::now());
-    if (reports.empty()) {
-        return;
-    }
-    log::write(
-        log::level::warning,
-        log_prefix,
-        "Instance went down with requests in flight.",
-        {{"instance", this->instance.id},
-         {"requests", std::to_string(reports.size())}}
-    );
-    const instant now = boot_clock::now();
-    upstream::forget_expired(this->crash_detector.request_quarantine, now);
-    for (const upstream::crash_report& report : reports) {
-        this->log_crash_counts(report.id, "instance", now);
-    }
-    this->on_crash_reports(std::move(reports));
-}
-
 void local_instance::perform_actions(
     const std::vector<serving::work_action>& actions
 ) {
@@ -342,17 +224,6 @@
     this->send(item, idle != nullptr ? *idle : this->open_connection());
 }
 
-void local_instance::refuse_quarantined(
-    work& item, const upstream::quarantine_decision& decision
-) {
-    this->finish(
-        item,
-        unanswered_response(
-            serving::attempt_outcome::refused_quarantined, decision.retry_after
-        )
-    );
-}
-
 void local_instance::finish(work& item, routed_response&& response) {
     const auto found = this->work_items.find(item.id);
     const std::unique_ptr<work> taken = std::move(found->second);
@@ -453,25 +324,6 @@
     return this->work_items.size();
 }
 
-double local_instance::usable_slots() const {
-    constexpr double least = 0.1;
-    const duration mean = this->times.overall_mean > duration{0}
-                              ? this->times.overall_mean
-                              : default_service_time;
-    return std::max(least, serving::usable_slots(this->queue, mean));
-}
-
-double local_instance::requests_per_slot() const {
-    return static_cast<double>(
-               this->queue.running.size() + this->queue.waiting.size()
-           ) /
-           this->usable_slots();
-}
-
-bool local_instance::is_limited() const {
-    return this->usable_slots() < this->queue.policy.slots;
-}
-
 instant local_instance::last_answer() const {
     return this->answered_at;
 }
