--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -150,7 +150,7 @@
     std::vector<std::unique_ptr<connection>> connections;
     bool leaving{false};
     /// Requests a second, as the last answer has it.
-    std::optional<double> named_limit;
+    std::optional<double> stated_limit;
     serving::work_id last_id;
     instant answered_at;
     /// Whether waiting work is to be started by a timer.
--- a/src/apricotstile/router/local_instance_signals.cpp
+++ b/src/apricotstile/router/local_instance_signals.cpp
@@ -26,14 +26,14 @@
 }
 
 std::optional<double> local_instance::rate_limit() const {
-    return this->named_limit;
+    return this->stated_limit;
 }
 
 void local_instance::set_rate_limit(std::optional<double> per_second) {
-    if (this->named_limit == per_second) {
+    if (this->stated_limit == per_second) {
         return;
     }
-    this->named_limit = per_second;
+    this->stated_limit = per_second;
     const auto actions =
         serving::set_start_limit(this->queue, per_second, boot_clock::now());
     log::write(
--- a/tests/router/named_limit.tests.cpp
+++ b/tests/router/rate_limit.tests.cpp
@@ -1,5 +1,5 @@
-// Guards against an upstream that gets more requests than the limit that it
-// names in its answers, from all daemons together.
+// Guards against an upstream that gets more requests than its rate limit
+// states in its answers, from all daemons together.
 
 #include <tests/router/daemon_group.hpp>
 
@@ -10,8 +10,7 @@
 using namespace apricotstile::tests;
 
 TEST_CASE(
-    "an upstream gets no more requests than the limit that it named",
-    "[router][limit]"
+    "an upstream gets no more requests than its rate limit", "[router][limit]"
 ) {
     daemon_group group{{"s", "t"}};
     group.upstream(0).set_extra_headers({{"Server-Limit", "0.5"}});
