--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -122,13 +122,22 @@
     ));
 }
 
-/// Whether the unfinished answers hold too much memory, so that this one of the
-/// larger ones among them is given up.
-bool local_instance::is_too_large(const connection& conn) const {
-    const std::size_t even_share =
-        internal::max_answer_bytes / this->connections.size();
-    return conn.answer_bytes >= even_share &&
-           this->unfinished_answer_bytes() > internal::max_answer_bytes;
+/// Gives up the largest unfinished answer if all of them hold too much memory.
+/// Returns whether it is the one on `conn`, which is closed then.
+bool local_instance::enforce_answer_memory(const connection& conn) {
+    if (this->unfinished_answer_bytes() <= internal::max_answer_bytes) {
+        return false;
+    }
+    const auto largest = std::max_element(
+        this->connections.begin(),
+        this->connections.end(),
+        [](const auto& left, const auto& right) {
+            return left->answer_bytes < right->answer_bytes;
+        }
+    );
+    const bool is_same = largest->get() == &conn;
+    this->handle_end(**largest, false, true);
+    return is_same;
 }
 
 void local_instance::handle_data(connection& conn, std::string_view bytes) {
@@ -138,11 +147,10 @@
         return;
     }
     conn.answer_bytes += bytes.size();
-    http::read_progress progress = conn.reader.put(bytes);
-    if (progress == http::read_progress::incomplete &&
-        this->is_too_large(conn)) {
-        progress = http::read_progress::malformed;
+    if (this->enforce_answer_memory(conn)) {
+        return;
     }
+    http::read_progress progress = conn.reader.put(bytes);
     while (progress == http::read_progress::complete && conn.current != nullptr
     ) {
         this->handle_answer(conn);
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -114,7 +114,7 @@
     connection* find_idle_connection();
     connection& open_connection();
     void handle_data(connection& conn, std::string_view bytes);
-    [[nodiscard]] bool is_too_large(const connection& conn) const;
+    bool enforce_answer_memory(const connection& conn);
     void handle_end(connection& conn, bool orderly, bool was_open);
     void handle_answer(connection& conn);
     void read_leaving(const std::vector<http::header>& headers);
