--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -196,6 +196,11 @@
         return;
     }
     this->read_rate_limit(answer.headers);
+    if (!this->queue.has_answered) {
+        this->perform_actions(
+            serving::note_first_answer(this->queue, boot_clock::now())
+        );
+    }
     this->read_leaving(answer.headers);
     const bool is_signed =
         !http::header_value(answer.headers, this->names.signature).empty();
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -68,6 +68,7 @@
     this->instance = instance;
     this->handle_instance_down();
     this->perform_actions(serving::refuse_waiting(this->queue));
+    this->queue.has_answered = false;
     this->times = {};
     this->leaving = false;
     this->set_rate_limit(std::nullopt);
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -16,8 +16,11 @@
     if (!queue.open || queue.alone) {
         return false;
     }
-    return work.alone ? queue.running.empty()
-                      : queue.running.size() < queue.policy.slots;
+    const work_queue_policy& policy = queue.policy;
+    const std::uint32_t slots =
+        queue.has_answered ? policy.slots
+                           : std::min(policy.slots, policy.first_slots);
+    return work.alone ? queue.running.empty() : queue.running.size() < slots;
 }
 
 bool has_capacity(
@@ -222,6 +225,11 @@
     return actions;
 }
 
+std::vector<work_action> note_first_answer(work_queue& queue, instant now) {
+    queue.has_answered = true;
+    return start_due(queue, now);
+}
+
 std::vector<work_action> set_start_limit(
     work_queue& queue, std::optional<double> per_second, instant now
 ) {
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -43,6 +43,8 @@
 
 struct work_queue_policy {
     std::uint32_t slots{1};
+    /// Slots used until the instance's first answer, which may state a limit.
+    std::uint32_t first_slots{4};
     /// Maximum number of waiting items.
     std::size_t max_waiting{256};
     /// Work waits only if it is expected to end within this fraction of the
@@ -67,6 +69,8 @@
     work_queue_policy policy;
     /// Whether work may start.
     bool open{false};
+    /// Whether the instance has answered anything in its present run.
+    bool has_answered{false};
 
     struct waiting_work {
         offered_work work;
@@ -115,6 +119,10 @@
 [[nodiscard]] std::vector<work_action>
 finished(work_queue& queue, work_id id, instant now);
 
+/// The instance has answered for the first time; waiting work may start.
+[[nodiscard]] std::vector<work_action>
+note_first_answer(work_queue& queue, instant now);
+
 /// Sets or removes the limit on starts; waiting work may start.
 [[nodiscard]] std::vector<work_action> set_start_limit(
     work_queue& queue, std::optional<double> per_second, instant now
--- a/tests/serving/start_limit.tests.cpp
+++ b/tests/serving/start_limit.tests.cpp
@@ -32,6 +32,7 @@
     work_queue queue;
     queue.policy.slots = 8;
     queue.open = true;
+    queue.has_answered = true;
     std::ignore = set_start_limit(queue, per_second, start);
     return queue;
 }
@@ -117,6 +118,7 @@
     model it;
     it.queue.policy.slots = 8;
     it.queue.open = true;
+    it.queue.has_answered = true;
     for (const std::uint32_t number : moves) {
         move_reader move{number};
         const std::uint32_t kind = move.below(40);
@@ -198,3 +200,18 @@
     CHECK(usable_slots(limited_queue(10), 2s) == Approx(8));
     CHECK(usable_slots(work_queue{}, 2s) == Approx(1));
 }
+
+TEST_CASE(
+    "an instance that has answered nothing gets few requests at a time",
+    "[serving][limit]"
+) {
+    work_queue queue;
+    queue.policy.slots = 8;
+    queue.open = true;
+    std::size_t started = 0;
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        started += offer(queue, work(id, start), start).size();
+    }
+    CHECK(started == queue.policy.first_slots);
+    CHECK(note_first_answer(queue, start + 1ms).size() == 4);
+}
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -30,6 +30,7 @@
     work_queue queue;
     queue.policy.slots = slots;
     queue.open = true;
+    queue.has_answered = true;
     return queue;
 }
 
