--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -65,10 +65,13 @@
     if (this->instance == instance) {
         return;
     }
+    // An instance that starts states its limit before it matters; one that ran
+    // before this daemon may have stated it to an earlier run of the daemon.
+    const bool is_first = this->instance == directory::instance_run{};
+    this->queue.has_answered = !is_first;
     this->instance = instance;
     this->handle_instance_down();
     this->perform_actions(serving::refuse_waiting(this->queue));
-    this->queue.has_answered = false;
     this->times = {};
     this->leaving = false;
     this->set_rate_limit(std::nullopt);
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -69,7 +69,7 @@
     work_queue_policy policy;
     /// Whether work may start.
     bool open{false};
-    /// Whether the instance has answered anything in its present run.
+    /// Whether enough is known of the instance to use all of its slots.
     bool has_answered{false};
 
     struct waiting_work {
