--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -37,6 +37,8 @@
     void apply_config(routing::routing_config config, const char* source);
     void request_config_from_peer();
     void handle_newer_config(host_id peer, routing::config_version version);
+    [[nodiscard]] bool has_config(routing::config_version version) const;
+    void request_newer_config(host_id peer, routing::config_version version);
     void update_config_current();
     void read_members();
     void merge_member_rows(const std::vector<platform::row>& rows);
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -27,8 +27,11 @@
 /// heartbeat or an answer.
 constexpr int max_missed_heartbeats = 3;
 
-/// How long the store may take to deliver a configuration that a peer has.
-constexpr duration config_request_delay = 300ms;
+/// How long the store may take to deliver a configuration that a peer has,
+/// before it is asked again, and before the peer is asked: a configuration is
+/// large, so it should be transferred once.
+constexpr duration config_renewal_delay = 300ms;
+constexpr duration config_request_delay = 1200ms;
 
 /// Time between the request to stop and the refusal of new connections.
 constexpr duration stop_notice_duration = 2500ms;
@@ -201,8 +204,8 @@
     );
 }
 
-/// Usually the store delivers the change right after. If it doesn't, the
-/// configuration is requested from the peer.
+/// Usually the store delivers the change right after. If it doesn't, it is
+/// asked again, and then the peer.
 void router::implementation::handle_newer_config(
     host_id peer, routing::config_version version
 ) {
@@ -214,25 +217,36 @@
         return;
     }
     this->config_request_due = true;
+    this->timers.after(config_renewal_delay, [this, version] {
+        if (!this->has_config(version) && this->on_stale_config) {
+            this->on_stale_config();
+        }
+    });
     this->timers.after(config_request_delay, [this, peer, version] {
         this->config_request_due = false;
-        if (this->routes && this->routes->config.version >= version) {
-            return;
-        }
-        log::write(
-            log::level::warning,
-            log_prefix,
-            "Requesting a peer's newer configuration.",
-            {{"peer", internal::format_for_log(peer)},
-             {"version", std::to_string(version.value)}}
-        );
-        this->links.send_message(peer, config_request{});
-        if (this->on_stale_config) {
-            this->on_stale_config();
+        if (!this->has_config(version)) {
+            this->request_newer_config(peer, version);
         }
     });
 }
 
+bool router::implementation::has_config(routing::config_version version) const {
+    return this->routes && this->routes->config.version >= version;
+}
+
+void router::implementation::request_newer_config(
+    host_id peer, routing::config_version version
+) {
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "Requesting a peer's newer configuration.",
+        {{"peer", internal::format_for_log(peer)},
+         {"version", std::to_string(version.value)}}
+    );
+    this->links.send_message(peer, config_request{});
+}
+
 void router::implementation::run_periodic_tasks() {
     this->poll_table();
     this->request_config_from_peer();
--- a/tests/adapter/feed_schedule.tests.cpp
+++ b/tests/adapter/feed_schedule.tests.cpp
@@ -26,8 +26,10 @@
 /// that is later, until all daemons have applied it.
 constexpr duration apply_limit = 2s;
 constexpr duration store_latency = 10ms;
-/// How long a daemon that knows of a newer version waits for the store.
-constexpr duration config_request_delay = 300ms;
+/// How long a daemon that knows of a newer version waits until it asks the
+/// store again, and then until it asks the peer.
+constexpr duration config_renewal_delay = 300ms;
+constexpr duration config_request_delay = 1200ms;
 /// Between two requests from one daemon to another, on average.
 constexpr duration contact_interval = 20ms;
 constexpr duration end_of_run = 40s;
@@ -183,16 +185,17 @@
         return;
     }
     behind.peer_request_due = true;
-    at(it, it.now + config_request_delay, [&it, &behind, &ahead] {
-        behind.peer_request_due = false;
-        if (behind.version >= ahead.version) {
-            return;
-        }
-        receive(it, behind, ahead.version);
-        if (behind.waits && note_trouble(behind.schedule)) {
+    const std::uint64_t wanted = ahead.version;
+    at(it, it.now + config_renewal_delay, [&it, &behind, wanted] {
+        if (behind.version < wanted && behind.waits &&
+            note_trouble(behind.schedule)) {
             call_store(it, behind);
         }
     });
+    at(it, it.now + config_request_delay, [&it, &behind, wanted] {
+        behind.peer_request_due = false;
+        receive(it, behind, wanted);
+    });
 }
 
 void check(model& it) {
