Log each announced departure with what the daemon knew of the instance

The old line said only that a deregistration was taken or not, and draining heartbeats had none. The dump and the metrics show whether requests may go to the instance. One format for milliseconds in logs in place of two.

--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -29,13 +29,6 @@
     return response;
 }
 
-/// Whole milliseconds, at least one.
-[[nodiscard]] inline std::string millis_text(duration value) {
-    const auto millis =
-        std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-    return std::to_string(std::max<std::int64_t>(millis, 1));
-}
-
 } // namespace internal
 
 struct local_instance::work {
--- a/src/apricotstile/router/internal/log_format.hpp
+++ b/src/apricotstile/router/internal/log_format.hpp
@@ -1,8 +1,9 @@
-// Formats keys, hosts and guardians for log fields.
+// Formats keys, hosts, guardians and durations for log fields.
 
 #ifndef APRICOTSTILE_ROUTER_INTERNAL_LOG_FORMAT_HPP
 #define APRICOTSTILE_ROUTER_INTERNAL_LOG_FORMAT_HPP
 
+#include <apricotstile/core/time.hpp>
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/keys/guardian_id.hpp>
 #include <apricotstile/keys/key_map.hpp>
@@ -27,6 +28,13 @@
     return result;
 }
 
+/// Whole milliseconds.
+inline std::string millis_text(duration value) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count()
+    );
+}
+
 } // namespace apricotstile::router::internal
 
 #endif
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -31,6 +31,9 @@
     void publish_entry();
     void change_state(directory::instance_state state, const char* why);
     void handle_leaving();
+    void log_departure(
+        const directory::instance_run& instance, const char* source, bool known
+    ) const;
     void write_entry();
     void
     merge_entry(const directory::member_entry& received, const char* source);
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -2,6 +2,7 @@
 // complete and known to belong to the request.
 
 #include <apricotstile/router/internal/local_work.hpp>
+#include <apricotstile/router/internal/log_format.hpp>
 
 #include <apricotstile/log/logger.hpp>
 
@@ -13,7 +14,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using internal::millis_text;
 using internal::unanswered_response;
 
 constexpr duration open_timeout = 1s;
@@ -38,6 +38,12 @@
     return status >= first_success && status < first_redirect;
 }
 
+/// The header's unit is milliseconds; zero would mean that no time is left.
+std::string remaining_deadline_text(duration remaining) {
+    constexpr duration least = 1ms;
+    return internal::millis_text(std::max(remaining, least));
+}
+
 } // namespace
 
 local_instance::connection* local_instance::find_idle_connection() {
@@ -103,7 +109,7 @@
     }
     result.push_back(
         {this->names.remaining_deadline,
-         millis_text(item.deadline - boot_clock::now())}
+         remaining_deadline_text(item.deadline - boot_clock::now())}
     );
     result.push_back({this->names.caller_service, item.caller_service.value});
     result.push_back({this->names.expected_instance, this->instance.id});
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -1,6 +1,7 @@
 // Admission, start and end of requests at the local instance.
 
 #include <apricotstile/router/internal/local_work.hpp>
+#include <apricotstile/router/internal/log_format.hpp>
 
 #include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using internal::millis_text;
 
 constexpr std::uint16_t status_bad_gateway = 502;
 
@@ -29,12 +30,6 @@
     return fmt::format("{:.3f}", std::chrono::duration<double>(value).count());
 }
 
-std::string millis_text(duration value) {
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(value).count()
-    );
-}
-
 std::string host_text(host_id host) {
     return host == host_id{} ? "none" : internal::format_for_log(host);
 }
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -137,12 +137,32 @@
     this->publish_entry();
 }
 
+/// `known` tells whether the instance is the one that this run of the daemon
+/// has accepted heartbeats of.
+void router::implementation::log_departure(
+    const directory::instance_run& instance, const char* source, bool known
+) const {
+    const duration uptime = boot_clock::now() - this->started;
+    log::write(
+        log::level::info,
+        log_prefix,
+        "Instance announced its departure.",
+        {{"instance", instance.id},
+         {"born_ms", std::to_string(instance.started_ms)},
+         {"source", source},
+         {"known", known ? "yes" : "no"},
+         {"state", std::string{directory::name_of(this->own_entry.state)}},
+         {"daemon_uptime_ms", internal::millis_text(uptime)}}
+    );
+}
+
 /// An instance may say that it leaves in its answers only; its heartbeats may
 /// go on to say that it is ready.
 void router::implementation::handle_leaving() {
     if (this->own_entry.state != directory::instance_state::ready) {
         return;
     }
+    this->log_departure(this->own_entry.instance, "answer", true);
     this->change_state(directory::instance_state::draining, "answer");
     if (this->local_keys) {
         this->local_keys->release_all_keys();
@@ -361,6 +381,10 @@
             daemon.publish_entry();
         }
     }
+    if (heartbeat.state == directory::instance_state::draining &&
+        daemon.own_entry.state != heartbeat.state) {
+        daemon.log_departure(heartbeat.instance, "heartbeat", same_instance);
+    }
     if (daemon.local_keys) {
         if (heartbeat.state == directory::instance_state::draining) {
             daemon.local_keys->release_all_keys();
@@ -376,6 +400,9 @@
 ) {
     implementation& daemon = *this->impl;
     const directory::instance_run& current = daemon.own_entry.instance;
+    daemon.log_departure(
+        {instance, started_ms}, "deregistration", instance == current.id
+    );
     if (instance != current.id) {
         return heartbeat_result::other_instance;
     }
@@ -464,7 +491,11 @@
           {"running", load.running},
           {"waiting", load.waiting},
           {"connections", daemon.instance.open_connections()},
-          {"limited", daemon.instance.rate_limit().has_value()},
+          {"id", daemon.own_entry.instance.id},
+         {"state", std::string{directory::name_of(daemon.own_entry.state)}},
+         {"ready",
+          daemon.own_entry.state == directory::instance_state::ready},
+         {"limited", daemon.instance.rate_limit().has_value()},
           {"limit_per_second", daemon.instance.rate_limit().value_or(0)}}},
         {"quarantine",
          {{"crashes", quarantine.crashes},
