--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -27,7 +27,10 @@
     return {loopback, probe.serverPort()};
 }
 
-routing::routing_config config_for(const std::vector<std::string>& services) {
+routing::routing_config config_for(
+    const std::vector<std::string>& services,
+    const std::vector<std::string>& keyed
+) {
     routing::routing_config config;
     config.version = {1};
     for (const std::string& service : services) {
@@ -45,6 +48,8 @@
         route.services = {{{service}, 1}};
         config.routes.push_back(route);
         config.services[{service}].max_connections = 64;
+        config.services[{service}].keyed =
+            std::find(keyed.begin(), keyed.end(), service) != keyed.end();
     }
     return config;
 }
@@ -89,11 +94,18 @@
     std::unique_ptr<loopback_table> table;
     std::unique_ptr<router::router> daemon;
     std::uint64_t sequence{0};
+    bool sends_heartbeats{true};
+    directory::instance_state state{directory::instance_state::ready};
+    /// What the last answer to a heartbeat granted.
+    std::vector<keys::held_range> holds;
     /// The run whose heartbeat was accepted last.
     directory::instance_run accepted;
 };
 
-daemon_group::daemon_group(const std::vector<std::string>& services) {
+daemon_group::daemon_group(
+    const std::vector<std::string>& services,
+    const daemon_group_options& options
+) {
     need_application();
     for (const std::string& service : services) {
         auto added = std::make_unique<host>();
@@ -106,16 +118,17 @@
         added->settings.instance_address = added->upstream->where();
         added->settings.service = {service};
         added->settings.heartbeat_interval = 5s;
-        added->settings.drain_timeout = 600ms;
+        added->settings.drain_timeout = options.drain_timeout;
         added->settings.names.request_id = "Request-Id";
         added->settings.names.remaining_deadline = "Time-Left";
         added->settings.names.caller_service = "Caller-Service";
+        added->settings.names.key = "Key";
         added->settings.names.signature = "Signature";
         added->settings.names.not_executed = "Not-Executed";
         added->settings.names.expected_instance = "Expected-Instance";
         added->settings.names.server_limit = "Server-Limit";
         added->settings.names.server_leaving = "Server-Leaving";
-        added->config = config_for(services);
+        added->config = config_for(services, options.keyed);
         this->hosts.push_back(std::move(added));
     }
     for (const auto& one : this->hosts) {
@@ -141,24 +154,65 @@
     one.accepted = {};
 }
 
+bool daemon_group::send_heartbeat(host& one) {
+    keys::heartbeat heartbeat;
+    heartbeat.service = one.settings.service;
+    heartbeat.instance = one.upstream->run();
+    heartbeat.sequence = ++one.sequence;
+    heartbeat.state = one.state;
+    heartbeat.slots = 4;
+    heartbeat.holds = one.holds;
+    keys::heartbeat_answer answer;
+    if (one.daemon->handle_heartbeat(heartbeat, answer) !=
+        router::heartbeat_result::accepted) {
+        return false;
+    }
+    one.accepted = heartbeat.instance;
+    if (answer.grants) {
+        one.holds.clear();
+        for (const keys::key_grant& grant : answer.keys) {
+            one.holds.push_back({grant.keys, grant.fence});
+        }
+    }
+    return true;
+}
+
 void daemon_group::send_heartbeats() {
     for (const auto& one : this->hosts) {
-        if (!one->upstream->is_up()) {
-            continue;
-        }
-        keys::heartbeat heartbeat;
-        heartbeat.service = one->settings.service;
-        heartbeat.instance = one->upstream->run();
-        heartbeat.sequence = ++one->sequence;
-        heartbeat.slots = 4;
-        keys::heartbeat_answer answer;
-        if (one->daemon->handle_heartbeat(heartbeat, answer) ==
-            router::heartbeat_result::accepted) {
-            one->accepted = heartbeat.instance;
+        if (one->daemon && one->sends_heartbeats && one->upstream->is_up()) {
+            static_cast<void>(this->send_heartbeat(*one));
         }
     }
 }
 
+void daemon_group::send_heartbeats_of(std::size_t index, bool sends) {
+    this->hosts.at(index)->sends_heartbeats = sends;
+}
+
+void daemon_group::set_state(
+    std::size_t index, directory::instance_state state
+) {
+    this->hosts.at(index)->state = state;
+}
+
+void daemon_group::deregister(std::size_t index) {
+    host& one = *this->hosts.at(index);
+    constexpr std::int64_t unknown_start = 0;
+    static_cast<void>(
+        one.daemon->handle_deregistration(one.upstream->run().id, unknown_start)
+    );
+}
+
+void daemon_group::drain(std::size_t index) {
+    host& one = *this->hosts.at(index);
+    one.state = directory::instance_state::draining;
+    REQUIRE(this->send_heartbeat(one));
+}
+
+void daemon_group::set_table_down(bool down) {
+    this->rows.down = down;
+}
+
 void daemon_group::wait_until_ready() {
     REQUIRE(wait_until([&] {
         return std::all_of(
@@ -166,8 +220,10 @@
             this->hosts.end(),
             [&](const std::unique_ptr<host>& one) {
                 const nlohmann::json state = one->daemon->describe();
+                const bool sends_heartbeats =
+                    one->sends_heartbeats && one->upstream->is_up();
                 return one->daemon->is_ready() &&
-                       (!one->upstream->is_up() ||
+                       (!sends_heartbeats ||
                         one->accepted == one->upstream->run()) &&
                        state["links"]["open"] == this->hosts.size() - 1;
             }
@@ -175,6 +231,10 @@
     }));
 }
 
+void daemon_group::stop_daemon(std::size_t index) {
+    this->hosts.at(index)->daemon.reset();
+}
+
 void daemon_group::restart_daemon(std::size_t index) {
     host& one = *this->hosts.at(index);
     one.daemon.reset();
@@ -204,9 +264,10 @@
         QHostAddress::LocalHost,
         this->hosts.at(index)->settings.caller_address.port
     );
-    const std::string head =
-        "GET " + target + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " +
-        std::to_string(++this->last_request) + "\r\nTime-Left: 5000\r\n\r\n";
+    const std::string head = "GET " + target +
+                             " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " +
+                             std::to_string(++this->last_request) +
+                             "\r\nTime-Left: 5000\r\nKey: 1\r\n\r\n";
     caller.write(head.c_str());
     REQUIRE(wait_until([&] {
         return caller.canReadLine();
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -33,24 +33,48 @@
     std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
 };
 
+struct daemon_group_options {
+    /// Services that are divided by key.
+    std::vector<std::string> keyed;
+    /// How long a leaving upstream may still get requests.
+    duration drain_timeout{std::chrono::milliseconds{600}};
+};
+
 class daemon_group {
 public:
     /// Starts one daemon for each name in `services`, which is the service
     /// beside it, and waits until all are linked and ready. Route "/SERVICE/"
     /// leads to each service.
-    explicit daemon_group(const std::vector<std::string>& services);
+    explicit daemon_group(
+        const std::vector<std::string>& services,
+        const daemon_group_options& options = {}
+    );
     ~daemon_group();
 
-    /// Kills and starts daemon `index`; returns when it is ready and linked.
+    /// Kills and starts daemon `index`; returns when it is ready and linked,
+    /// and has accepted a heartbeat unless they are suspended.
     void restart_daemon(std::size_t index);
+    /// Kills daemon `index`.
+    void stop_daemon(std::size_t index);
+    /// Whether upstream `index` sends heartbeats.
+    void send_heartbeats_of(std::size_t index, bool sends);
+    /// What the later heartbeats of upstream `index` say.
+    void set_state(std::size_t index, directory::instance_state state);
+    /// Deregisters upstream `index`; returns when that is acknowledged.
+    void deregister(std::size_t index);
+    /// Sends a heartbeat of upstream `index` that says that it drains; returns
+    /// when that is acknowledged.
+    void drain(std::size_t index);
+    /// While true, the table answers no call.
+    void set_table_down(bool down);
     /// Applies a configuration of this version, with the same routes, to one
     /// daemon.
     void apply_config(std::size_t index, std::uint64_t version);
-    /// Sends a request to daemon `index` and returns its answer's status.
+    /// Sends a request to daemon `index` and returns its answer's status. All
+    /// requests have the same key.
     int request(std::size_t index, const std::string& target);
     [[nodiscard]] fake_upstream& upstream(std::size_t index);
     [[nodiscard]] nlohmann::json describe(std::size_t index) const;
-    /// How long a leaving upstream may still get requests.
     [[nodiscard]] duration drain_timeout() const;
     /// How often upstreams began to run `target`.
     [[nodiscard]] std::size_t runs_of(const std::string& target) const;
@@ -62,6 +86,7 @@
     struct host;
 
     void start(host& one);
+    bool send_heartbeat(host& one);
     void send_heartbeats();
     void wait_until_ready();
 
