Keep departures beyond the run of the daemon that acknowledges them

Cause: the daemon acknowledged departures that it didn't keep. A deregistration that came before the first heartbeat was answered 200 and dropped; any other departure was in memory only, so the next run of the daemon took the instance's next heartbeat, or a late one, for that of a ready instance. In the same run too a heartbeat that says ready took a drain back. The time in which a draining instance with keys goes on serving began again with the daemon.

A departure is now a fact about a run of the instance that merging never drops, in the daemon's row and at all peers. It is acknowledged only when the row is written or a peer has confirmed that it keeps it; else the answer is 503 and the instance repeats it. A new run lets no request to its instance before it has read the row, or heard from peers while the store is away. So whoever may serve after an acknowledgement knows of it.

--- a/src/apricotstile/directory/directory.cpp
+++ b/src/apricotstile/directory/directory.cpp
@@ -29,10 +29,14 @@
         known.entries.emplace(update.host, update);
         return true;
     }
+    departures all = found->second.known_departures;
+    const bool adds_departures = add_departures(all, update.known_departures);
     if (!is_newer(update, found->second)) {
-        return false;
+        found->second.known_departures = std::move(all);
+        return adds_departures;
     }
     found->second = update;
+    found->second.known_departures = std::move(all);
     return true;
 }
 
@@ -40,7 +44,8 @@
 ready_instances(const directory& known, const service_id& service) {
     std::vector<const member_entry*> result;
     for (const auto& [host, one] : known.entries) {
-        if (one.service == service && one.state == instance_state::ready) {
+        if (one.service == service && one.state == instance_state::ready &&
+            !has_departed(one.known_departures, one.instance)) {
             result.push_back(&one);
         }
     }
--- a/src/apricotstile/directory/directory.hpp
+++ b/src/apricotstile/directory/directory.hpp
@@ -19,7 +19,8 @@
 is_newer(const member_entry& left, const member_entry& right);
 
 /// Stores `update` if it is newer than the known entry of its host. Entries may
-/// arrive in any order and repeatedly. Returns whether it was stored.
+/// arrive in any order and repeatedly; departures are kept from all of them.
+/// Returns whether the known entry has changed.
 bool merge_entry(directory& known, const member_entry& update);
 
 /// Entries of daemons whose local instance is a ready one of `service`, in
--- a/src/apricotstile/directory/entry.hpp
+++ b/src/apricotstile/directory/entry.hpp
@@ -4,25 +4,15 @@
 #define APRICOTSTILE_DIRECTORY_ENTRY_HPP
 
 #include <apricotstile/core/ids.hpp>
+#include <apricotstile/directory/departures.hpp>
+#include <apricotstile/directory/instance_run.hpp>
 #include <apricotstile/host/location.hpp>
 
 #include <cstdint>
-#include <string>
 #include <string_view>
 
 namespace apricotstile::directory {
 
-/// One run of an upstream instance. An instance that restarts with the same id
-/// counts as a different one, since it has lost its keys and its state.
-struct instance_run {
-    /// Empty means "no instance".
-    std::string id;
-    /// Its start in Unix milliseconds, by its own clock.
-    std::int64_t started_ms{0};
-
-    friend bool operator==(const instance_run&, const instance_run&) = default;
-};
-
 enum class instance_state : std::uint8_t { absent, ready, draining };
 
 /// The state's name in logs.
@@ -42,13 +32,10 @@
     std::uint32_t slots{0};
     /// Whether the daemon is shutting down.
     bool stopping{false};
+    /// Announced to this or an earlier run of the daemon.
+    departures known_departures;
 };
 
-template <class Archive>
-void serialize(Archive& archive, instance_run& value) {
-    archive(value.id, value.started_ms);
-}
-
 template <class Archive>
 void serialize(Archive& archive, member_entry& value) {
     archive(
@@ -60,7 +47,8 @@
         value.instance,
         value.state,
         value.slots,
-        value.stopping
+        value.stopping,
+        value.known_departures
     );
 }
 
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -190,6 +190,22 @@
     serialize_varint(archive, value.claimed_millislots);
 }
 
+template <class Archive>
+void serialize(Archive& archive, earlier_departures_frame& value) {
+    archive(value.departures);
+}
+
+template <class Archive>
+void serialize(Archive& archive, keep_departures_request& value) {
+    serialize_varint(archive, value.revision);
+    archive(value.departures);
+}
+
+template <class Archive>
+void serialize(Archive& archive, keep_departures_reply& value) {
+    serialize_varint(archive, value.revision);
+}
+
 namespace {
 
 /// Decodes the payload as the alternative of the variant with index `kind`.
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -147,6 +147,22 @@
     routing::routing_config config;
 };
 
+/// Departures in the receiver's own entry that the sender knew before the
+/// receiver's current run; sent when the sender learns of that run.
+struct earlier_departures_frame {
+    directory::departures departures;
+};
+
+/// Asks a peer to keep the departures in the sender's entry of this revision.
+struct keep_departures_request {
+    std::uint64_t revision{0};
+    directory::departures departures;
+};
+
+struct keep_departures_reply {
+    std::uint64_t revision{0};
+};
+
 /// The receiver replies with a `pong_frame` at once.
 struct ping_frame {};
 
@@ -169,7 +185,10 @@
     capacity_claim,
     crash_reports_frame,
     config_request,
-    config_reply>;
+    config_reply,
+    earlier_departures_frame,
+    keep_departures_request,
+    keep_departures_reply>;
 
 /// Encodes a frame with its length prefix. `headers` is the table of the
 /// direction that the frame is sent in. Each encoded frame must be sent, in
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -6,6 +6,7 @@
 #include <apricotstile/directory/directory.hpp>
 #include <apricotstile/keys/key_lease_guardian.hpp>
 #include <apricotstile/keys/key_map_change.hpp>
+#include <apricotstile/router/departure_recorder.hpp>
 #include <apricotstile/router/local_instance.hpp>
 #include <apricotstile/router/local_key_manager.hpp>
 #include <apricotstile/router/peer_links.hpp>
@@ -23,17 +24,27 @@
 /// timeout.
 inline constexpr duration drain_margin = std::chrono::milliseconds{400};
 
+/// How long a starting daemon waits for the store before it relies on its peers
+/// for the configuration and its instance's departures, and the delay between
+/// two requests for a configuration.
+inline constexpr duration store_wait_timeout = std::chrono::milliseconds{1500};
+
 struct router::implementation {
     implementation(
         const router_settings& settings, platform::shared_table& table
     );
 
     void publish_entry();
-    void change_state(directory::instance_state state, const char* why);
+    bool change_state(directory::instance_state state, const char* why);
+    [[nodiscard]] directory::instance_state permitted_state() const;
     void handle_leaving();
-    void log_departure(
-        const directory::instance_run& instance, const char* source, bool known
-    ) const;
+    void add_departure(
+        const directory::departure& added, const char* source, bool known
+    );
+    void
+    learn_departures(const directory::departures& learned, const char* source);
+    [[nodiscard]] bool knows_departures() const;
+    void ask_peers_to_keep_departures();
     void write_entry();
     void
     merge_entry(const directory::member_entry& received, const char* source);
@@ -117,6 +128,14 @@
 
     std::uint64_t last_sequence{0};
     instant last_heartbeat;
+    /// What the instance said last, or `absent` if it is silent or gone.
+    directory::instance_state announced_state{
+        directory::instance_state::absent};
+    departure_recorder recorder{timers, [this] {
+                                    this->ask_peers_to_keep_departures();
+                                }};
+    /// Whether a peer has sent the departures that earlier runs announced.
+    bool peers_know_departures{false};
     /// The instance that deregistered last; its heartbeats are rejected.
     directory::instance_run deregistered_instance;
     std::map<peer_request_id, serving::work_id> peer_work;
@@ -124,7 +143,10 @@
     platform::row_version entry_version;
     bool needs_entry_write{false};
     bool entry_in_flight{false};
+    /// After a failed write.
     instant entry_retry_at;
+    /// Limits the rate of writes.
+    instant next_entry_write_at;
 
     std::vector<host_id> last_member_hosts;
     instant members_unchanged_since;
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -93,8 +93,6 @@
     [[nodiscard]] std::size_t open_connections() const;
     /// Bytes of answers that aren't complete yet.
     [[nodiscard]] std::size_t unfinished_answer_bytes() const;
-    /// Whether the instance has said in an answer that it leaves.
-    [[nodiscard]] bool is_leaving() const;
     /// The requests a second that the instance accepts; nothing if it doesn't
     /// limit them.
     [[nodiscard]] std::optional<double> rate_limit() const;
@@ -148,6 +146,7 @@
     serving::caller_origins origins;
     std::unordered_map<serving::work_id, std::unique_ptr<work>> work_items;
     std::vector<std::unique_ptr<connection>> connections;
+    /// Whether the instance has said in an answer that it leaves.
     bool leaving{false};
     /// Requests a second, as the last answer has it.
     std::optional<double> stated_limit;
--- a/src/apricotstile/router/local_instance_signals.cpp
+++ b/src/apricotstile/router/local_instance_signals.cpp
@@ -21,10 +21,6 @@
 
 } // namespace
 
-bool local_instance::is_leaving() const {
-    return this->leaving;
-}
-
 std::optional<double> local_instance::rate_limit() const {
     return this->stated_limit;
 }
--- a/src/apricotstile/router/local_key_manager.cpp
+++ b/src/apricotstile/router/local_key_manager.cpp
@@ -76,7 +76,7 @@
     const instant now = boot_clock::now();
     const bool is_new_instance = this->key_owner.instance != beat.instance;
     const bool had_lease = keys::has_lease(this->key_owner, now);
-    if (is_new_instance) {
+    if (is_new_instance && beat.state == directory::instance_state::ready) {
         this->departing = false;
     }
     keys::heartbeat_answer answer =
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -1,4 +1,4 @@
-// Start, instance state, configuration and stop of a daemon.
+// Start, configuration and stop of a daemon.
 
 #include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/router_implementation.hpp>
@@ -19,14 +19,6 @@
 
 constexpr duration periodic_task_interval = 250ms;
 
-/// How long a starting daemon waits for the store's configuration before it
-/// asks a peer, and the delay between two such requests.
-constexpr duration store_wait_timeout = 1500ms;
-
-/// An instance gets no requests after this many heartbeat intervals without a
-/// heartbeat or an answer.
-constexpr int max_missed_heartbeats = 3;
-
 /// How long the store may take to deliver a configuration that a peer has,
 /// before it is asked again, and before the peer is asked: a configuration is
 /// large, so it should be transferred once.
@@ -101,74 +93,6 @@
     this->publish_entry();
 }
 
-void router::implementation::change_state(
-    directory::instance_state state, const char* why
-) {
-    if (this->own_entry.state == state) {
-        return;
-    }
-    log::write(
-        log::level::info,
-        log_prefix,
-        "Instance state changed.",
-        {{"instance", this->own_entry.instance.id},
-         {"from", std::string{directory::name_of(this->own_entry.state)}},
-         {"to", std::string{directory::name_of(state)}},
-         {"why", why}}
-    );
-    this->own_entry.state = state;
-    // A draining instance serves its keys until they have moved.
-    const bool moves_keys =
-        state == directory::instance_state::draining && this->local_keys;
-    this->instance.set_open(
-        (state == directory::instance_state::ready || moves_keys) &&
-        !this->stop_notice_passed()
-    );
-    if (moves_keys) {
-        this->timers.after(
-            this->settings.drain_timeout - drain_margin,
-            [this, draining_instance = this->own_entry.instance] {
-                if (this->own_entry.instance == draining_instance) {
-                    this->instance.set_open(false);
-                }
-            }
-        );
-    }
-    this->publish_entry();
-}
-
-/// `known` tells whether the instance is the one that this run of the daemon
-/// has accepted heartbeats of.
-void router::implementation::log_departure(
-    const directory::instance_run& instance, const char* source, bool known
-) const {
-    const duration uptime = boot_clock::now() - this->started;
-    log::write(
-        log::level::info,
-        log_prefix,
-        "Instance announced its departure.",
-        {{"instance", instance.id},
-         {"born_ms", std::to_string(instance.started_ms)},
-         {"source", source},
-         {"known", known ? "yes" : "no"},
-         {"state", std::string{directory::name_of(this->own_entry.state)}},
-         {"daemon_uptime_ms", internal::millis_text(uptime)}}
-    );
-}
-
-/// An instance may say that it leaves in its answers only; its heartbeats may
-/// go on to say that it is ready.
-void router::implementation::handle_leaving() {
-    if (this->own_entry.state != directory::instance_state::ready) {
-        return;
-    }
-    this->log_departure(this->own_entry.instance, "answer", true);
-    this->change_state(directory::instance_state::draining, "answer");
-    if (this->local_keys) {
-        this->local_keys->release_all_keys();
-    }
-}
-
 void router::implementation::apply_config(
     routing::routing_config config, const char* source
 ) {
@@ -272,6 +196,7 @@
     this->request_config_from_peer();
     this->write_entry();
     this->check_instance_liveness();
+    this->change_state(this->permitted_state(), "departures known");
     for (const auto& [peer, entry] : this->known_daemons.entries) {
         if (peer != this->own_host) {
             this->links.connect(peer);
@@ -280,23 +205,6 @@
     this->finish_stop_if_done();
 }
 
-/// Stops sending requests to an unresponsive instance until its next heartbeat.
-void router::implementation::check_instance_liveness() {
-    if (this->own_entry.state != directory::instance_state::ready) {
-        return;
-    }
-    const instant last_heard =
-        std::max(this->last_heartbeat, this->instance.last_answer());
-    if (boot_clock::now() - last_heard >
-        this->settings.heartbeat_interval * max_missed_heartbeats) {
-        this->change_state(directory::instance_state::absent, "silent");
-        this->instance.handle_silence();
-        if (this->local_keys) {
-            this->local_keys->handle_instance_stopped();
-        }
-    }
-}
-
 /// Whether callers and peers have had time since the request to stop to switch
 /// to other daemons.
 bool router::implementation::stop_notice_passed() const {
@@ -344,80 +252,6 @@
     this->impl->on_stale_config = std::move(on_stale_config);
 }
 
-heartbeat_result router::handle_heartbeat(
-    const keys::heartbeat& received, keys::heartbeat_answer& answer
-) {
-    implementation& daemon = *this->impl;
-    keys::heartbeat heartbeat = received;
-    if (heartbeat.service != daemon.settings.service) {
-        return heartbeat_result::other_instance;
-    }
-    const directory::instance_run& current = daemon.own_entry.instance;
-    const bool same_instance = heartbeat.instance == current;
-    if ((same_instance && heartbeat.sequence <= daemon.last_sequence) ||
-        (!same_instance && heartbeat.instance.started_ms <= current.started_ms
-        ) ||
-        heartbeat.instance == daemon.deregistered_instance) {
-        return heartbeat_result::stale;
-    }
-    daemon.last_sequence = heartbeat.sequence;
-    daemon.last_heartbeat = boot_clock::now();
-    daemon.instance.set_instance(heartbeat.instance, heartbeat.slots);
-    if (daemon.instance.is_leaving()) {
-        heartbeat.state = directory::instance_state::draining;
-    }
-    if (!same_instance || daemon.own_entry.slots != heartbeat.slots) {
-        log::write(
-            log::level::info,
-            log_prefix,
-            "Instance announced itself.",
-            {{"instance", heartbeat.instance.id},
-             {"born_ms", std::to_string(heartbeat.instance.started_ms)},
-             {"slots", std::to_string(heartbeat.slots)}}
-        );
-        daemon.own_entry.instance = heartbeat.instance;
-        daemon.own_entry.slots = heartbeat.slots;
-        if (daemon.own_entry.state == heartbeat.state) {
-            daemon.publish_entry();
-        }
-    }
-    if (heartbeat.state == directory::instance_state::draining &&
-        daemon.own_entry.state != heartbeat.state) {
-        daemon.log_departure(heartbeat.instance, "heartbeat", same_instance);
-    }
-    if (daemon.local_keys) {
-        if (heartbeat.state == directory::instance_state::draining) {
-            daemon.local_keys->release_all_keys();
-        }
-        answer = daemon.local_keys->handle_heartbeat(heartbeat);
-    }
-    daemon.change_state(heartbeat.state, "heartbeat");
-    return heartbeat_result::accepted;
-}
-
-heartbeat_result router::handle_deregistration(
-    const std::string& instance, std::int64_t started_ms
-) {
-    implementation& daemon = *this->impl;
-    const directory::instance_run& current = daemon.own_entry.instance;
-    daemon.log_departure(
-        {instance, started_ms}, "deregistration", instance == current.id
-    );
-    if (instance != current.id) {
-        return heartbeat_result::other_instance;
-    }
-    if (started_ms != 0 && started_ms < current.started_ms) {
-        return heartbeat_result::stale;
-    }
-    daemon.deregistered_instance = current;
-    daemon.change_state(directory::instance_state::absent, "deregistered");
-    daemon.instance.set_open(false);
-    if (daemon.local_keys) {
-        daemon.local_keys->handle_instance_stopped();
-    }
-    return heartbeat_result::accepted;
-}
-
 daemon_position router::position() const {
     const implementation& daemon = *this->impl;
     daemon_position result;
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -82,9 +82,14 @@
         const keys::heartbeat& heartbeat, keys::heartbeat_answer& answer
     );
     /// An instance deregisters. `started_ms` is its start time, or zero if it
-    /// isn't given.
+    /// isn't given; then any run that has started by now may be meant.
     heartbeat_result
     handle_deregistration(const std::string& instance, std::int64_t started_ms);
+    /// Calls `done` once, possibly before this returns: with true when the
+    /// departures that the instance has announced will be known to the next
+    /// run of this daemon, so that they may be acknowledged; with false if that
+    /// takes too long.
+    void when_departures_recorded(std::function<void(bool recorded)> done);
 
     /// This daemon's position among those that it can reach.
     [[nodiscard]] daemon_position position() const;
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -52,7 +52,7 @@
     key_owner.grants_expire_at =
         boot_clock::now() + keys::max_promise_duration(policy.lease);
     // The instance's heartbeat may have arrived before the configuration.
-    if (this->own_entry.state == directory::instance_state::ready) {
+    if (this->announced_state == directory::instance_state::ready) {
         key_owner.instance = this->own_entry.instance;
     }
     this->local_keys = std::make_unique<local_key_manager>(
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -50,8 +50,12 @@
 /// Writes this daemon's row if it has changed. If the result of a write isn't
 /// known, the row is read to get its version, and then written again.
 void router::implementation::write_entry() {
+    const instant now = boot_clock::now();
+    // A departure is acknowledged once it is written.
+    const bool is_early =
+        now < this->next_entry_write_at && this->recorder.is_recorded();
     if (!this->needs_entry_write || this->entry_in_flight ||
-        !this->members_loaded || boot_clock::now() < this->entry_retry_at) {
+        !this->members_loaded || now < this->entry_retry_at || is_early) {
         return;
     }
     this->needs_entry_write = false;
@@ -65,13 +69,18 @@
     );
     this->table.submit(
         transaction,
-        [this](const platform::commit_result& result) {
+        [this,
+         revision =
+             this->own_entry.revision](const platform::commit_result& result) {
             this->entry_in_flight = false;
             if (result.status == platform::commit_status::committed) {
                 this->entry_version =
                     std::max(this->entry_version, result.versions.front());
-                this->entry_retry_at =
+                this->next_entry_write_at =
                     boot_clock::now() + min_entry_write_interval;
+                this->recorder.note_recorded(revision);
+                // A departure may have been announced meanwhile.
+                this->write_entry();
                 return;
             }
             this->needs_entry_write = true;
@@ -96,10 +105,22 @@
 void router::implementation::merge_entry(
     const directory::member_entry& received, const char* source
 ) {
-    if (received.host == this->own_host ||
-        !directory::merge_entry(this->known_daemons, received)) {
+    if (received.host == this->own_host) {
+        return;
+    }
+    const auto earlier = this->known_daemons.entries.find(received.host);
+    const bool is_new_run = earlier != this->known_daemons.entries.end() &&
+                            earlier->second.run < received.run;
+    if (!directory::merge_entry(this->known_daemons, received)) {
         return;
     }
+    if (is_new_run) {
+        this->links.send_message(
+            received.host,
+            earlier_departures_frame{
+                this->known_daemons.entries.at(received.host).known_departures}
+        );
+    }
     log::write(
         log::level::info,
         log_prefix,
@@ -138,6 +159,7 @@
                 continue;
             }
             this->entry_version = std::max(this->entry_version, row.version);
+            this->learn_departures(received.known_departures, "table");
             // The run number must exceed those of earlier runs on this host,
             // or peers would ignore this run's entries as outdated.
             if (received.run > this->own_entry.run) {
@@ -154,6 +176,7 @@
             );
         }
     }
+    this->change_state(this->permitted_state(), "departures known");
     this->write_entry();
 }
 
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -115,6 +115,19 @@
         }
     } else if (const auto* const config = std::get_if<config_reply>(&message)) {
         this->apply_config(config->config, "peer");
+    } else if (const auto* const earlier = std::get_if<earlier_departures_frame>(&message)) {
+        this->peers_know_departures = true;
+        this->learn_departures(earlier->departures, "peer");
+    } else if (const auto* const kept = std::get_if<keep_departures_request>(&message)) {
+        const auto entry = this->known_daemons.entries.find(peer);
+        if (entry != this->known_daemons.entries.end()) {
+            directory::add_departures(
+                entry->second.known_departures, kept->departures
+            );
+            reply(keep_departures_reply{kept->revision});
+        }
+    } else if (const auto* const confirmed = std::get_if<keep_departures_reply>(&message)) {
+        this->recorder.note_recorded(confirmed->revision);
     } else if (const auto* const wanted_capacity = std::get_if<capacity_request>(&message)) {
         reply(
             this->local_keys
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -11,6 +11,7 @@
 #include <QHostAddress>
 
 #include <algorithm>
+#include <optional>
 
 namespace apricotstile::tests {
 
@@ -196,17 +197,34 @@
 }
 
 void daemon_group::deregister(std::size_t index) {
+    REQUIRE(this->try_to_deregister(index));
+}
+
+bool daemon_group::try_to_deregister(std::size_t index) {
     host& one = *this->hosts.at(index);
     constexpr std::int64_t unknown_start = 0;
     static_cast<void>(
         one.daemon->handle_deregistration(one.upstream->run().id, unknown_start)
     );
+    return this->is_acknowledged(one);
 }
 
 void daemon_group::drain(std::size_t index) {
     host& one = *this->hosts.at(index);
     one.state = directory::instance_state::draining;
     REQUIRE(this->send_heartbeat(one));
+    REQUIRE(this->is_acknowledged(one));
+}
+
+bool daemon_group::is_acknowledged(host& one) {
+    std::optional<bool> result;
+    one.daemon->when_departures_recorded([&](bool recorded) {
+        result = recorded;
+    });
+    REQUIRE(wait_until([&] {
+        return result.has_value();
+    }));
+    return *result;
 }
 
 void daemon_group::set_table_down(bool down) {
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -62,6 +62,8 @@
     void set_state(std::size_t index, directory::instance_state state);
     /// Deregisters upstream `index`; returns when that is acknowledged.
     void deregister(std::size_t index);
+    /// Deregisters upstream `index`; returns whether that is acknowledged.
+    bool try_to_deregister(std::size_t index);
     /// Sends a heartbeat of upstream `index` that says that it drains; returns
     /// when that is acknowledged.
     void drain(std::size_t index);
@@ -88,6 +90,7 @@
     void start(host& one);
     bool send_heartbeat(host& one);
     void send_heartbeats();
+    bool is_acknowledged(host& one);
     void wait_until_ready();
 
     fake_table rows;
--- a/tests/router/forgotten_departure.tests.cpp
+++ b/tests/router/forgotten_departure.tests.cpp
@@ -93,6 +93,17 @@
     check_gets_no_requests(group);
 }
 
+TEST_CASE(
+    "a departure that neither the store nor a peer has isn't acknowledged",
+    "[router][leaving]"
+) {
+    daemon_group group{{"s"}};
+    group.set_table_down(true);
+    CHECK_FALSE(group.try_to_deregister(0));
+    group.set_table_down(false);
+    CHECK(group.try_to_deregister(0));
+}
+
 TEST_CASE(
     "an upstream with keys gets no more time to drain when its daemon restarts",
     "[router][leaving]"
