--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -1,10 +1,8 @@
-// Attempts to have a request served, and the answer to its caller.
+// Attempts to have a request served.
 
 #include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/pending_request.hpp>
 
-#include <apricotstile/log/logger.hpp>
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -14,7 +12,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using internal::millis_text;
 
 constexpr std::uint16_t status_bad_gateway = 502;
 
@@ -24,12 +21,6 @@
 
 constexpr std::uint16_t first_server_error = 500;
 
-constexpr auto log_prefix = "ingress";
-
-std::string seconds_text(duration value) {
-    return fmt::format("{:.3f}", std::chrono::duration<double>(value).count());
-}
-
 std::string host_text(host_id host) {
     return host == host_id{} ? "none" : internal::format_for_log(host);
 }
@@ -328,95 +319,6 @@
     );
 }
 
-void request_router::answer_locally(
-    pending_request& request,
-    std::uint16_t status,
-    const char* reason,
-    duration retry_after
-) {
-    std::vector<http::header> headers;
-    if (!request.id.empty()) {
-        headers.push_back({this->dependencies.names.request_id, request.id});
-    }
-    if (status == status_unavailable) {
-        ++this->counted.refused;
-        serving::note_refused(
-            this->retrying_callers,
-            {request.content_hash,
-             request.caller_deadline,
-             request.first_attempt}
-        );
-        constexpr duration least = 30ms;
-        headers.push_back(
-            {"Retry-After", seconds_text(std::max(retry_after, least))}
-        );
-    } else {
-        ++this->counted.failed;
-    }
-    ++this->counted.unanswered[fmt::format("{}_{}", status, reason)];
-    log::write(
-        log::level::warning,
-        log_prefix,
-        "Request not answered by an instance.",
-        {{"request", request.id},
-         {"route", request.route->name},
-         {"service", request.service.value},
-         {"key", request.key ? std::to_string(*request.key) : "none"},
-         {"status", std::to_string(status)},
-         {"reason", reason},
-         {"attempts", request.attempt_trace},
-         {"after_ms",
-          millis_text(boot_clock::now() - request.progress.arrived)},
-         {"config", std::to_string(request.table->config.version.value)}}
-    );
-    const caller_id caller = request.caller;
-    this->forget_request(caller);
-    const auto connection = this->callers.find(caller);
-    if (connection != this->callers.end()) {
-        connection->second->respond(status, headers, {}, this->closing);
-    }
-}
-
-void request_router::deliver(
-    pending_request& request, routed_response&& response
-) {
-    ++this->counted.answered;
-    metrics::record(
-        this->counted.latencies[request.service],
-        boot_clock::now() - request.progress.arrived
-    );
-    std::vector<http::header> headers = std::move(response.headers);
-    if (!request.id.empty()) {
-        headers.push_back({this->dependencies.names.request_id, request.id});
-    }
-    if (response.status >= first_server_error) {
-        log::write(
-            log::level::info,
-            log_prefix,
-            "Instance answered a request with a server error.",
-            {{"request", request.id},
-             {"route", request.route->name},
-             {"status", std::to_string(response.status)},
-             {"attempts", request.attempt_trace}}
-        );
-    }
-    const caller_id caller = request.caller;
-    this->forget_request(caller);
-    const auto connection = this->callers.find(caller);
-    if (connection != this->callers.end()) {
-        connection->second->respond(
-            response.status, headers, response.body, this->closing
-        );
-    }
-}
-
-void request_router::forget_request(caller_id caller) {
-    const auto found = this->requests.find(caller);
-    this->timers.cancel(found->second->deadline_timer);
-    this->timers.cancel(found->second->retry_timer);
-    this->requests.erase(found);
-}
-
 void request_router::handle_unresponsive_peer(host_id host) {
     std::vector<caller_id> stuck;
     for (const auto& [caller, request] : this->requests) {
