Keep a request at an unresponsive host while it is tried at another one

Cause: when a peer didn't answer pings for 0.55 s, its attempt was cancelled, which ends the run at the instance, before another instance had taken the request. Under load the next instances all refuse it as busy, and the ingress answers 502 outcome_unknown.

The first attempt now stays in progress beside the second. The first answer counts and ends the other; a refusal of the second leaves the first, and the request fails only when that one is lost or its deadline passes. Idempotent requests without a key only, at two instances at most, from the retry budget, as before.

--- a/src/apricotstile/router/internal/pending_request.hpp
+++ b/src/apricotstile/router/internal/pending_request.hpp
@@ -7,6 +7,15 @@
 
 namespace apricotstile::router {
 
+/// A request at one host.
+struct attempt_in_progress {
+    /// Increases within a request, so that the end of an earlier attempt is
+    /// recognised and ignored.
+    std::uint64_t number{0};
+    host_id host;
+    std::function<void()> cancel;
+};
+
 struct request_router::pending_request {
     caller_id caller;
     std::string id;
@@ -22,11 +31,11 @@
     instant first_attempt;
     instant caller_deadline;
     serving::request_progress progress;
-    /// Number of the attempt in progress; increases, so that the end of an
-    /// earlier attempt is recognised and ignored.
-    std::uint64_t attempt_number{0};
-    host_id host;
-    std::function<void()> cancel;
+    std::uint64_t last_attempt{0};
+    std::optional<attempt_in_progress> attempt;
+    /// An earlier one, whose host became unresponsive. The request may be
+    /// running there, so its answer is still of use.
+    std::optional<attempt_in_progress> unresponsive_attempt;
     net::timer_id deadline_timer;
     net::timer_id retry_timer;
     std::string attempt_trace;
--- a/src/apricotstile/router/request_router.cpp
+++ b/src/apricotstile/router/request_router.cpp
@@ -253,9 +253,7 @@
     if (found != this->requests.end()) {
         ++this->counted.disconnected;
         pending_request& request = *found->second;
-        if (request.cancel) {
-            this->cancel_attempt(request);
-        }
+        this->cancel_attempts(request);
         this->forget_request(caller);
     }
     const auto connection = this->callers.find(caller);
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -108,7 +108,7 @@
     void handle_request(caller_id caller, http::received_request&& request);
     void handle_disconnect(caller_id caller);
     void start_attempt(pending_request& request);
-    void abandon_attempt(pending_request& request);
+    void try_another_instance(pending_request& request);
     std::optional<host_id> choose_host(pending_request& request);
     void note_leaving(host_id host, const routed_response& response);
     [[nodiscard]] bool has_left(host_id host) const;
@@ -125,7 +125,11 @@
         routed_response&& response
     );
     void restart_deadline_timer(pending_request& request);
-    serving::instance_view& cancel_attempt(pending_request& request);
+    void handle_unresponsive_attempt_end(
+        pending_request& request, routed_response&& response
+    );
+    void note_attempt_end(host_id host, const routed_response& response);
+    bool cancel_attempts(pending_request& request);
     void handle_deadline(caller_id caller);
     void answer_locally(
         pending_request& request,
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace apricotstile::router {
 
@@ -136,84 +137,96 @@
 void request_router::start_attempt(pending_request& request) {
     const std::optional<host_id> host = this->choose_host(request);
     const caller_id caller = request.caller;
-    const std::uint64_t attempt_number = ++request.attempt_number;
+    const std::uint64_t number = ++request.last_attempt;
+    request.attempt = {number, host.value_or(host_id{}), {}};
     if (!host) {
         routed_response none;
         none.outcome = request.key ? serving::attempt_outcome::refused_not_owner
                                    : serving::attempt_outcome::refused_closed;
         request.progress.refusals = this->retry_policy.max_refusals;
-        this->handle_attempt_end(
-            caller, attempt_number, host_id{}, std::move(none)
-        );
+        this->handle_attempt_end(caller, number, host_id{}, std::move(none));
         return;
     }
     serving::begin_attempt(request.progress, *host);
-    request.host = *host;
     ++this->views[*host].in_flight;
     std::function<void()> cancel = this->dependencies.forward_request(
         *host,
         this->make_routed_request(request),
-        [this, caller, attempt_number, host = *host](routed_response&& response
-        ) {
-            this->handle_attempt_end(
-                caller, attempt_number, host, std::move(response)
-            );
+        [this, caller, number, host = *host](routed_response&& response) {
+            this->handle_attempt_end(caller, number, host, std::move(response));
         }
     );
     // The attempt may already have ended, and the request with it.
     const auto found = this->requests.find(caller);
-    if (found != this->requests.end() &&
-        found->second->attempt_number == attempt_number &&
-        found->second->host == *host) {
-        found->second->cancel = std::move(cancel);
+    if (found != this->requests.end() && found->second->attempt &&
+        found->second->attempt->number == number) {
+        found->second->attempt->cancel = std::move(cancel);
+    }
+}
+
+void request_router::note_attempt_end(
+    host_id host, const routed_response& response
+) {
+    if (host == host_id{}) {
+        return;
+    }
+    const instant now = boot_clock::now();
+    serving::instance_view& view = this->views[host];
+    serving::note_end(view);
+    switch (response.outcome) {
+    case serving::attempt_outcome::answered:
+        serving::note_answer(view);
+        this->note_leaving(host, response);
+        break;
+    case serving::attempt_outcome::not_executed:
+    case serving::attempt_outcome::refused_busy:
+        serving::note_refusal(
+            view, this->choice_policy, response.retry_after, now
+        );
+        break;
+    case serving::attempt_outcome::refused_closed:
+    case serving::attempt_outcome::lost:
+    case serving::attempt_outcome::timed_out:
+        serving::note_loss(view, this->choice_policy, now);
+        break;
+    case serving::attempt_outcome::refused_not_owner:
+    case serving::attempt_outcome::refused_quarantined:
+        break;
     }
 }
 
 void request_router::handle_attempt_end(
     caller_id caller,
-    std::uint64_t attempt_number,
+    std::uint64_t number,
     host_id host,
     routed_response&& response
 ) {
-    const instant now = boot_clock::now();
-    if (host != host_id{}) {
-        serving::instance_view& view = this->views[host];
-        serving::note_end(view);
-        switch (response.outcome) {
-        case serving::attempt_outcome::answered:
-            serving::note_answer(view);
-            this->note_leaving(host, response);
-            break;
-        case serving::attempt_outcome::not_executed:
-        case serving::attempt_outcome::refused_busy:
-            serving::note_refusal(
-                view, this->choice_policy, response.retry_after, now
-            );
-            break;
-        case serving::attempt_outcome::refused_closed:
-        case serving::attempt_outcome::lost:
-        case serving::attempt_outcome::timed_out:
-            serving::note_loss(view, this->choice_policy, now);
-            break;
-        case serving::attempt_outcome::refused_not_owner:
-        case serving::attempt_outcome::refused_quarantined:
-            break;
-        }
-    }
+    this->note_attempt_end(host, response);
     const auto found = this->requests.find(caller);
-    if (found == this->requests.end() ||
-        found->second->attempt_number != attempt_number) {
+    if (found == this->requests.end()) {
         return;
     }
     pending_request& request = *found->second;
-    request.cancel = nullptr;
-    request.host = host_id{};
+    const auto is_ended = [&](const std::optional<attempt_in_progress>& attempt
+                          ) {
+        return attempt && attempt->number == number;
+    };
+    const bool was_unresponsive = is_ended(request.unresponsive_attempt);
+    if (!was_unresponsive && !is_ended(request.attempt)) {
+        return;
+    }
     request.attempt_trace += fmt::format(
         "{}{}:{}",
         request.attempt_trace.empty() ? "" : ",",
         host_text(host),
         serving::name_of(response.outcome)
     );
+    if (was_unresponsive) {
+        request.unresponsive_attempt.reset();
+        this->handle_unresponsive_attempt_end(request, std::move(response));
+        return;
+    }
+    request.attempt.reset();
     serving::attempt_result end;
     end.outcome = response.outcome;
     end.host = host;
@@ -223,14 +236,35 @@
         request.progress,
         end,
         this->retry_policy,
-        now,
+        boot_clock::now(),
         [&] {
             return this->may_retry(request);
         }
     );
+    const bool gives_up =
+        step == serving::next_step::refuse || step == serving::next_step::fail;
+    if (gives_up && request.unresponsive_attempt) {
+        return;
+    }
     this->perform_step(request, step, std::move(response));
 }
 
+/// The request has been sent to another instance too; it goes on there unless
+/// this one has answered after all.
+void request_router::handle_unresponsive_attempt_end(
+    pending_request& request, routed_response&& response
+) {
+    if (response.outcome == serving::attempt_outcome::answered) {
+        this->perform_step(
+            request, serving::next_step::deliver, std::move(response)
+        );
+    } else if (!request.attempt) {
+        this->perform_step(
+            request, serving::next_step::fail, std::move(response)
+        );
+    }
+}
+
 bool request_router::may_retry(const pending_request& request) {
     const bool allowed = serving::take_retry(
         this->budgets[request.service],
@@ -250,6 +284,7 @@
     const caller_id caller = request.caller;
     switch (step) {
     case serving::next_step::deliver:
+        this->cancel_attempts(request);
         this->deliver(request, std::move(response));
         break;
     case serving::next_step::retry_now:
@@ -286,14 +321,19 @@
     }
 }
 
-/// Cancels the attempt in progress; a late answer to it is ignored.
-serving::instance_view& request_router::cancel_attempt(pending_request& request
-) {
-    request.cancel();
-    request.cancel = nullptr;
-    serving::instance_view& view = this->views[request.host];
-    serving::note_end(view);
-    return view;
+/// Cancels all attempts in progress; late answers to them are ignored. Returns
+/// whether there were any.
+bool request_router::cancel_attempts(pending_request& request) {
+    const bool any = request.attempt || request.unresponsive_attempt;
+    for (std::optional<attempt_in_progress>* const one :
+         {&request.attempt, &request.unresponsive_attempt}) {
+        if (*one) {
+            (*one)->cancel();
+            serving::note_end(this->views[(*one)->host]);
+            one->reset();
+        }
+    }
+    return any;
 }
 
 void request_router::handle_deadline(caller_id caller) {
@@ -302,14 +342,14 @@
         return;
     }
     pending_request& request = *found->second;
-    const bool in_progress = request.cancel != nullptr;
-    if (in_progress) {
+    if (request.attempt) {
         serving::note_loss(
-            this->cancel_attempt(request),
+            this->views[request.attempt->host],
             this->choice_policy,
             boot_clock::now()
         );
     }
+    const bool in_progress = this->cancel_attempts(request);
     const bool may_have_run = in_progress || request.progress.may_have_run;
     this->answer_locally(
         request,
@@ -322,35 +362,36 @@
 void request_router::handle_unresponsive_peer(host_id host) {
     std::vector<caller_id> stuck;
     for (const auto& [caller, request] : this->requests) {
-        if (request->host == host && request->cancel) {
+        if (request->attempt && request->attempt->host == host) {
             stuck.push_back(caller);
         }
     }
     for (const caller_id caller : stuck) {
         const auto found = this->requests.find(caller);
         if (found != this->requests.end()) {
-            this->abandon_attempt(*found->second);
+            this->try_another_instance(*found->second);
         }
     }
 }
 
-/// Sends a request to another instance if there is one and the retry budget
-/// allows it; otherwise keeps waiting for its answer.
-void request_router::abandon_attempt(pending_request& request) {
+/// Sends a request whose host is unresponsive to another instance too, if there
+/// is one and the retry budget allows it. The first answer counts.
+void request_router::try_another_instance(pending_request& request) {
     const instant now = boot_clock::now();
-    if (!serving::may_abandon_attempt(
+    if (request.unresponsive_attempt ||
+        !serving::may_try_another_instance(
             request.progress, this->retry_policy, now
         ) ||
         !this->choose_host(request) || !this->may_retry(request)) {
         return;
     }
-    serving::note_loss(this->cancel_attempt(request), this->choice_policy, now);
+    const host_id host = request.attempt->host;
+    serving::note_loss(this->views[host], this->choice_policy, now);
     request.attempt_trace += fmt::format(
-        "{}{}:silent",
-        request.attempt_trace.empty() ? "" : ",",
-        host_text(request.host)
+        "{}{}:silent", request.attempt_trace.empty() ? "" : ",", host_text(host)
     );
-    serving::abandon_attempt(request.progress);
+    request.unresponsive_attempt = std::exchange(request.attempt, {});
+    serving::note_unresponsive(request.progress);
     this->start_attempt(request);
 }
 
--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -65,7 +65,7 @@
 
 } // namespace internal
 
-bool may_abandon_attempt(
+bool may_try_another_instance(
     const request_progress& request, const retry_policy& policy, instant now
 ) {
     return request.idempotent && !request.keyed &&
@@ -73,7 +73,7 @@
            internal::has_time(request, policy, now);
 }
 
-void abandon_attempt(request_progress& request) {
+void note_unresponsive(request_progress& request) {
     ++request.sent_attempts;
     request.may_have_run = true;
 }
--- a/src/apricotstile/serving/request_progress.hpp
+++ b/src/apricotstile/serving/request_progress.hpp
@@ -97,14 +97,14 @@
 void begin_attempt(request_progress& request, host_id host);
 
 /// Whether a request in progress at an unresponsive host may be sent to another
-/// instance instead. An answer may still come, so it is left alone unless it
-/// may run twice and has no key, whose owner would be the only instance.
-[[nodiscard]] bool may_abandon_attempt(
+/// instance too. An answer may still come, so it isn't unless it may run twice
+/// and has no key, whose owner would be the only instance.
+[[nodiscard]] bool may_try_another_instance(
     const request_progress& request, const retry_policy& policy, instant now
 );
 
-/// Stops waiting for the host. The request may still run there.
-void abandon_attempt(request_progress& request);
+/// The request is sent to another instance too. It may be running at the first.
+void note_unresponsive(request_progress& request);
 
 /// The step after an attempt has ended. `may_retry` takes from the retry
 /// budget; it is called only if a retry at an instance is wanted.
