Read members and key maps again soon after a read has failed

A daemon whose read of the members or of a key map failed kept its old copy for 20 s more, however soon the store was back: the next read was timed from the request, whether it was answered or not. Until then it relies on what peers send, which is what the read is there to repair. Nothing showed how old the copies were.

router/table_view.hpp keeps the times for each part: a failed read is made again after 3 s, longer than a read may take, metrics show the ages, and a line tells when a view is lost and regained.

--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -12,6 +12,9 @@
 #include <apricotstile/router/peer_links.hpp>
 #include <apricotstile/router/request_router.hpp>
 #include <apricotstile/router/router.hpp>
+#include <apricotstile/router/table_view.hpp>
+
+#include <nlohmann/json_fwd.hpp>
 
 #include <map>
 #include <memory>
@@ -57,6 +60,8 @@
     void read_members();
     void merge_member_rows(const std::vector<platform::row>& rows);
     void read_map(const service_id& service);
+    static void log_view_change(view_change change, const std::string& scope);
+    [[nodiscard]] nlohmann::json describe_views() const;
     void apply_map_row(const service_id& service, const platform::row& row);
     void apply_map_change(const keys::key_map_change& change);
     void poll_table();
@@ -101,12 +106,11 @@
     /// The key map of a keyed service, as last read.
     struct cached_key_map {
         keys::versioned_map map;
-        /// When it was last requested.
-        instant requested_at;
+        table_view view;
     };
 
     std::map<service_id, cached_key_map> key_maps;
-    instant members_requested_at;
+    table_view members_view;
     std::uint32_t member_reads{0};
     std::shared_ptr<const routing::route_table> routes;
     bool members_loaded{false};
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -234,6 +234,29 @@
     }
 }
 
+/// The ages of this daemon's copies of the table's parts, in seconds.
+nlohmann::json router::implementation::describe_views() const {
+    const instant now = boot_clock::now();
+    const auto seconds = [](duration age) {
+        return std::chrono::duration<double>(age).count();
+    };
+    nlohmann::json result = nlohmann::json::object();
+    if (const auto age = age_of(this->members_view, now)) {
+        result["members_age_seconds"] = seconds(*age);
+    }
+    std::optional<duration> oldest_map;
+    for (const auto& [service, cached] : this->key_maps) {
+        const auto age = age_of(cached.view, now);
+        if (age) {
+            oldest_map = std::max(oldest_map.value_or(*age), *age);
+        }
+    }
+    if (oldest_map) {
+        result["key_maps_age_seconds"] = seconds(*oldest_map);
+    }
+    return result;
+}
+
 router::router(const router_settings& settings, platform::shared_table& table)
     : impl(std::make_unique<implementation>(settings, table)) {}
 
@@ -334,6 +357,7 @@
          {{"crashes", quarantine.crashes},
           {"refused", quarantine.refused},
           {"requests", quarantine.crash_records.size()}}},
+        {"views", daemon.describe_views()},
         {"links", {{"open", daemon.links.open_links()}}},
         {"directory", {{"members", daemon.known_daemons.entries.size()}}},
         {"config",
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -187,10 +187,19 @@
 }
 
 void router::implementation::read_map(const service_id& service) {
-    this->key_maps[service].requested_at = boot_clock::now();
+    const instant requested_at = boot_clock::now();
+    note_request(this->key_maps[service].view, requested_at);
+    const std::string scope = "keys/" + service.value;
     this->table.read(
-        "keys/" + service.value,
-        [this, service](const platform::read_result& read) {
+        scope,
+        [this, service, scope, requested_at](const platform::read_result& read
+        ) {
+            log_view_change(
+                note_result(
+                    this->key_maps[service].view, read.answered, requested_at
+                ),
+                scope
+            );
             for (const platform::row& row : read.rows) {
                 this->apply_map_row(service, row);
             }
@@ -233,7 +242,7 @@
             [this, service = change.service, needed = change.from_version] {
                 const cached_key_map& stored = this->key_maps[service];
                 if (stored.map.version < needed &&
-                    boot_clock::now() - stored.requested_at >
+                    boot_clock::now() - stored.view.requested_at >
                         missing_change_read_interval) {
                     this->read_map(service);
                 }
@@ -247,8 +256,9 @@
 void router::implementation::report_stale_map(const service_id& service) {
     const bool is_own =
         this->local_keys != nullptr && service == this->settings.service;
-    if (!is_own && boot_clock::now() - this->key_maps[service].requested_at >
-                       refusal_read_interval) {
+    if (!is_own &&
+        boot_clock::now() - this->key_maps[service].view.requested_at >
+            refusal_read_interval) {
         this->read_map(service);
     }
 }
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -23,6 +23,10 @@
 /// Between reads of the members, or of a map, until the first one succeeds.
 constexpr duration initial_read_interval = 300ms;
 
+/// Between reads of the members, or of a map, after one has failed. Longer than
+/// a read may take.
+constexpr duration failed_read_interval = 3s;
+
 /// Reads at the shorter interval after the start: daemons that start together
 /// may miss each other's rows in their first reads.
 constexpr std::uint32_t early_reads = 3;
@@ -138,13 +142,38 @@
 /// Reads the rows of all members. They are needed to find peers without a link;
 /// linked peers send their entries themselves.
 void router::implementation::read_members() {
-    this->members_requested_at = boot_clock::now();
-    this->table.read("members/", [this](const platform::read_result& read) {
-        if (read.answered) {
-            ++this->member_reads;
-            this->merge_member_rows(read.rows);
+    const instant requested_at = boot_clock::now();
+    note_request(this->members_view, requested_at);
+    const std::string scope = "members/";
+    this->table.read(
+        scope,
+        [this, scope, requested_at](const platform::read_result& read) {
+            log_view_change(
+                note_result(this->members_view, read.answered, requested_at),
+                scope
+            );
+            if (read.answered) {
+                ++this->member_reads;
+                this->merge_member_rows(read.rows);
+            }
         }
-    });
+    );
+}
+
+/// Tells from when to when changes of other daemons may be missing.
+void router::implementation::log_view_change(
+    view_change change, const std::string& scope
+) {
+    if (change == view_change::none) {
+        return;
+    }
+    log::write(
+        change == view_change::lost ? log::level::warning : log::level::info,
+        log_prefix,
+        change == view_change::lost ? "The view of the store is getting old."
+                                    : "The view of the store is current again.",
+        {{"scope", scope}}
+    );
 }
 
 void router::implementation::merge_member_rows(
@@ -184,13 +213,17 @@
 /// them, since updates sent over links can be lost.
 void router::implementation::poll_table() {
     const instant now = boot_clock::now();
-    duration members_read_interval = regular_read_interval;
-    if (!this->members_loaded) {
-        members_read_interval = initial_read_interval;
-    } else if (this->member_reads < early_reads) {
-        members_read_interval = early_read_interval;
-    }
-    if (now - this->members_requested_at > members_read_interval) {
+    const duration members_read_interval = this->member_reads < early_reads
+                                               ? early_read_interval
+                                               : regular_read_interval;
+    const duration members_retry_interval =
+        this->members_loaded ? failed_read_interval : initial_read_interval;
+    if (is_due(
+            this->members_view,
+            members_read_interval,
+            members_retry_interval,
+            now
+        )) {
         this->read_members();
     }
     if (!this->routes) {
@@ -204,9 +237,14 @@
         }
         const cached_key_map& followed = this->key_maps[service];
         const bool is_known = followed.map.version != platform::row_version{};
-        const duration map_read_interval =
-            is_known ? regular_read_interval : initial_read_interval;
-        if (now - followed.requested_at > map_read_interval) {
+        const duration retry_interval =
+            is_known ? failed_read_interval : initial_read_interval;
+        if (is_due(
+                followed.view,
+                is_known ? regular_read_interval : initial_read_interval,
+                retry_interval,
+                now
+            )) {
             this->read_map(service);
         }
     }
