Keep one owner of each key when the table comes back from an older copy

After a restoration callers could be served by two instances that hold the same key, and tokens were issued twice: the map and the lease rows go back, so a daemon reads that it owns what it has moved away, and another takes over what is held.

Rows of an earlier era count no more. A daemon with a valid lease goes on under it and claims what it certainly owns together with its lease row of the new era; keys that nobody has claimed wait until every earlier lease has expired; tokens of a new era start above all earlier ones. The holders' memory is the truth, since the table has forgotten, and a lease that guardians still promise proves that nobody has taken the keys over.

A takeover that doesn't wait for the earlier leases is detected.

--- a/src/apricotstile/keys/key_map.cpp
+++ b/src/apricotstile/keys/key_map.cpp
@@ -34,6 +34,17 @@
     map.ranges = std::move(kept);
 }
 
+void insert_range(key_map& map, const owned_range& added) {
+    const auto place = std::find_if(
+        map.ranges.begin(),
+        map.ranges.end(),
+        [&](const owned_range& other) {
+            return other.keys.first > added.keys.first;
+        }
+    );
+    map.ranges.insert(place, added);
+}
+
 } // namespace
 
 const owned_range* find_owned_range(const key_map& map, key_number key) {
@@ -56,16 +67,46 @@
     for (const transfer& one : transfers) {
         remove_keys(map, one.keys);
         map.last_fence = next(map.last_fence);
-        const owned_range added{
-            one.keys, one.owner, one.instance, map.last_fence, one.handover};
-        const auto place = std::find_if(
-            map.ranges.begin(),
-            map.ranges.end(),
-            [&](const owned_range& other) {
-                return other.keys.first > one.keys.first;
-            }
+        insert_range(
+            map,
+            {one.keys, one.owner, one.instance, map.last_fence, one.handover}
         );
-        map.ranges.insert(place, added);
+    }
+}
+
+void raise_last_fence(key_map& map, platform::table_era era) {
+    // Leaves 13 bits for the era in an integer that JSON readers keep exact.
+    constexpr unsigned bits_within_era = 40;
+    const fencing_token base{
+        (era.value - platform::first_era.value) << bits_within_era};
+    map.last_fence = std::max(map.last_fence, base);
+}
+
+std::vector<key_range> unowned_ranges(const key_map& map) {
+    std::vector<key_range> result;
+    key_number next_key = 0;
+    for (const owned_range& one : map.ranges) {
+        if (one.keys.first > next_key) {
+            result.push_back({next_key, one.keys.first - 1});
+        }
+        next_key = one.keys.last + 1;
+    }
+    if (next_key < key_count) {
+        result.push_back({next_key, key_count - 1});
+    }
+    return result;
+}
+
+void add_unowned_parts(key_map& map, const owned_range& added) {
+    for (const key_range& unowned : unowned_ranges(map)) {
+        if (!overlap(unowned, added.keys)) {
+            continue;
+        }
+        owned_range part = added;
+        part.keys = {
+            std::max(unowned.first, added.keys.first),
+            std::min(unowned.last, added.keys.last)};
+        insert_range(map, part);
     }
 }
 
--- a/src/apricotstile/keys/key_map.hpp
+++ b/src/apricotstile/keys/key_map.hpp
@@ -7,6 +7,7 @@
 #include <apricotstile/core/ids.hpp>
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/directory/entry.hpp>
+#include <apricotstile/platform/transaction.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -91,6 +92,16 @@
 /// or removes existing ranges that overlap them.
 void apply_transfers(key_map& map, const std::vector<transfer>& transfers);
 
+/// Makes all tokens that are issued in this era higher than those of earlier
+/// ones, some of which may have been forgotten.
+void raise_last_fence(key_map& map, platform::table_era era);
+
+/// The keys that nobody owns.
+[[nodiscard]] std::vector<key_range> unowned_ranges(const key_map& map);
+
+/// Adds those parts of `added` that nobody owns, under its own token.
+void add_unowned_parts(key_map& map, const owned_range& added);
+
 /// Splits all keys into `count` ranges of nearly equal size.
 [[nodiscard]] std::vector<key_range> even_split(std::size_t count);
 
--- a/src/apricotstile/keys/key_owner.hpp
+++ b/src/apricotstile/keys/key_owner.hpp
@@ -17,6 +17,13 @@
 // transaction with a rewrite of the map at the version that this daemon knows.
 // So no grant is based on an outdated map, and a transaction that an earlier
 // run sent can't be committed afterwards.
+//
+// When the table has been restored from an older copy, a new era begins: the
+// rows of the earlier one count no more, as changes to them may be lost. What
+// the holders know is the truth then. A daemon whose lease is valid goes on
+// granting its keys under it, and claims them in the transaction that writes
+// its lease row in the new era. Keys that nobody has claimed get a new owner
+// once every lease of an earlier era has expired.
 
 #ifndef APRICOTSTILE_KEYS_KEY_OWNER_HPP
 #define APRICOTSTILE_KEYS_KEY_OWNER_HPP
@@ -63,6 +70,8 @@
     std::optional<instant> omitted_at;
     /// Whether it is certain that the instance no longer holds the range.
     bool is_released{false};
+    /// Whether a transaction that transfers it was sent.
+    bool is_sent{false};
 };
 
 /// The lease row of another daemon, watched for expiry.
@@ -84,7 +93,21 @@
     /// The instance on this host; empty while none is known.
     std::optional<directory::instance_run> instance;
 
+    platform::table_era era{platform::first_era};
+    /// Whether the lease of an earlier era is still in use, as the row of this
+    /// era isn't written yet.
+    bool uses_earlier_lease{false};
+    /// Ranges owned under that lease, to be claimed in this era.
+    std::vector<owned_range> claims;
+    /// The last map of the earlier era, which tells where keys probably are.
+    key_map earlier_map;
+    /// Until then, leases of earlier eras may be valid, so keys without an
+    /// owner may be held.
+    instant no_takeover_of_unowned_before{instant::min()};
+
     platform::row_version lease_version;
+    /// Whether this daemon's lease row has been seen in this era.
+    bool has_lease_row{true};
     /// Whether this run of the daemon wrote the row at `lease_version`.
     bool owns_row{false};
     /// When the lease expires without another renewal in the table, whatever
@@ -130,6 +153,8 @@
     struct pending_transaction {
         instant sent;
         bool renews_lease{false};
+        /// Whether it claims ranges owned under a lease of an earlier era.
+        bool makes_claims{false};
         guardian_list guardians;
         std::optional<key_map> new_map;
         std::vector<transfer> transfers;
@@ -218,6 +243,13 @@
     instant now
 );
 
+/// The table has been restored from an older copy. Must not be called while a
+/// transaction is in flight. `is_first_start` tells that this daemon has known
+/// no earlier era because the whole system starts for the first time.
+void begin_era(
+    key_owner& state, platform::table_era era, bool is_first_start, instant now
+);
+
 /// Handles the result of the transaction in flight. Returns the change that it
 /// made to the map, to be sent to the other daemons.
 std::optional<key_map_change> handle_commit_result(
--- a/src/apricotstile/keys/key_owner_transactions.cpp
+++ b/src/apricotstile/keys/key_owner_transactions.cpp
@@ -47,15 +47,22 @@
     return result;
 }
 
+/// Whether the lease row must be written together with the map.
+bool must_write_map(const key_owner& state) {
+    return !state.owns_row || state.uses_earlier_lease;
+}
+
 void add_renewal(
     key_owner& state,
     platform::transaction& work,
     key_owner::pending_transaction& pending
 ) {
     pending.renews_lease = true;
+    pending.makes_claims = state.uses_earlier_lease;
     pending.guardians = state.wanted_guardians;
     work.conditions.push_back(
-        {lease_row_key(state.service, state.self), state.lease_version}
+        {lease_row_key(state.service, state.self),
+         state.has_lease_row ? state.lease_version : platform::row_version{}}
     );
     work.mutations.push_back(
         {lease_row_key(state.service, state.self),
@@ -63,7 +70,7 @@
              state.run, ++state.renewals, state.wanted_guardians})}
     );
     // A lease isn't acquired on an outdated map; see the head of key_owner.hpp.
-    if (!state.owns_row) {
+    if (must_write_map(state)) {
         work.conditions.push_back(
             {map_row_key(state.service), state.map_version}
         );
@@ -109,16 +116,17 @@
 
 /// The transfers that are due now.
 std::vector<transfer> due_transfers(
-    const key_owner& state,
+    key_owner& state,
     const ownership_changes& wanted,
     const current_instances& instances,
     instant now
 ) {
     std::vector<transfer> result = transfers_to_current_instance(state);
-    for (const range_release& one : state.releases) {
+    for (range_release& one : state.releases) {
         const auto instance = instance_at(instances, one.target);
         if (instance && (one.is_released || now >= state.grants_expire_at)) {
             add_release_transfers(state, one, *instance, result);
+            one.is_sent = true;
         }
     }
     result.insert(
@@ -165,6 +173,8 @@
     }
     const auto record = decode<lease_record>(row.value);
     state.lease_version = row.version;
+    state.has_lease_row = true;
+    state.uses_earlier_lease = false;
     // Transactions on older versions can't be committed any more.
     state.in_doubt_guardians.clear();
     // The row was written by another run, revoked by another daemon, or written
@@ -200,6 +210,24 @@
     state.map = std::move(known.map);
     state.map_version = known.version;
     state.buffered = std::move(known.buffered);
+    raise_last_fence(state.map, state.era);
+    if (state.uses_earlier_lease) {
+        for (const owned_range& one : state.claims) {
+            add_unowned_parts(state.map, one);
+        }
+    }
+}
+
+/// Gives up what this daemon owned in the earlier era: another daemon may take
+/// it over soon.
+void drop_earlier_lease(key_owner& state) {
+    state.uses_earlier_lease = false;
+    state.owns_row = false;
+    state.claims.clear();
+    state.map = {};
+    raise_last_fence(state.map, state.era);
+    state.map_version = {};
+    state.needs_read = true;
 }
 
 /// Handles a row of the service, which may already be outdated.
@@ -234,6 +262,9 @@
     const current_instances& instances,
     instant now
 ) {
+    if (state.uses_earlier_lease && !has_lease(state, now)) {
+        drop_earlier_lease(state);
+    }
     if (state.in_flight || state.needs_read || !state.rows_known) {
         return std::nullopt;
     }
@@ -250,8 +281,9 @@
     // A transaction of an earlier run may still be in flight. Rewriting the map
     // changes its version, even if the value stays, so that the earlier
     // transaction fails its condition.
-    const bool renews_map = pending.renews_lease && !state.owns_row &&
-                            state.map_version != platform::row_version{};
+    const bool renews_map = pending.renews_lease && must_write_map(state) &&
+                            (state.uses_earlier_lease ||
+                             state.map_version != platform::row_version{});
     if (!transfers.empty() || renews_map) {
         add_map_change(state, transfers, wanted, work, pending);
     }
@@ -292,6 +324,8 @@
     }
     if (done.renews_lease) {
         state.lease_version = result.versions.front();
+        state.has_lease_row = true;
+        state.uses_earlier_lease = false;
         state.owns_row = true;
         state.guardians = done.guardians;
         state.in_doubt_guardians.clear();
@@ -302,11 +336,14 @@
     }
     std::optional<key_map_change> change;
     if (done.new_map && result.versions.back() > state.map_version) {
-        change = key_map_change{
-            state.service,
-            state.map_version,
-            result.versions.back(),
-            done.transfers};
+        // Claims keep their tokens, so they aren't transfers.
+        if (!done.makes_claims) {
+            change = key_map_change{
+                state.service,
+                state.map_version,
+                result.versions.back(),
+                done.transfers};
+        }
         replace_map(state, *done.new_map, result.versions.back());
     }
     remove_finished_releases(state);
--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -166,11 +166,12 @@
     if (!state.rows_known || view.members.empty()) {
         return result;
     }
+    const duration wait =
+        policy.stabilization_delay +
+        policy.delay_per_rank * static_cast<duration::rep>(view.rank);
+    const bool may_be_held = now < state.no_takeover_of_unowned_before + wait;
     if (state.map.ranges.empty()) {
-        const duration wait =
-            policy.stabilization_delay +
-            policy.delay_per_rank * static_cast<duration::rep>(view.rank);
-        if (now - view.members_unchanged_since >= wait) {
+        if (!may_be_held && now - view.members_unchanged_since >= wait) {
             result.transfers = initial_assignment(view);
         }
         return result;
@@ -178,10 +179,20 @@
     const std::vector<host_id> expired =
         expired_owners(state, policy, view, now);
     receiver_balancer receivers{state, others(view, expired)};
-    if (expired.empty() || receivers.empty()) {
+    if (receivers.empty()) {
         return result;
     }
     result.revoked_owners = expired;
+    if (!may_be_held) {
+        for (const key_range& unowned : unowned_ranges(state.map)) {
+            for (const key_range& piece : receivers.split(unowned)) {
+                const key_member& receiver = receivers.next(size_of(piece));
+                result.transfers.push_back(
+                    {piece, receiver.host, receiver.instance, {}}
+                );
+            }
+        }
+    }
     for (const owned_range& one : state.map.ranges) {
         if (std::find(expired.begin(), expired.end(), one.owner) ==
             expired.end()) {
--- a/src/apricotstile/platform/transaction.hpp
+++ b/src/apricotstile/platform/transaction.hpp
@@ -19,6 +19,13 @@
 /// written again. Zero means that the row is absent.
 using row_version = strong_id<struct row_version_tag, std::uint64_t>;
 
+/// Counts how often the table was restored from an older copy, from one. No row
+/// of an earlier era is seen in a later one, and versions of a later era are
+/// higher than all of the earlier ones.
+using table_era = strong_id<struct table_era_tag, std::uint64_t>;
+
+inline constexpr table_era first_era{1};
+
 /// A row as it was read.
 struct row {
     row_key key;
--- a/tests/keys/key_simulation.cpp
+++ b/tests/keys/key_simulation.cpp
@@ -350,9 +350,17 @@
                                     ? this->random_duration(1s, 6s)
                                     : this->random_duration(1ms, 30ms);
         const auto done = std::make_shared<platform::commit_result>();
-        this->schedule(effect, [this, work, done] {
-            if (!this->table_down) {
+        const auto seen_era = std::make_shared<platform::table_era>();
+        const platform::table_era era = this->hosts[index].daemon->state.era;
+        this->schedule(effect, [this, work, done, seen_era, era] {
+            if (this->table_down) {
+                return;
+            }
+            *seen_era = this->table.era;
+            if (era == this->table.era) {
                 *done = commit(this->table, work);
+            } else {
+                done->status = platform::commit_status::unknown;
             }
         });
         const duration reply = answer_lost ? 1500ms : effect + 5ms;
@@ -370,10 +378,24 @@
                 if (change) {
                     this->broadcast_change(index, *change);
                 }
+                if (!answer_lost) {
+                    this->note_era(index, *seen_era);
+                }
             });
         });
     }
 
+    /// A response has shown the table's era.
+    void note_era(std::size_t index, platform::table_era era) {
+        key_owner& state = this->hosts[index].daemon->state;
+        if (era > state.era && !state.in_flight) {
+            begin_era(state, era, false, this->clock(this->hosts[index]));
+            if (this->options.ignores_earlier_leases) {
+                state.no_takeover_of_unowned_before = instant::min();
+            }
+        }
+    }
+
     /// Sends a map change to the other daemons; some get it late, some never.
     void broadcast_change(std::size_t from, const key_map_change& change) {
         constexpr std::uint64_t one_lost_in = 10;
@@ -399,6 +421,7 @@
         this->hosts[index].daemon->reading = true;
         this->schedule(this->random_duration(1ms, 30ms), [=, this] {
             platform::read_result read;
+            const platform::table_era era = this->table.era;
             if (!this->table_down) {
                 read = read_prefix(this->table, "leases/");
                 const auto maps = read_prefix(this->table, "keys/");
@@ -408,20 +431,28 @@
             }
             this->schedule(this->random_duration(1ms, 30ms), [=, this] {
                 this->run_in_daemon(index, run, [=, this] {
-                    this->handle_read(index, read);
+                    this->handle_read(index, read, era);
                 });
             });
         });
     }
 
-    void handle_read(std::size_t index, const platform::read_result& read) {
+    void handle_read(
+        std::size_t index,
+        const platform::read_result& read,
+        platform::table_era era
+    ) {
         host& one = this->hosts[index];
         daemon_process& self = *one.daemon;
         self.reading = false;
         self.last_read = this->clock(one);
-        if (read.answered && !self.state.in_flight) {
+        if (!read.answered) {
+            return;
+        }
+        if (era == self.state.era && !self.state.in_flight) {
             apply_rows(self.state, read.rows, this->clock(one));
         }
+        this->note_era(index, era);
     }
 
     void start_server(std::size_t index) {
@@ -635,6 +666,15 @@
         }
     }
 
+    /// The table is away for a moment and comes back older.
+    void rewind_table() {
+        this->table_down = true;
+        this->schedule(this->random_duration(100ms, 1s), [this] {
+            this->table_down = false;
+            begin_new_era(this->table);
+        });
+    }
+
     void kill_daemon(std::size_t index, duration down) {
         host& one = this->hosts[index];
         if (!one.up || one.lost) {
@@ -696,6 +736,14 @@
                 }
             );
         }
+        for (std::uint32_t i = 0; i < this->options.rewinds; ++i) {
+            this->events.emplace(
+                start_time + this->random_duration(8s, 40s),
+                [this] {
+                    this->rewind_table();
+                }
+            );
+        }
         while (!this->events.empty() && !this->result.violation) {
             const auto first = this->events.begin();
             if (first->first > end) {
--- a/tests/keys/key_simulation.hpp
+++ b/tests/keys/key_simulation.hpp
@@ -22,11 +22,16 @@
     std::uint32_t lost_hosts{0};
     /// The table is unavailable from 30 s on for this time.
     duration table_outage{0};
+    /// How often the table comes back from a copy that is some seconds old.
+    std::uint32_t rewinds{0};
     /// Seeded fault: promises expire this much too early at the guardians.
     duration early_promise_expiry{0};
     /// Seeded fault: transactions omit the condition on the map version, so an
     /// ended lease can be acquired on an outdated map.
     bool omits_map_condition{false};
+    /// Seeded fault: keys that nobody has claimed in a new era are taken over
+    /// while a lease of the earlier era may be valid.
+    bool ignores_earlier_leases{false};
 };
 
 struct key_simulation_result {
--- a/tests/keys/ownership.tests.cpp
+++ b/tests/keys/ownership.tests.cpp
@@ -29,6 +29,12 @@
     return limit + 1;
 }
 
+/// The number in an environment variable, for longer runs by hand.
+std::uint64_t number_from(const char* variable, std::uint64_t otherwise) {
+    const char* const given = std::getenv(variable);
+    return given == nullptr ? otherwise : std::strtoull(given, nullptr, 10);
+}
+
 } // namespace
 
 TEST_CASE(
@@ -44,6 +50,60 @@
     });
 }
 
+TEST_CASE(
+    "keys have one holder when the table comes back older",
+    "[keys][ownership][era]"
+) {
+    const std::uint64_t seeds = number_from("KEY_REWINDS", 150);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        key_simulation_options options;
+        options.seed = seed;
+        options.rewinds = 1 + seed % 3;
+        options.faults = seed % 4 != 0;
+        const key_simulation_result result = run_key_simulation(options);
+        INFO("seed " << seed << ": " << result.violation.value_or("none"));
+        CHECK_FALSE(result.violation);
+        CHECK(result.grants > 0);
+    }
+}
+
+TEST_CASE(
+    "holders keep their keys when the table comes back older",
+    "[keys][ownership][era]"
+) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        key_simulation_options options;
+        options.seed = seed;
+        options.faults = false;
+        options.rewinds = 3;
+        const key_simulation_result result = run_key_simulation(options);
+        INFO("seed " << seed << ": " << result.violation.value_or("none"));
+        CHECK_FALSE(result.violation);
+        CHECK(result.longest_gap == 0ms);
+    }
+}
+
+TEST_CASE(
+    "a lost host's keys are held again after the table came back older",
+    "[keys][ownership][era][recovery]"
+) {
+    constexpr duration earlier_lease = 21s;
+    constexpr duration takeover = 10s;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        key_simulation_options options;
+        options.seed = seed;
+        options.faults = false;
+        options.lost_hosts = 1;
+        options.rewinds = 1;
+        options.length = 90s;
+        const key_simulation_result result = run_key_simulation(options);
+        INFO("seed " << seed << ": " << result.violation.value_or("none"));
+        CHECK_FALSE(result.violation);
+        CHECK(result.longest_gap < earlier_lease + takeover);
+        CHECK(result.last_gap == 0ms);
+    }
+}
+
 TEST_CASE("all keys are held while there are no faults", "[keys][ownership]") {
     key_simulation_options options;
     options.faults = false;
@@ -101,6 +161,16 @@
     CHECK(simulations_until_violation(options, 200) <= 200);
 }
 
+TEST_CASE(
+    "a takeover that ignores leases of an earlier era is detected",
+    "[keys][seeded-fault][era]"
+) {
+    key_simulation_options options;
+    options.rewinds = 3;
+    options.ignores_earlier_leases = true;
+    CHECK(simulations_until_violation(options, 200) <= 200);
+}
+
 TEST_CASE("seeds of earlier violations show none", "[keys][regression]") {
     // Each of these seeds once led to two holders of a key:
     // 75: an outdated read replaced a newer version of the lease row.
--- a/tests/support/fake_table.cpp
+++ b/tests/support/fake_table.cpp
@@ -32,16 +32,26 @@
     return result;
 }
 
+platform::row_version lowest_version(platform::table_era era) {
+    constexpr unsigned bits_within_era = 40;
+    return {((era.value - platform::first_era.value) << bits_within_era) + 1};
+}
+
 platform::row_version
 apply(fake_table& table, const platform::mutation& change) {
     fake_table::stored_row& stored = table.rows[change.key.value];
-    stored.version = next(stored.version);
+    stored.version = std::max(next(stored.version), lowest_version(table.era));
     stored.value = change.value;
     return stored.version;
 }
 
 } // namespace
 
+void begin_new_era(fake_table& table) {
+    table.rows.clear();
+    table.era = next(table.era);
+}
+
 platform::commit_result
 commit(fake_table& table, const platform::transaction& work) {
     if (table.down) {
--- a/tests/support/fake_table.hpp
+++ b/tests/support/fake_table.hpp
@@ -21,6 +21,7 @@
     };
 
     std::map<std::string, stored_row> rows;
+    platform::table_era era{platform::first_era};
     /// While true, every call is refused without effect.
     bool down{false};
     /// While true, commits take effect but are answered `unknown`.
@@ -33,6 +34,10 @@
 [[nodiscard]] platform::commit_result
 commit(fake_table& table, const platform::transaction& work);
 
+/// The table comes back from an older copy. No row of the earlier era is seen
+/// in the new one.
+void begin_new_era(fake_table& table);
+
 /// Reads the rows whose keys start with `prefix`, in key order.
 [[nodiscard]] platform::read_result
 read_prefix(fake_table& table, std::string_view prefix);
