Tell the eras of the store apart

The store may come back from an older copy, with its header Store-Era one higher and versions that are given out again. The daemon ignored the header: its conditions could hold on a version that was given out again, changes of a followed table were missed if the store's version had caught up, and it ignored the rows of the new era for as long as their versions were lower.

Each era has partitions of its own, and versions carry the era in their high bits, so that a transaction prepared in one era can't touch rows of the next. A call whose response names another era than it was prepared in counts as failed or unknown. Followed tables are read again. The router writes its entry again, reads members and maps at a random moment within a second, and looks keys up in the last map of the earlier era while the new one has gaps.

--- a/src/apricotstile/platform/shared_table.hpp
+++ b/src/apricotstile/platform/shared_table.hpp
@@ -19,8 +19,16 @@
     bool erased{false};
 };
 
+/// A new era of the table has begun; see `table_era`.
+struct era_change {
+    table_era era;
+    /// Whether this daemon has just started and has seen no earlier era.
+    bool is_initial{false};
+};
+
 class shared_table {
 public:
+    using era_handler = std::function<void(const era_change&)>;
     using commit_handler = std::function<void(const commit_result&)>;
     using read_handler = std::function<void(const read_result&)>;
     using change_handler = std::function<void(const std::vector<row_change>&)>;
@@ -36,6 +44,10 @@
     /// Passes all rows of `table` to `on_change`, then each change, until this
     /// object is destroyed. A row may be delivered more than once.
     virtual void follow(const std::string& table, change_handler on_change) = 0;
+    /// Sets a function that is called when another era than the first is seen
+    /// for the first time. Reads and transactions that began before end as
+    /// failed or unknown. Called in no other call of this interface.
+    virtual void set_era_handler(era_handler on_era) = 0;
 };
 
 } // namespace apricotstile::platform
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -37,6 +37,8 @@
         const router_settings& settings, platform::shared_table& table
     );
 
+    void handle_new_era(const platform::era_change& change);
+    [[nodiscard]] bool is_first_start() const;
     void publish_entry();
     bool change_state(directory::instance_state state, const char* why);
     [[nodiscard]] directory::instance_state permitted_state() const;
@@ -106,6 +108,8 @@
     /// The key map of a keyed service, as last read.
     struct cached_key_map {
         keys::versioned_map map;
+        /// The last map of the earlier era, while this one has gaps.
+        keys::key_map earlier;
         table_view view;
     };
 
@@ -144,6 +148,9 @@
     directory::instance_run deregistered_instance;
     std::map<peer_request_id, serving::work_id> peer_work;
 
+    /// The last change of the table's era; the first era if there was none.
+    platform::era_change era{platform::first_era, true};
+
     platform::row_version entry_version;
     bool needs_entry_write{false};
     bool entry_in_flight{false};
--- a/src/apricotstile/router/local_key_manager.cpp
+++ b/src/apricotstile/router/local_key_manager.cpp
@@ -142,6 +142,35 @@
     this->advance();
 }
 
+void local_key_manager::begin_era(
+    platform::table_era era, bool is_first_start, duration delay
+) {
+    this->next_era = {era, is_first_start};
+    this->retry_at = boot_clock::now() + delay;
+    this->begin_pending_era();
+}
+
+void local_key_manager::begin_pending_era() {
+    if (!this->next_era || this->key_owner.in_flight) {
+        return;
+    }
+    keys::begin_era(
+        this->key_owner,
+        this->next_era->era,
+        this->next_era->is_first_start,
+        boot_clock::now()
+    );
+    this->next_era.reset();
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "New era of the key rows.",
+        {{"era", std::to_string(this->key_owner.era.value)},
+         {"claimed_ranges", std::to_string(this->key_owner.claims.size())},
+         {"has_lease", this->key_owner.uses_earlier_lease ? "yes" : "no"}}
+    );
+}
+
 const keys::key_owner& local_key_manager::owner_state() const {
     return this->key_owner;
 }
@@ -199,6 +228,7 @@
             if (change) {
                 this->dependencies.broadcast(map_change_frame{*change});
             }
+            this->begin_pending_era();
             if (result.status != platform::commit_status::committed) {
                 log::write(
                     log::level::warning,
--- a/src/apricotstile/router/local_key_manager.hpp
+++ b/src/apricotstile/router/local_key_manager.hpp
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace apricotstile::router {
 
@@ -79,10 +80,15 @@
     /// Applies a change that another daemon made. If earlier changes are
     /// missing and don't arrive in time, the map is read again.
     void apply_map_change(const keys::key_map_change& change);
+    /// The table has been restored from an older copy; see `keys::begin_era`.
+    /// The first transaction of the era is submitted after `delay`.
+    void
+    begin_era(platform::table_era era, bool is_first_start, duration delay);
     [[nodiscard]] const keys::key_owner& owner_state() const;
 
 private:
     void advance();
+    void begin_pending_era();
     void submit(const platform::transaction& transaction);
     [[nodiscard]] duration conflict_backoff();
     void read_rows();
@@ -100,6 +106,11 @@
     std::size_t release_to_member(const keys::load_share& part);
     void release(const std::vector<keys::key_move>& moves, const char* why);
 
+    struct pending_era {
+        platform::table_era era;
+        bool is_first_start{false};
+    };
+
     keys::key_owner key_owner;
     keys::takeover_policy takeover_policy;
     platform::shared_table& table;
@@ -112,6 +123,8 @@
     /// instances don't.
     bool failing{false};
     bool read_in_progress{false};
+    /// An era to begin once no transaction is in flight.
+    std::optional<pending_era> next_era;
     instant last_read_at;
     instant last_move_at;
     /// Exponential moving average of running and waiting requests at the
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -86,6 +86,9 @@
     this->lease_guardian.run = this->own_entry.run;
     this->instance.set_self({this->own_host, this->own_entry.run});
     directory::merge_entry(this->known_daemons, this->own_entry);
+    this->table.set_era_handler([this](const platform::era_change& change) {
+        this->handle_new_era(change);
+    });
     this->read_members();
     this->timers.every(periodic_task_interval, [this] {
         this->run_periodic_tasks();
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -42,6 +42,9 @@
     duration heartbeat_interval{std::chrono::seconds{1}};
     serving::windowed_retry_budget_policy retry_budget;
     header_names names;
+    /// Whether the whole system starts for the first time, so that no earlier
+    /// run of a daemon has granted any keys.
+    bool is_first_start{false};
 };
 
 /// Whether a heartbeat or a deregistration was accepted, or why not.
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -51,6 +51,11 @@
     // have granted keys right before it ended.
     key_owner.grants_expire_at =
         boot_clock::now() + keys::max_promise_duration(policy.lease);
+    if (this->era.era != platform::first_era) {
+        keys::begin_era(
+            key_owner, this->era.era, this->is_first_start(), boot_clock::now()
+        );
+    }
     // The instance's heartbeat may have arrived before the configuration.
     if (this->announced_state == directory::instance_state::ready) {
         key_owner.instance = this->own_entry.instance;
@@ -173,16 +178,23 @@
     const service_id& service, keys::key_number key
 ) const {
     const keys::key_map* map = nullptr;
+    const keys::key_map* earlier = nullptr;
     if (this->local_keys && service == this->settings.service) {
         map = &this->local_keys->owner_state().map;
-    } else {
-        const auto found = this->key_maps.find(service);
-        map = found == this->key_maps.end() ? nullptr : &found->second.map.map;
+        earlier = &this->local_keys->owner_state().earlier_map;
+    } else if (const auto found = this->key_maps.find(service);
+               found != this->key_maps.end()) {
+        map = &found->second.map.map;
+        earlier = &found->second.earlier;
     }
     if (map == nullptr) {
         return std::nullopt;
     }
-    const keys::owned_range* const owner = keys::find_owned_range(*map, key);
+    const keys::owned_range* owner = keys::find_owned_range(*map, key);
+    // In a new era the owner may not have claimed the key yet.
+    if (owner == nullptr) {
+        owner = keys::find_owned_range(*earlier, key);
+    }
     return owner == nullptr ? std::nullopt : std::optional{owner->owner};
 }
 
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -8,6 +8,7 @@
 #include <apricotstile/log/logger.hpp>
 
 #include <algorithm>
+#include <random>
 
 namespace apricotstile::router {
 
@@ -37,12 +38,53 @@
 
 constexpr auto log_prefix = "router";
 
+/// Between the start of an era and a daemon's calls because of it.
+duration random_era_delay(std::uint64_t drawn) {
+    constexpr std::uint64_t max_delay_ms = 1000;
+    return std::chrono::milliseconds{drawn % max_delay_ms};
+}
+
 platform::row_key member_row(host_id host) {
     return {"members//" + std::to_string(host.value)};
 }
 
 } // namespace
 
+/// The rows of earlier eras count no more. What this daemon knows is written
+/// again, at a random moment so that daemons don't all call the store at once.
+void router::implementation::handle_new_era(const platform::era_change& change
+) {
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "The table has begun a new era; writing this daemon's rows again.",
+        {{"era", std::to_string(change.era.value)}}
+    );
+    this->era = change;
+    std::random_device random;
+    const duration spread = random_era_delay(random());
+    this->entry_version = {};
+    this->needs_entry_write = true;
+    this->next_entry_write_at = boot_clock::now() + spread;
+    for (auto& [service, cached] : this->key_maps) {
+        cached.earlier = cached.map.map;
+    }
+    if (this->local_keys) {
+        this->local_keys->begin_era(change.era, this->is_first_start(), spread);
+    }
+    this->timers.after(spread, [this] {
+        this->read_members();
+        for (const auto& [service, cached] : this->key_maps) {
+            this->read_map(service);
+        }
+    });
+}
+
+/// Whether no earlier run of any daemon can have granted keys.
+bool router::implementation::is_first_start() const {
+    return this->era.is_initial && this->settings.is_first_start;
+}
+
 void router::implementation::publish_entry() {
     ++this->own_entry.revision;
     directory::merge_entry(this->known_daemons, this->own_entry);
--- a/tests/adapter/fake_store.cpp
+++ b/tests/adapter/fake_store.cpp
@@ -56,6 +56,16 @@
     this->next_feed_status = status;
 }
 
+void fake_store::restore_older(std::uint64_t older_version) {
+    ++this->era;
+    this->version = older_version;
+    this->value.clear();
+}
+
+const std::vector<std::string>& fake_store::transactions() const {
+    return this->transaction_bodies;
+}
+
 void fake_store::write_row(const std::string& base64_value) {
     ++this->version;
     this->value = base64_value;
@@ -82,6 +92,12 @@
     if (this->silent) {
         return;
     }
+    if (head.find("/v1/rows-tx") != std::string::npos) {
+        this->transaction_bodies.push_back(head);
+        ++this->version;
+        this->respond(connection, status_ok, this->rows_body());
+        return;
+    }
     if (!is_feed) {
         const bool lists = head.find("/v1/rows-parts") != std::string::npos;
         this->listings += lists ? 1 : 0;
@@ -110,8 +126,10 @@
     QTcpSocket* connection, int status, const std::string& body
 ) {
     connection->write(fmt::format(
-                          "HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}",
+                          "HTTP/1.1 {} X\r\nStore-Era: {}\r\n"
+                          "Content-Length: {}\r\n\r\n{}",
                           status,
+                          this->era,
                           body.size(),
                           body
     )
--- a/tests/adapter/fake_store.hpp
+++ b/tests/adapter/fake_store.hpp
@@ -30,6 +30,11 @@
     void set_silent(bool value);
     /// Status of the next call for changes in place of waiting for one.
     void fail_next_feed(int status);
+    /// The store comes back from an older copy: its version falls to `version`,
+    /// and its responses name the next era.
+    void restore_older(std::uint64_t older_version);
+    /// Bodies of the transactions that arrived.
+    [[nodiscard]] const std::vector<std::string>& transactions() const;
     /// Writes the table's only row and answers the calls that wait.
     void write_row(const std::string& base64_value);
 
@@ -43,6 +48,8 @@
     bool silent{false};
     int next_feed_status{0};
     std::uint64_t version{1};
+    std::uint64_t era{0};
+    std::vector<std::string> transaction_bodies;
     std::string value;
     std::size_t feeds{0};
     std::size_t listings{0};
--- a/tests/adapter/table_client.tests.cpp
+++ b/tests/adapter/table_client.tests.cpp
@@ -49,6 +49,18 @@
         return *answered;
     }
 
+    /// Submits a transaction and waits for the result.
+    platform::commit_result submit(const platform::transaction& work) {
+        std::optional<platform::commit_result> result;
+        this->client.submit(work, [&](const platform::commit_result& end) {
+            result = end;
+        });
+        REQUIRE(wait_until([&] {
+            return result.has_value();
+        }));
+        return *result;
+    }
+
     [[nodiscard]] bool has(const std::string& value) const {
         return this->last_value == value;
     }
@@ -115,3 +127,88 @@
     const instant later = boot_clock::now() + 60s;
     CHECK(fixture.client.view_age(later).value() > 50s);
 }
+
+TEST_CASE(
+    "a followed table is read again when the store comes back older, although "
+    "its version has caught up",
+    "[adapter][store][era]"
+) {
+    following_client fixture;
+    fixture.store.write_row("YQ==");
+    fixture.store.write_row("YWI=");
+    REQUIRE(wait_until([&] {
+        return fixture.has("ab");
+    }));
+    fixture.store.restore_older(1);
+    fixture.store.write_row("YmI=");
+    fixture.store.write_row("Yg==");
+    REQUIRE(wait_until([&] {
+        static_cast<void>(fixture.read());
+        return fixture.has("b");
+    }));
+}
+
+TEST_CASE(
+    "a transaction prepared in one era isn't sent in the next",
+    "[adapter][store][era]"
+) {
+    following_client fixture;
+    std::optional<platform::era_change> seen;
+    fixture.client.set_era_handler([&](const platform::era_change& change) {
+        seen = change;
+    });
+    platform::transaction work;
+    work.conditions = {{{"t/p/k"}, {7}}};
+    work.mutations = {{{"t/p/k"}, "x"}};
+    CHECK(fixture.submit(work).status == platform::commit_status::committed);
+    fixture.store.restore_older(3);
+    CHECK_FALSE(fixture.read());
+    REQUIRE(wait_until([&] {
+        return seen.has_value();
+    }));
+    CHECK(seen->era == platform::table_era{2});
+    CHECK_FALSE(seen->is_initial);
+    CHECK(fixture.submit(work).status == platform::commit_status::conflict);
+    CHECK(fixture.store.transactions().size() == 1);
+    work.conditions.front().version = {};
+    CHECK(fixture.submit(work).status == platform::commit_status::committed);
+    REQUIRE(fixture.store.transactions().size() == 2);
+    const std::string& sent = fixture.store.transactions().back();
+    CHECK(sent.find(R"("part":"p@2")") != std::string::npos);
+}
+
+TEST_CASE(
+    "a client that starts in a later era reads its rows at once",
+    "[adapter][store][era]"
+) {
+    fake_store store;
+    store.restore_older(3);
+    net::timer_queue timers;
+    table_client client{store.where(), timers, [](const std::string&, bool) {}};
+    std::optional<platform::era_change> seen;
+    client.set_era_handler([&](const platform::era_change& change) {
+        seen = change;
+    });
+    std::optional<bool> answered;
+    client.read("other/", [&](const platform::read_result& read) {
+        answered = read.answered;
+    });
+    REQUIRE(wait_until([&] {
+        return answered.has_value() && seen.has_value();
+    }));
+    CHECK(*answered);
+    CHECK(seen->era == platform::table_era{2});
+    CHECK(seen->is_initial);
+}
+
+TEST_CASE(
+    "a transaction that the store executes in a later era has an unknown "
+    "result",
+    "[adapter][store][era]"
+) {
+    following_client fixture;
+    fixture.store.restore_older(1);
+    platform::transaction work;
+    work.mutations = {{{"t/p/k"}, "x"}};
+    CHECK(fixture.submit(work).status == platform::commit_status::unknown);
+}
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace apricotstile::tests {
 
@@ -67,9 +68,18 @@
 ) {
     this->timers.after(
         0ms,
-        [this, work, done, guard = std::weak_ptr<bool>(this->alive)] {
-            if (!guard.expired()) {
+        [this,
+         work,
+         done,
+         prepared_in = this->era,
+         guard = std::weak_ptr<bool>(this->alive)] {
+            if (guard.expired()) {
+                return;
+            }
+            if (this->note_era(prepared_in)) {
                 done(commit(this->rows, work));
+            } else {
+                done({platform::commit_status::unknown, {}, {}});
             }
         }
     );
@@ -78,9 +88,18 @@
 void loopback_table::read(const std::string& scope, read_handler done) {
     this->timers.after(
         0ms,
-        [this, scope, done, guard = std::weak_ptr<bool>(this->alive)] {
-            if (!guard.expired()) {
+        [this,
+         scope,
+         done,
+         prepared_in = this->era,
+         guard = std::weak_ptr<bool>(this->alive)] {
+            if (guard.expired()) {
+                return;
+            }
+            if (this->note_era(prepared_in)) {
                 done(read_prefix(this->rows, scope));
+            } else {
+                done({});
             }
         }
     );
@@ -88,6 +107,30 @@
 
 void loopback_table::follow(const std::string&, change_handler) {}
 
+void loopback_table::set_era_handler(era_handler handler) {
+    this->on_era = std::move(handler);
+}
+
+/// Learns the table's era from a response. Returns whether the call is of it.
+bool loopback_table::note_era(platform::table_era prepared_in) {
+    if (this->rows.down) {
+        return true;
+    }
+    const bool is_initial = !std::exchange(this->era_known, true);
+    if (this->rows.era != this->era) {
+        this->era = this->rows.era;
+        this->timers.after(
+            0ms,
+            [this, is_initial, guard = std::weak_ptr<bool>(this->alive)] {
+                if (!guard.expired() && this->on_era) {
+                    this->on_era({this->era, is_initial});
+                }
+            }
+        );
+    }
+    return prepared_in == this->era;
+}
+
 struct daemon_group::host {
     router::router_settings settings;
     routing::routing_config config;
@@ -227,6 +270,10 @@
     return *result;
 }
 
+void daemon_group::restore_older_table() {
+    begin_new_era(this->rows);
+}
+
 void daemon_group::set_table_down(bool down) {
     this->rows.down = down;
 }
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -25,10 +25,16 @@
     submit(const platform::transaction& work, commit_handler done) override;
     void read(const std::string& scope, read_handler done) override;
     void follow(const std::string& table, change_handler on_change) override;
+    void set_era_handler(era_handler on_era) override;
 
 private:
+    bool note_era(platform::table_era prepared_in);
+
     fake_table& rows;
     net::timer_queue& timers;
+    platform::table_era era{platform::first_era};
+    bool era_known{false};
+    era_handler on_era;
     /// Expires with this object, so that late answers are dropped.
     std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
 };
@@ -67,6 +73,8 @@
     /// Sends a heartbeat of upstream `index` that says that it drains; returns
     /// when that is acknowledged.
     void drain(std::size_t index);
+    /// The table comes back from an older copy.
+    void restore_older_table();
     /// While true, the table answers no call.
     void set_table_down(bool down);
     /// Applies a configuration of this version, with the same routes, to one
--- a/tests/router/forgotten_departure.tests.cpp
+++ b/tests/router/forgotten_departure.tests.cpp
@@ -123,3 +123,15 @@
     CHECK(group.request(1, "/s/1") == 503);
     CHECK(group.upstream(0).requests().size() == before);
 }
+
+TEST_CASE(
+    "a departure binds the daemon's next run although the store came back "
+    "older",
+    "[router][leaving][era]"
+) {
+    daemon_group group{{"s", "t"}};
+    group.deregister(0);
+    group.restore_older_table();
+    group.restart_daemon(0);
+    check_gets_no_requests(group);
+}
