Take departures from the row when a write of it conflicts

A run of the daemon that has just started reads its row once before it writes it. A write of the run before that is committed after that read makes the write conflict; of the row that is read then only the version was taken, so a departure in it was overwritten. Peers would have told of it within milliseconds. The whole row is merged now.

The table of the tests' daemons answers reads and transactions in one place.

--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -132,14 +132,13 @@
             this->needs_entry_write = true;
             this->entry_retry_at = boot_clock::now() + entry_retry_delay;
             if (result.status != platform::commit_status::unavailable) {
-                // Gets the row's current version for the next attempt.
+                // Gets the row's current version for the next attempt, and
+                // departures that an earlier run has written late.
                 this->table.read(
                     "members/",
                     [this](const platform::read_result& read) {
-                        for (const platform::row& row : read.rows) {
-                            if (row.key == member_row(this->own_host)) {
-                                this->entry_version = row.version;
-                            }
+                        if (read.answered) {
+                            this->merge_member_rows(read.rows);
                         }
                     }
                 );
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -66,40 +66,36 @@
 void loopback_table::submit(
     const platform::transaction& work, commit_handler done
 ) {
-    this->timers.after(
-        0ms,
-        [this,
-         work,
-         done,
-         prepared_in = this->era,
-         guard = std::weak_ptr<bool>(this->alive)] {
-            if (guard.expired()) {
-                return;
-            }
-            if (this->note_era(prepared_in)) {
-                done(commit(this->rows, work));
-            } else {
-                done({platform::commit_status::unknown, {}, {}});
-            }
-        }
-    );
+    this->answer([this, work, done](bool of_this_era) {
+        done(
+            of_this_era
+                ? commit(this->rows, work)
+                : platform::
+                      commit_result{platform::commit_status::unknown, {}, {}}
+        );
+    });
 }
 
 void loopback_table::read(const std::string& scope, read_handler done) {
+    this->answer([this, scope, done](bool of_this_era) {
+        done(
+            of_this_era ? read_prefix(this->rows, scope)
+                        : platform::read_result{}
+        );
+    });
+}
+
+/// Calls `done` from the event loop, with whether the table is still in the era
+/// in which the call was made.
+void loopback_table::answer(std::function<void(bool)> done) {
     this->timers.after(
         0ms,
         [this,
-         scope,
-         done,
+         done = std::move(done),
          prepared_in = this->era,
          guard = std::weak_ptr<bool>(this->alive)] {
-            if (guard.expired()) {
-                return;
-            }
-            if (this->note_era(prepared_in)) {
-                done(read_prefix(this->rows, scope));
-            } else {
-                done({});
+            if (!guard.expired()) {
+                done(this->note_era(prepared_in));
             }
         }
     );
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -9,6 +9,7 @@
 #include <tests/router/fake_upstream.hpp>
 #include <tests/support/fake_table.hpp>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -28,6 +29,7 @@
     void set_era_handler(era_handler on_era) override;
 
 private:
+    void answer(std::function<void(bool of_this_era)> done);
     bool note_era(platform::table_era prepared_in);
 
     fake_table& rows;
