--- /dev/null
+++ b/src/apricotstile/router/internal/peer_link_state.hpp
@@ -0,0 +1,66 @@
+// One direction of the link to a peer: the connection, what was received on it
+// and what waits for an answer.
+
+#ifndef APRICOTSTILE_ROUTER_INTERNAL_PEER_LINK_STATE_HPP
+#define APRICOTSTILE_ROUTER_INTERNAL_PEER_LINK_STATE_HPP
+
+#include <apricotstile/net/stream.hpp>
+#include <apricotstile/router/peer_links.hpp>
+
+#include <optional>
+#include <set>
+
+namespace apricotstile::router {
+
+namespace internal {
+
+inline constexpr duration initial_reopen_backoff =
+    std::chrono::milliseconds{200};
+
+/// A response that no instance has given.
+[[nodiscard]] inline routed_response
+unanswered_response(serving::attempt_outcome outcome) {
+    routed_response response;
+    response.outcome = outcome;
+    return response;
+}
+
+} // namespace internal
+
+struct peer_links::outgoing_link {
+    host_id peer;
+    /// Null while the link is closed.
+    net::stream* stream{nullptr};
+    bool open{false};
+    /// Whether the peer's entry has arrived since the link was opened.
+    bool is_ready{false};
+    std::string received;
+    header_table sent_headers;
+    header_table received_headers;
+    stream_id last_stream;
+    std::unordered_map<stream_id, response_handler> waiting;
+    /// The link isn't opened again before this time.
+    instant reopen_at;
+    duration reopen_backoff{internal::initial_reopen_backoff};
+    instant last_received_at;
+    /// When the ping was sent that is unanswered.
+    std::optional<instant> pinged_at;
+    bool is_unresponsive{false};
+};
+
+struct peer_links::incoming_link {
+    peer_connection_id connection;
+    net::stream* stream{nullptr};
+    std::string received;
+    header_table sent_headers;
+    header_table received_headers;
+    /// Whether the peer's entry has arrived; its requests are refused before.
+    bool is_known{false};
+    host_id peer;
+    service_id caller_service;
+    std::set<stream_id> unanswered;
+};
+
+} // namespace apricotstile::router
+
+#endif
