Drain an instance that deregisters before it leaves

Some instances deregister first and go on serving for their drain time. The daemon took that for their end: it closed the instance at once, answered its heartbeats 409, and its keys went to others only when the last grant had expired, up to 4 s later. Callers with these keys got 503 for that long.

The first announcement of a departure, however it is made, begins a drain: the instance serves its keys while they move, and its heartbeats hand them over. A deregistration after that is its end.

--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -42,7 +42,7 @@
     void publish_entry();
     bool change_state(directory::instance_state state, const char* why);
     [[nodiscard]] directory::instance_state permitted_state() const;
-    void handle_leaving();
+    void begin_drain(const char* source);
     void add_departure(
         const directory::departure& added, const char* source, bool known
     );
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -68,7 +68,7 @@
               this->send_crash_reports(std::move(reports));
           },
           [this] {
-              this->handle_leaving();
+              this->begin_drain("answer");
           }
       ),
       links(settings.peer_address, timers, this->make_link_events()),
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -84,8 +84,9 @@
     heartbeat_result handle_heartbeat(
         const keys::heartbeat& heartbeat, keys::heartbeat_answer& answer
     );
-    /// An instance deregisters. `started_ms` is its start time, or zero if it
-    /// isn't given; then any run that has started by now may be meant.
+    /// An instance deregisters: it drains from then on, or stops if it has
+    /// announced its departure before. `started_ms` is its start time, or zero
+    /// if it isn't given; then any run that has started by now may be meant.
     heartbeat_result
     handle_deregistration(const std::string& instance, std::int64_t started_ms);
     /// Calls `done` once, possibly before this returns: with true when the
--- a/src/apricotstile/router/router_instance.cpp
+++ b/src/apricotstile/router/router_instance.cpp
@@ -92,11 +92,11 @@
             boot_clock::now() - this->started >= store_wait_timeout);
 }
 
-/// An instance may say that it leaves in its answers only; its heartbeats may
-/// go on to say that it is ready.
-void router::implementation::handle_leaving() {
+/// The current instance has announced its departure in another way than by a
+/// heartbeat. Its heartbeats may go on to say that it is ready.
+void router::implementation::begin_drain(const char* source) {
     const directory::instance_run& instance = this->own_entry.instance;
-    this->add_departure({instance.id, instance.started_ms}, "answer", true);
+    this->add_departure({instance.id, instance.started_ms}, source, true);
     if (this->local_keys) {
         this->local_keys->release_all_keys();
     }
@@ -239,13 +239,13 @@
     if (started_ms != 0 && started_ms < current.started_ms) {
         return heartbeat_result::stale;
     }
+    if (!directory::has_departed(daemon.own_entry.known_departures, current)) {
+        daemon.begin_drain("deregistration");
+        return heartbeat_result::accepted;
+    }
+    // It has announced its departure before, so it stops now.
     daemon.deregistered_instance = current;
     daemon.announced_state = directory::instance_state::absent;
-    daemon.add_departure(
-        {instance, std::max(started_ms, current.started_ms)},
-        "deregistration",
-        true
-    );
     daemon.change_state(daemon.permitted_state(), "deregistered");
     daemon.instance.set_open(false);
     if (daemon.local_keys) {
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -138,6 +138,8 @@
     directory::instance_state state{directory::instance_state::ready};
     /// What the last answer to a heartbeat granted.
     std::vector<keys::held_range> holds;
+    /// Released since the last answer.
+    std::vector<keys::released_range> released;
     /// The run whose heartbeat was accepted last.
     directory::instance_run accepted;
 };
@@ -194,6 +196,29 @@
     one.accepted = {};
 }
 
+/// Holds what is granted, and releases the rest.
+void daemon_group::take_grants(
+    host& one, const keys::heartbeat_answer& answer
+) {
+    const std::vector<keys::held_range> before = std::move(one.holds);
+    one.holds.clear();
+    for (const keys::key_grant& grant : answer.keys) {
+        one.holds.push_back({grant.keys, grant.fence});
+    }
+    for (const keys::held_range& earlier : before) {
+        const bool is_kept = std::any_of(
+            one.holds.begin(),
+            one.holds.end(),
+            [&](const keys::held_range& held) {
+                return keys::overlap(held.keys, earlier.keys);
+            }
+        );
+        if (!is_kept) {
+            one.released.push_back({earlier.keys, "handover"});
+        }
+    }
+}
+
 bool daemon_group::send_heartbeat(host& one) {
     keys::heartbeat heartbeat;
     heartbeat.service = one.settings.service;
@@ -202,17 +227,16 @@
     heartbeat.state = one.state;
     heartbeat.slots = 4;
     heartbeat.holds = one.holds;
+    heartbeat.released = one.released;
     keys::heartbeat_answer answer;
     if (one.daemon->handle_heartbeat(heartbeat, answer) !=
         router::heartbeat_result::accepted) {
         return false;
     }
     one.accepted = heartbeat.instance;
+    one.released.clear();
     if (answer.grants) {
-        one.holds.clear();
-        for (const keys::key_grant& grant : answer.keys) {
-            one.holds.push_back({grant.keys, grant.fence});
-        }
+        take_grants(one, answer);
     }
     return true;
 }
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -98,6 +98,7 @@
     struct host;
 
     void start(host& one);
+    static void take_grants(host& one, const keys::heartbeat_answer& answer);
     bool send_heartbeat(host& one);
     void send_heartbeats();
     bool is_acknowledged(host& one);
--- a/tests/router/leaving_upstream.tests.cpp
+++ b/tests/router/leaving_upstream.tests.cpp
@@ -11,6 +11,7 @@
 
 using namespace apricotstile;
 using namespace apricotstile::tests;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -60,3 +61,20 @@
     }
     CHECK(group.upstream(0).requests().size() == before);
 }
+
+TEST_CASE(
+    "an upstream that deregisters before it leaves hands its keys over",
+    "[router][leaving]"
+) {
+    daemon_group group{{"s", "s", "t"}, {{"s"}, 2s}};
+    REQUIRE(wait_until([&] {
+        return group.request(2, "/s/1") == 200;
+    }));
+    const std::size_t owner = group.upstream(0).requests().empty() ? 1 : 0;
+    group.deregister(owner);
+    const instant end = boot_clock::now() + group.drain_timeout();
+    while (boot_clock::now() < end) {
+        CHECK(group.request(2, "/s/1") == 200);
+    }
+    CHECK_FALSE(group.upstream(1 - owner).requests().empty());
+}
