Grant keys to instances by calls

Cause: the instances of some services get their keys by calls of the daemon beside them, not in the answers to their heartbeats. Nothing made such calls, so no key of theirs was ever granted.

Change: keys/grants_by_call decides on grants, renewals and releases; the key map, leases and takeovers stay as they are. A call without a response may be carried out late, so the keys count as held for the duration of the grant from the abortion of its connection. router/key_call_sender sends a grant only on a connection that was open when the last heartbeat arrived: the random schedules found that a grant otherwise reaches the next run of an instance under the token of the one before. platform/key_call_codec writes the calls. An instance that calls a token outdated gets a new one.

--- a/src/apricotstile/keys/key_owner.cpp
+++ b/src/apricotstile/keys/key_owner.cpp
@@ -112,7 +112,33 @@
     }
 }
 
+namespace {
+
+/// Whether the instance holds `key` by a call, and isn't to release it.
+bool holds_by_call(const key_owner& state, key_number key, instant now) {
+    const bool is_granted = std::any_of(
+        state.calls.grants.begin(),
+        state.calls.grants.end(),
+        [&](const called_grant& one) {
+            return contains(one.keys, key) && now < one.usable_until;
+        }
+    );
+    return is_granted && std::none_of(
+                             state.releases.begin(),
+                             state.releases.end(),
+                             [&](const range_release& one) {
+                                 return one.omitted_at &&
+                                        contains(one.keys, key);
+                             }
+                         );
+}
+
+} // namespace
+
 bool may_dispatch(const key_owner& state, key_number key, instant now) {
+    if (state.policy.method == routing::grant_method::call) {
+        return holds_by_call(state, key, now);
+    }
     if (now >= state.grants_expire_at) {
         return false;
     }
--- a/src/apricotstile/keys/key_owner.hpp
+++ b/src/apricotstile/keys/key_owner.hpp
@@ -28,12 +28,14 @@
 #ifndef APRICOTSTILE_KEYS_KEY_OWNER_HPP
 #define APRICOTSTILE_KEYS_KEY_OWNER_HPP
 
+#include <apricotstile/keys/call_ledger.hpp>
 #include <apricotstile/keys/guardian_id.hpp>
 #include <apricotstile/keys/heartbeat.hpp>
 #include <apricotstile/keys/key_map.hpp>
 #include <apricotstile/keys/key_map_change.hpp>
 #include <apricotstile/keys/lease_policy.hpp>
 #include <apricotstile/platform/transaction.hpp>
+#include <apricotstile/routing/grant_method.hpp>
 
 #include <map>
 #include <optional>
@@ -43,6 +45,7 @@
 
 struct key_owner_policy {
     lease_policy lease;
+    routing::grant_method method{routing::grant_method::heartbeat};
     /// Maximum duration of a grant. An instance that stops sending heartbeats
     /// holds its keys until its last grant expires.
     duration max_grant_duration{std::chrono::seconds{4}};
@@ -50,6 +53,10 @@
     duration answer_timeout{std::chrono::milliseconds{1100}};
     /// Shorter grants aren't sent, as they aren't worth the size of the answer.
     duration min_grant_duration{std::chrono::milliseconds{200}};
+    /// A grant call without a response is aborted after this time.
+    duration call_timeout{std::chrono::milliseconds{400}};
+    /// Time between a failed call and the next one.
+    duration call_retry_delay{std::chrono::milliseconds{100}};
     /// After a period in which the lease rows weren't read, their holders get
     /// this long to renew them before the leases count as expired.
     duration renewal_grace{std::chrono::milliseconds{2500}};
@@ -66,8 +73,15 @@
     /// The next owner.
     host_id target;
     std::string handover;
-    /// When a heartbeat answer first omitted the range.
+    /// When a heartbeat answer first omitted the range, or when the first call
+    /// to release it was sent.
     std::optional<instant> omitted_at;
+    /// The release call in progress; zero if there is none.
+    instance_call_id pending_call;
+    /// No other release call is sent before.
+    instant next_call_at{instant::min()};
+    /// Whether the instance has responded to a release call.
+    bool is_acknowledged{false};
     /// Whether it is certain that the instance no longer holds the range.
     bool is_released{false};
     /// Whether a transaction that transfers it was sent.
@@ -142,6 +156,11 @@
     std::vector<key_range> granted_ranges;
     /// When the last grant of this daemon has expired on any clock.
     instant grants_expire_at;
+    /// When all grants of earlier runs of this daemon have expired on any
+    /// clock.
+    instant earlier_grants_expire_at;
+    /// Grants made by calls; unused with grants by heartbeat.
+    call_ledger calls;
 
     std::map<host_id, watched_lease> watched_leases;
     /// When the lease rows were last read.
--- a/src/apricotstile/keys/key_owner_heartbeats.cpp
+++ b/src/apricotstile/keys/key_owner_heartbeats.cpp
@@ -28,6 +28,13 @@
 /// But an instance to which an earlier run of the daemon granted keys may still
 /// hold them.
 void set_instance(key_owner& state, const directory::instance_run& instance) {
+    if (state.calls.instance && *state.calls.instance != instance) {
+        const instance_call_id last_id = state.calls.last_id;
+        state.calls = {};
+        state.calls.last_id = last_id;
+        state.earlier_grants_expire_at = instant::min();
+    }
+    state.calls.instance = instance;
     state.instance = instance;
     state.granted_ranges.clear();
     for (range_release& one : state.releases) {
@@ -113,6 +120,9 @@
     if (state.instance != beat.instance) {
         set_instance(state, beat.instance);
     }
+    if (state.policy.method == routing::grant_method::call) {
+        return {};
+    }
     for (const released_range& released : beat.released) {
         record_release(state, released);
     }
@@ -151,6 +161,9 @@
 void handle_instance_stopped(key_owner& state) {
     state.instance.reset();
     state.granted_ranges.clear();
+    for (called_grant& one : state.calls.grants) {
+        one.usable_until = instant::min();
+    }
 }
 
 void start_release(key_owner& state, const key_range& keys, host_id target) {
--- a/src/apricotstile/keys/key_owner_transactions.cpp
+++ b/src/apricotstile/keys/key_owner_transactions.cpp
@@ -32,15 +32,16 @@
     return found->second;
 }
 
-/// Transfers ranges from earlier runs of this host's instance to the current
-/// one.
+/// Transfers ranges to the current run of this host's instance from earlier
+/// ones, and under a new token where it has seen a higher one.
 std::vector<transfer> transfers_to_current_instance(const key_owner& state) {
     std::vector<transfer> result;
     if (!state.instance) {
         return result;
     }
     for (const owned_range& one : kept_ranges(state)) {
-        if (one.instance != *state.instance) {
+        if (one.instance != *state.instance ||
+            is_token_outdated(state.calls, one.keys, one.fence)) {
             result.push_back({one.keys, state.self, *state.instance, {}});
         }
     }
--- a/src/apricotstile/router/local_key_manager.cpp
+++ b/src/apricotstile/router/local_key_manager.cpp
@@ -7,6 +7,7 @@
 
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/log/logger.hpp>
+#include <apricotstile/router/key_call_sender.hpp>
 
 #include <algorithm>
 
@@ -49,10 +50,12 @@
     keys::key_owner key_owner,
     platform::shared_table& table,
     net::timer_queue& timers,
-    dependency_functions dependencies
+    dependency_functions dependencies,
+    std::unique_ptr<key_call_sender> calls
 )
     : key_owner(std::move(key_owner)), table(table), timers(timers),
-      dependencies(std::move(dependencies)), random(this->key_owner.run.value) {
+      dependencies(std::move(dependencies)), calls(std::move(calls)),
+      random(this->key_owner.run.value) {
     this->timers.every(this->key_owner.policy.lease.promise_interval, [this] {
         this->request_promises();
     });
@@ -71,6 +74,8 @@
     this->read_rows();
 }
 
+local_key_manager::~local_key_manager() = default;
+
 keys::heartbeat_answer
 local_key_manager::handle_heartbeat(const keys::heartbeat& beat) {
     const instant now = boot_clock::now();
@@ -84,6 +89,9 @@
     if (!had_lease && keys::has_lease(this->key_owner, now)) {
         log::write(log::level::info, log_prefix, "Lease acquired.");
     }
+    if (this->calls) {
+        this->handle_heartbeat_for_calls(is_new_instance);
+    }
     if (is_new_instance) {
         this->request_promises();
     }
@@ -175,8 +183,14 @@
     return this->key_owner;
 }
 
-/// Starts the next read or transaction that is due, unless one is in progress.
+/// Starts what is due: reads, transactions and calls to the instance.
 void local_key_manager::advance() {
+    this->advance_table();
+    this->advance_calls();
+}
+
+/// Starts the next read or transaction that is due, unless one is in progress.
+void local_key_manager::advance_table() {
     const instant now = boot_clock::now();
     if (this->key_owner.needs_read) {
         if (now >= this->retry_at) {
--- a/src/apricotstile/router/local_key_manager.hpp
+++ b/src/apricotstile/router/local_key_manager.hpp
@@ -15,10 +15,13 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace apricotstile::router {
 
+class key_call_sender;
+
 class local_key_manager {
 public:
     /// Functions that the rest of the daemon provides.
@@ -44,15 +47,18 @@
             consent_to_revocation;
     };
 
+    /// `calls` grants and releases keys; null if the instance gets them in the
+    /// answers to its heartbeats.
     local_key_manager(
         keys::key_owner key_owner,
         platform::shared_table& table,
         net::timer_queue& timers,
-        dependency_functions dependencies
+        dependency_functions dependencies,
+        std::unique_ptr<key_call_sender> calls
     );
     local_key_manager(const local_key_manager&) = delete;
     local_key_manager& operator=(const local_key_manager&) = delete;
-    ~local_key_manager() = default;
+    ~local_key_manager();
 
     /// Handles a heartbeat of the local instance; the answer has the ranges
     /// that are granted to it.
@@ -88,6 +94,11 @@
 
 private:
     void advance();
+    void advance_table();
+    void advance_calls();
+    void handle_heartbeat_for_calls(bool is_new_run);
+    void send_grant(const keys::grant_call& call);
+    void send_release(const keys::release_call& call);
     void begin_pending_era();
     void submit(const platform::transaction& transaction);
     [[nodiscard]] duration conflict_backoff();
@@ -116,6 +127,7 @@
     platform::shared_table& table;
     net::timer_queue& timers;
     dependency_functions dependencies;
+    std::unique_ptr<key_call_sender> calls;
     keys::key_load load;
     /// Whether all keys are to be released; see `release_all_keys`.
     bool departing{false};
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -11,6 +11,7 @@
 #include <apricotstile/keys/key_owner.hpp>
 #include <apricotstile/platform/shared_table.hpp>
 #include <apricotstile/router/header_names.hpp>
+#include <apricotstile/router/key_call_format.hpp>
 #include <apricotstile/routing/routing_config.hpp>
 #include <apricotstile/serving/windowed_retry_budget.hpp>
 
@@ -42,6 +43,7 @@
     duration heartbeat_interval{std::chrono::seconds{1}};
     serving::windowed_retry_budget_policy retry_budget;
     header_names names;
+    key_call_format key_calls;
     /// Whether the whole system starts for the first time, so that no earlier
     /// run of a daemon has granted any keys.
     bool is_first_start{false};
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -5,6 +5,7 @@
 
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/log/logger.hpp>
+#include <apricotstile/router/key_call_sender.hpp>
 
 #include <algorithm>
 
@@ -44,6 +45,7 @@
     keys::key_owner_policy policy;
     policy.max_grant_duration =
         std::min(policy.max_grant_duration, this->settings.max_grant_duration);
+    policy.method = service->second.grants;
     keys::key_owner key_owner = keys::make_key_owner(
         policy, this->own_host, this->own_entry.run, this->settings.service
     );
@@ -51,6 +53,7 @@
     // have granted keys right before it ended.
     key_owner.grants_expire_at =
         boot_clock::now() + keys::max_promise_duration(policy.lease);
+    key_owner.earlier_grants_expire_at = key_owner.grants_expire_at;
     if (this->era.era != platform::first_era) {
         keys::begin_era(
             key_owner, this->era.era, this->is_first_start(), boot_clock::now()
@@ -100,7 +103,15 @@
                 return keys::consent_to_revocation(
                     this->lease_guardian, holder, version, boot_clock::now()
                 );
-            }}
+            }},
+        policy.method == routing::grant_method::call
+            ? std::make_unique<key_call_sender>(
+                  this->settings.instance_address,
+                  this->timers,
+                  this->settings.key_calls,
+                  policy.call_timeout
+              )
+            : nullptr
     );
 }
 
--- a/src/apricotstile/routing/routing_config.hpp
+++ b/src/apricotstile/routing/routing_config.hpp
@@ -6,6 +6,7 @@
 
 #include <apricotstile/core/ids.hpp>
 #include <apricotstile/core/time.hpp>
+#include <apricotstile/routing/grant_method.hpp>
 
 #include <cstdint>
 #include <string>
@@ -49,6 +50,8 @@
     std::uint32_t max_connections{0};
     /// Whether each request has a key, which one instance owns exclusively.
     bool keyed{false};
+    /// If it is keyed: how instances get their keys.
+    grant_method grants{grant_method::heartbeat};
     /// How long requests for a key are slow after a change of its owner without
     /// a handover by the previous one.
     duration warm_up_time{0};
@@ -84,7 +87,7 @@
 template <class Archive>
 void serialize(Archive& archive, service_config& value) {
     archive(value.health_check_path, value.max_connections);
-    archive(value.keyed, value.warm_up_time);
+    archive(value.keyed, value.grants, value.warm_up_time);
 }
 
 template <class Archive>
--- a/tests/keys/key_simulation.cpp
+++ b/tests/keys/key_simulation.cpp
@@ -3,9 +3,11 @@
 #include <tests/keys/key_simulation.hpp>
 
 #include <apricotstile/core/random.hpp>
+#include <apricotstile/keys/grants_by_call.hpp>
 #include <apricotstile/keys/key_lease_guardian.hpp>
 #include <apricotstile/keys/key_owner.hpp>
 #include <apricotstile/keys/takeover.hpp>
+#include <tests/keys/simulated_instance.hpp>
 #include <tests/support/fake_table.hpp>
 
 #include <fmt/format.h>
@@ -28,16 +30,12 @@
 constexpr duration tick_interval = 200ms;
 const service_id service{"registry"};
 
-struct instance {
-    directory::instance_run identity;
-    bool up{true};
-    /// Rate of its clock; grants last longer on a slow one.
-    double rate{1};
-    std::uint64_t sequence{0};
-    std::vector<held_range> holds;
-    std::vector<released_range> released;
-    instant grants_expire_at;
-    std::uint64_t last_answered{0};
+/// A daemon's connection for grants, which leads to one run of its instance.
+struct grant_connection {
+    directory::instance_run target;
+    instant opened;
+    /// Whether a heartbeat has arrived since it was opened.
+    bool confirmed{false};
 };
 
 struct daemon_process {
@@ -48,6 +46,9 @@
     std::map<std::uint64_t, instant> promise_requests;
     bool reading{false};
     instant last_read;
+    /// The grant call in progress; zero if there is none.
+    instance_call_id grant_in_progress;
+    grant_connection grants;
 };
 
 struct host {
@@ -58,7 +59,7 @@
     instant frozen_until;
     std::uint64_t run{0};
     std::optional<daemon_process> daemon;
-    instance server;
+    simulated_instance server;
 };
 
 struct simulation {
@@ -157,9 +158,13 @@
         ++one.run;
         one.up = true;
         daemon_process added;
-        added.state = make_key_owner({}, one.id, incarnation{one.run}, service);
+        key_owner_policy policy;
+        policy.method = this->options.method;
+        added.state =
+            make_key_owner(policy, one.id, incarnation{one.run}, service);
         added.state.grants_expire_at =
-            this->clock(one) + max_promise_duration(added.state.policy.lease);
+            this->clock(one) + max_promise_duration(policy.lease);
+        added.state.earlier_grants_expire_at = added.state.grants_expire_at;
         added.guardian_state.started = this->clock(one);
         added.guardian_state.run = incarnation{one.run};
         one.daemon = std::move(added);
@@ -328,6 +333,7 @@
             }
         }
         auto work = start_next_transaction(self.state, wanted, instances, time);
+        this->advance_calls(index);
         if (!work) {
             return;
         }
@@ -456,7 +462,7 @@
     }
 
     void start_server(std::size_t index) {
-        instance& server = this->hosts[index].server;
+        simulated_instance& server = this->hosts[index].server;
         const auto started_ms = (this->now - start_time) / 1ms + 1;
         server = {};
         server.identity = {fmt::format("i-{}", index), started_ms};
@@ -472,7 +478,7 @@
         std::size_t index, duration delay, std::int64_t started_ms
     ) {
         this->schedule(delay, [this, index, started_ms] {
-            instance& server = this->hosts[index].server;
+            simulated_instance& server = this->hosts[index].server;
             if (!server.up || server.identity.started_ms != started_ms) {
                 return;
             }
@@ -485,15 +491,17 @@
     }
 
     void send_heartbeat(std::size_t index) {
-        instance& server = this->hosts[index].server;
-        this->expire_grants(server);
+        simulated_instance& server = this->hosts[index].server;
+        expire_grants(server, this->now);
         heartbeat beat;
         beat.service = service;
         beat.instance = server.identity;
         beat.sequence = ++server.sequence;
         beat.slots = 14;
-        beat.holds = server.holds;
-        beat.released = server.released;
+        if (this->options.method == routing::grant_method::heartbeat) {
+            beat.holds = held_ranges(server);
+            beat.released = server.released;
+        }
         const instant sent = this->now;
         const std::uint64_t run = this->hosts[index].run;
         const duration delay =
@@ -503,6 +511,7 @@
                 host& one = this->hosts[index];
                 const heartbeat_answer answer =
                     handle_heartbeat(one.daemon->state, beat, this->clock(one));
+                this->update_grant_connection(index);
                 this->send([=, this] {
                     this->take_answer(index, beat, sent, answer);
                 });
@@ -516,7 +525,7 @@
         instant sent,
         const heartbeat_answer& answer
     ) {
-        instance& server = this->hosts[index].server;
+        simulated_instance& server = this->hosts[index].server;
         // Instances discard an answer after a second.
         if (!server.up || server.identity != beat.instance ||
             beat.sequence <= server.last_answered || this->now > sent + 1s) {
@@ -527,51 +536,216 @@
         if (!answer.grants) {
             return;
         }
-        const std::vector<held_range> before = server.holds;
-        server.holds.clear();
+        take_grants(server, answer, sent);
         for (const key_grant& one : answer.keys) {
-            server.holds.push_back({one.keys, one.fence});
-            this->check_fence(index, one);
+            this->check_fence(index, one.keys, one.fence);
             ++this->result.grants;
         }
-        server.grants_expire_at =
-            sent + scaled(answer.grant_duration, 1.0 / server.rate);
-        for (const held_range& old : before) {
-            const bool kept = std::any_of(
-                server.holds.begin(),
-                server.holds.end(),
-                [&](const held_range& held) {
-                    return overlap(held.keys, old.keys);
-                }
-            );
-            if (!kept) {
-                server.released.push_back({old.keys, "handover"});
+        expire_grants(server, this->now);
+    }
+
+    [[nodiscard]] bool is_connected(std::size_t index) const {
+        const host& one = this->hosts[index];
+        return one.server.up &&
+               one.daemon->grants.target == one.server.identity;
+    }
+
+    /// Opens the connection for grants if there is none. It is used once
+    /// a heartbeat has arrived after that.
+    void update_grant_connection(std::size_t index) {
+        grant_connection& grants = this->hosts[index].daemon->grants;
+        if (!this->is_connected(index)) {
+            grants = {this->hosts[index].server.identity, this->now, false};
+        } else if (this->now - grants.opened >= 20ms) {
+            grants.confirmed = true;
+        }
+    }
+
+    /// Sends the calls to the instance that are due.
+    void advance_calls(std::size_t index) {
+        daemon_process& self = *this->hosts[index].daemon;
+        if (self.state.policy.method != routing::grant_method::call) {
+            return;
+        }
+        const instant time = this->clock(this->hosts[index]);
+        for (const release_call& call : due_release_calls(self.state, time)) {
+            this->send_release(index, call);
+        }
+        if (self.grant_in_progress != instance_call_id{} ||
+            !self.grants.confirmed || !this->is_connected(index)) {
+            return;
+        }
+        if (const auto call = next_grant_call(self.state, time)) {
+            self.grant_in_progress = call->id;
+            this->send_grant(index, *call);
+        }
+    }
+
+    /// How a call to an instance goes.
+    struct call_course {
+        duration arrival{0};
+        /// From the arrival until the instance carries it out.
+        duration delay{0};
+        /// When it carries it out a second time. Only a call without a response
+        /// may be carried out after its end.
+        std::optional<duration> second_delay;
+        bool arrives{true};
+        bool is_answered{true};
+    };
+
+    call_course draw_call_course() {
+        call_course result;
+        result.arrival = this->random_duration(1ms, 10ms);
+        if (!this->options.faults) {
+            return result;
+        }
+        if (this->chance(5)) {
+            result.arrival = this->random_duration(1ms, 380ms);
+        }
+        if (this->chance(8)) {
+            result.delay = this->random_duration(2s, 12s);
+            result.is_answered = false;
+        }
+        if (this->chance(3)) {
+            result.second_delay = this->random_duration(10ms, 6s);
+            result.is_answered = false;
+        }
+        result.arrives = !this->chance(3);
+        result.is_answered =
+            result.is_answered && result.arrives && !this->chance(3);
+        return result;
+    }
+
+    void send_grant(std::size_t index, const grant_call& call) {
+        const auto course = this->draw_call_course();
+        const std::uint64_t run = this->hosts[index].run;
+        const directory::instance_run target =
+            this->hosts[index].server.identity;
+        const instant arrived = this->now + course.arrival;
+        const auto carry_out = [=, this] {
+            simulated_instance& server = this->hosts[index].server;
+            if (!server.up || server.identity != target) {
+                return;
+            }
+            const bool taken = take_grant(server, call, arrived);
+            expire_grants(server, this->now);
+            const bool has_expired =
+                this->now >=
+                arrived + scaled(call.grant_duration, 1.0 / server.rate);
+            if (taken && !has_expired) {
+                ++this->result.grants;
+                this->check_fence(index, call.keys, call.fence);
+            }
+            if (course.is_answered) {
+                this->schedule(this->random_duration(1ms, 10ms), [=, this] {
+                    this->end_grant(
+                        index,
+                        run,
+                        call.id,
+                        taken ? call_outcome::accepted
+                              : call_outcome::outdated_token
+                    );
+                });
             }
+        };
+        if (course.arrives) {
+            this->schedule(course.arrival + course.delay, carry_out);
+        }
+        if (course.arrives && course.second_delay) {
+            this->schedule(course.arrival + *course.second_delay, carry_out);
         }
-        this->expire_grants(server);
+        const duration timeout =
+            this->hosts[index].daemon->state.policy.call_timeout;
+        this->schedule(timeout, [=, this] {
+            this->end_grant(index, run, call.id, call_outcome::no_response);
+        });
     }
 
-    void expire_grants(instance& server) const {
-        if (this->now >= server.grants_expire_at) {
-            server.holds.clear();
+    void end_grant(
+        std::size_t index,
+        std::uint64_t run,
+        instance_call_id call,
+        call_outcome outcome
+    ) {
+        this->run_in_daemon(index, run, [=, this] {
+            daemon_process& self = *this->hosts[index].daemon;
+            if (self.grant_in_progress != call) {
+                return;
+            }
+            self.grant_in_progress = {};
+            call_result result{outcome, {}};
+            if (this->options.ignores_lost_calls &&
+                outcome == call_outcome::no_response) {
+                result.outcome = call_outcome::not_sent;
+            }
+            handle_grant_result(
+                self.state, call, result, this->clock(this->hosts[index])
+            );
+            this->advance_calls(index);
+        });
+    }
+
+    void send_release(std::size_t index, const release_call& call) {
+        const auto course = this->draw_call_course();
+        const std::uint64_t run = this->hosts[index].run;
+        const directory::instance_run target =
+            this->hosts[index].server.identity;
+        const auto ended = std::make_shared<bool>(false);
+        const auto end = [=, this](call_outcome outcome) {
+            this->run_in_daemon(index, run, [=, this] {
+                if (!std::exchange(*ended, true)) {
+                    handle_release_result(
+                        this->hosts[index].daemon->state,
+                        call.id,
+                        {outcome, "handover"},
+                        this->clock(this->hosts[index])
+                    );
+                    this->run_daemon_step(index);
+                }
+            });
+        };
+        const auto carry_out = [=, this] {
+            simulated_instance& server = this->hosts[index].server;
+            if (!server.up || server.identity != target) {
+                return;
+            }
+            release_keys(server, call);
+            if (course.is_answered) {
+                // When the work on the keys has ended.
+                this->schedule(this->random_duration(1ms, 600ms), [=] {
+                    end(call_outcome::accepted);
+                });
+            }
+        };
+        if (course.arrives) {
+            this->schedule(course.arrival + course.delay, carry_out);
         }
+        if (course.arrives && course.second_delay) {
+            this->schedule(course.arrival + *course.second_delay, carry_out);
+        }
+        this->schedule(5s, [=] {
+            end(call_outcome::no_response);
+        });
     }
 
     /// Checks that a key goes to another instance only under a higher token.
-    void check_fence(std::size_t index, const key_grant& grant) {
-        for (key_number key = grant.keys.first; key <= grant.keys.last;
-             key += 512) {
+    void check_fence(
+        std::size_t index, const key_range& granted, fencing_token token
+    ) {
+        constexpr key_number sample = 512;
+        const key_number first = (granted.first + sample - 1) / sample * sample;
+        for (key_number key = first; key <= granted.last; key += sample) {
             auto& [fence, holder] = this->accepted_fences[key];
-            if (holder != index && grant.fence <= fence) {
+            if (holder != index && token <= fence) {
                 this->report_violation(fmt::format(
                     "key {} was granted to host {} with token {}, not above {}",
                     key,
                     index,
-                    grant.fence.value,
+                    token.value,
                     fence.value
                 ));
             }
-            fence = std::max(fence, grant.fence);
+            fence = std::max(fence, token);
             holder = index;
         }
     }
@@ -587,12 +761,12 @@
     void check_invariants() {
         std::uint64_t held = 0;
         for (std::size_t i = 0; i < this->hosts.size(); ++i) {
-            instance& one = this->hosts[i].server;
-            this->expire_grants(one);
+            simulated_instance& one = this->hosts[i].server;
+            expire_grants(one, this->now);
             if (!one.up) {
                 continue;
             }
-            for (const held_range& range : one.holds) {
+            for (const simulated_hold& range : one.holds) {
                 held += size_of(range.keys);
             }
             for (std::size_t j = 0; j < i; ++j) {
@@ -612,12 +786,12 @@
     }
 
     void check_pair(std::size_t left, std::size_t right) {
-        const instance& other = this->hosts[right].server;
+        const simulated_instance& other = this->hosts[right].server;
         if (!other.up) {
             return;
         }
-        for (const held_range& a : this->hosts[left].server.holds) {
-            for (const held_range& b : other.holds) {
+        for (const simulated_hold& a : this->hosts[left].server.holds) {
+            for (const simulated_hold& b : other.holds) {
                 if (overlap(a.keys, b.keys)) {
                     this->report_violation(fmt::format(
                         "hosts {} and {} hold key {}",
--- a/tests/keys/key_simulation.hpp
+++ b/tests/keys/key_simulation.hpp
@@ -6,6 +6,7 @@
 #define APRICOTSTILE_TESTS_KEYS_KEY_WORLD_HPP
 
 #include <apricotstile/core/time.hpp>
+#include <apricotstile/routing/grant_method.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -16,6 +17,8 @@
 struct key_simulation_options {
     std::uint64_t seed{1};
     duration length{std::chrono::seconds{60}};
+    /// With grants by call, calls are lost, late, carried out late or twice.
+    routing::grant_method method{routing::grant_method::heartbeat};
     /// Whether to inject faults of daemons, instances, messages and the table.
     bool faults{true};
     /// Number of hosts that fail permanently at 20 s.
@@ -32,6 +35,8 @@
     /// Seeded fault: keys that nobody has claimed in a new era are taken over
     /// while a lease of the earlier era may be valid.
     bool ignores_earlier_leases{false};
+    /// Seeded fault: a grant call without a response counts as not sent.
+    bool ignores_lost_calls{false};
 };
 
 struct key_simulation_result {
