Let a few daemons of each region read the store for all

Cause: each daemon followed the configuration itself, read the members three times after its start and every 20 s, and every keyed map; each change of the configuration cost one call for each daemon. Owners that acquired their leases at the same time all rewrote the map's row, so that at 124 owners most transactions conflicted.

Change: routing/config_readers chooses two readers a region, which announce versions; the others get the configuration through a tree of peers. A daemon writes its member row once its instance is known and reads the members after that; the row isn't written again for what links tell anyway. Regular reads are spread so that the fleet's don't grow with it. A lease is acquired at a version after which the map was read, and every transaction that takes keys from an owner writes its lease row, so acquisitions don't touch the map. Released ranges wait 100 ms for others of the same owner. Leases are renewed every 9 s (was 6 s) and polled only while an owner is unreachable.

The test that a lease is acquired only on the current map is replaced by one that it is acquired only after the map was read.

Conflicts on the map's row are the largest rest.

--- a/src/apricotstile/keys/key_map.cpp
+++ b/src/apricotstile/keys/key_map.cpp
@@ -123,6 +123,14 @@
     return result;
 }
 
+std::set<host_id> owners_of(const key_map& map) {
+    std::set<host_id> result;
+    for (const owned_range& one : map.ranges) {
+        result.insert(one.owner);
+    }
+    return result;
+}
+
 std::uint64_t owned_key_count(const key_map& map, host_id host) {
     std::uint64_t total = 0;
     for (const owned_range& one : map.ranges) {
--- a/src/apricotstile/keys/key_map.hpp
+++ b/src/apricotstile/keys/key_map.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,8 @@
 /// Splits all keys into `count` ranges of nearly equal size.
 [[nodiscard]] std::vector<key_range> even_split(std::size_t count);
 
+[[nodiscard]] std::set<host_id> owners_of(const key_map& map);
+
 /// The number of keys that `host` owns.
 [[nodiscard]] std::uint64_t owned_key_count(const key_map& map, host_id host);
 
--- a/src/apricotstile/keys/key_owner.cpp
+++ b/src/apricotstile/keys/key_owner.cpp
@@ -99,6 +99,13 @@
     state.next_renewal = instant::min();
 }
 
+const watched_lease&
+watch_lease(key_owner& state, host_id holder, instant now) {
+    return state.watched_leases
+        .try_emplace(holder, watched_lease{{}, now, {}, {}})
+        .first->second;
+}
+
 void handle_consent(
     key_owner& state,
     host_id guardian,
--- a/src/apricotstile/keys/key_owner.hpp
+++ b/src/apricotstile/keys/key_owner.hpp
@@ -12,11 +12,13 @@
 // has seen the row unchanged for longer than a lease lasts without renewal.
 //
 // While a change of the guardian list is in flight, the lease needs a quorum of
-// promises from both the old and the new list. A lease row that another run of
-// the daemon wrote, or that another daemon revoked, is acquired only in one
-// transaction with a rewrite of the map at the version that this daemon knows.
-// So no grant is based on an outdated map, and a transaction that an earlier
-// run sent can't be committed afterwards.
+// promises from both the old and the new list. Every transaction that takes
+// keys away from an owner also writes its lease row: the owner's own release
+// renews it, a takeover revokes it. A lease row that another run of the daemon
+// wrote, or that another daemon revoked, is acquired only at a version after
+// which the map was read. So no grant is based on an outdated map, a
+// transaction that an earlier run sent can't be committed afterwards, and
+// owners that acquire their leases at the same time don't contend for the map.
 //
 // When the table has been restored from an older copy, a new era begins: the
 // rows of the earlier one count no more, as changes to them may be lost. What
@@ -63,6 +65,9 @@
     /// Reads of the lease rows that are farther apart than this make such a
     /// period.
     duration max_read_gap{std::chrono::seconds{4}};
+    /// How long ranges that are released wait for others that are being
+    /// released, so that one transaction transfers them.
+    duration release_batch_delay{std::chrono::milliseconds{100}};
     /// Maximum number of ranges in one heartbeat answer.
     std::size_t max_ranges_per_answer{90};
 };
@@ -124,6 +129,8 @@
     bool has_lease_row{true};
     /// Whether this run of the daemon wrote the row at `lease_version`.
     bool owns_row{false};
+    /// The version of the lease row after which the map was read.
+    platform::row_version map_read_after;
     /// When the lease expires without another renewal in the table, whatever
     /// its guardians promise.
     instant table_expiry;
@@ -152,6 +159,8 @@
     buffered_changes buffered;
 
     std::vector<range_release> releases;
+    /// Since when a released range waits for others.
+    std::optional<instant> release_waits_since;
     /// Ranges that the last heartbeat answer granted.
     std::vector<key_range> granted_ranges;
     /// When the last grant of this daemon has expired on any clock.
@@ -213,6 +222,9 @@
 /// writes a new version.
 void handle_promise_refusal(key_owner& state);
 
+/// The lease of `holder`, which is watched from now on.
+const watched_lease& watch_lease(key_owner& state, host_id holder, instant now);
+
 /// Records that `guardian` has consented to the revocation of the lease of
 /// `holder` at `version`.
 void handle_consent(
@@ -275,11 +287,17 @@
     key_owner& state, const platform::commit_result& result, instant now
 );
 
-/// Handles a read of all rows of the service, or of all its lease rows.
+/// Handles a read of all rows of the service, in which the lease rows were read
+/// before the map.
 void apply_rows(
     key_owner& state, const std::vector<platform::row>& rows, instant now
 );
 
+/// Handles a read of the lease rows alone.
+void apply_lease_rows(
+    key_owner& state, const std::vector<platform::row>& rows, instant now
+);
+
 /// Handles the map row as a table subscription delivers it. Ignores a row that
 /// isn't newer than the known map. Returns whether the map was replaced.
 bool apply_map_row(key_owner& state, const platform::row& row);
--- a/src/apricotstile/keys/key_owner_transactions.cpp
+++ b/src/apricotstile/keys/key_owner_transactions.cpp
@@ -23,15 +23,6 @@
     }
 };
 
-std::optional<directory::instance_run>
-instance_at(const current_instances& instances, host_id host) {
-    const auto found = instances.find(host);
-    if (found == instances.end()) {
-        return std::nullopt;
-    }
-    return found->second;
-}
-
 /// Transfers ranges to the current run of this host's instance from earlier
 /// ones, and under a new token where it has seen a higher one.
 std::vector<transfer> transfers_to_current_instance(const key_owner& state) {
@@ -48,45 +39,33 @@
     return result;
 }
 
-/// Whether the lease row must be written together with the map.
-bool must_write_map(const key_owner& state) {
-    return !state.owns_row || state.uses_earlier_lease;
+/// Zero if the row isn't there.
+platform::row_version known_lease_version(const key_owner& state) {
+    return state.has_lease_row ? state.lease_version : platform::row_version{};
+}
+
+/// Whether the lease row may be written: if this run didn't write the current
+/// one, the map must have been read after it.
+bool may_write_lease(const key_owner& state) {
+    return state.owns_row || state.uses_earlier_lease ||
+           state.map_read_after == known_lease_version(state);
 }
 
 void add_renewal(
     key_owner& state,
+    const guardian_list& guardians,
     platform::transaction& work,
     key_owner::pending_transaction& pending
 ) {
     pending.renews_lease = true;
     pending.makes_claims = state.uses_earlier_lease;
-    pending.guardians = state.wanted_guardians;
+    pending.guardians = guardians;
     work.conditions.push_back(
-        {lease_row_key(state.service, state.self),
-         state.has_lease_row ? state.lease_version : platform::row_version{}}
+        {lease_row_key(state.service, state.self), known_lease_version(state)}
     );
     work.mutations.push_back(
         {lease_row_key(state.service, state.self),
-         encode(lease_record{
-             state.run, ++state.renewals, state.wanted_guardians})}
-    );
-    // A lease isn't acquired on an outdated map; see the head of key_owner.hpp.
-    if (must_write_map(state)) {
-        work.conditions.push_back(
-            {map_row_key(state.service), state.map_version}
-        );
-    }
-}
-
-bool has_condition(
-    const platform::transaction& work, const platform::row_key& key
-) {
-    return std::any_of(
-        work.conditions.begin(),
-        work.conditions.end(),
-        [&](const platform::condition& one) {
-            return one.key == key;
-        }
+         encode(lease_record{state.run, ++state.renewals, guardians})}
     );
 }
 
@@ -115,19 +94,53 @@
     }
 }
 
-/// The transfers that are due now.
+bool is_release_due(
+    const key_owner& state,
+    const range_release& one,
+    const current_instances& instances,
+    instant now
+) {
+    return instances.contains(one.target) &&
+           (one.is_released || now >= state.grants_expire_at);
+}
+
+/// Whether releases are to be transferred now: all of them are due, or some
+/// have waited for the others.
+bool are_releases_ready(
+    key_owner& state, const current_instances& instances, instant now
+) {
+    const auto due = std::count_if(
+        state.releases.begin(),
+        state.releases.end(),
+        [&](const range_release& one) {
+            return is_release_due(state, one, instances, now);
+        }
+    );
+    if (due == 0) {
+        state.release_waits_since.reset();
+        return false;
+    }
+    state.release_waits_since = state.release_waits_since.value_or(now);
+    return static_cast<std::size_t>(due) == state.releases.size() ||
+           now - *state.release_waits_since >= state.policy.release_batch_delay;
+}
+
+/// The transfers that are due now; a transaction that is made anyway includes
+/// releases that wait for others.
 std::vector<transfer> due_transfers(
     key_owner& state,
     const ownership_changes& wanted,
     const current_instances& instances,
+    const key_owner::pending_transaction& pending,
     instant now
 ) {
     std::vector<transfer> result = transfers_to_current_instance(state);
+    const bool writes_lease = pending.renews_lease;
     for (range_release& one : state.releases) {
-        const auto instance = instance_at(instances, one.target);
-        if (instance && (one.is_released || now >= state.grants_expire_at)) {
-            add_release_transfers(state, one, *instance, result);
+        if (writes_lease && is_release_due(state, one, instances, now)) {
+            add_release_transfers(state, one, instances.at(one.target), result);
             one.is_sent = true;
+            state.release_waits_since.reset();
         }
     }
     result.insert(
@@ -144,9 +157,7 @@
     key_owner::pending_transaction& pending
 ) {
     const platform::row_key row = map_row_key(state.service);
-    if (!has_condition(work, row)) {
-        work.conditions.push_back({row, state.map_version});
-    }
+    work.conditions.push_back({row, state.map_version});
     for (const host_id host : wanted.revoked_owners) {
         const auto watched = state.watched_leases.find(host);
         const platform::row_version version =
@@ -165,6 +176,31 @@
     pending.transfers = transfers;
 }
 
+/// Adds a write of the lease row if it is due or a release is. Returns false if
+/// the map must be read before.
+bool add_lease_write(
+    key_owner& state,
+    const current_instances& instances,
+    instant now,
+    platform::transaction& work,
+    key_owner::pending_transaction& pending
+) {
+    const bool is_due = !state.owns_row || now >= state.next_renewal ||
+                        state.wanted_guardians != state.guardians;
+    const bool renews =
+        state.instance && is_due && wanted_guardians_ready(state, now);
+    if (!are_releases_ready(state, instances, now) && !renews) {
+        return true;
+    }
+    if (!may_write_lease(state)) {
+        return false;
+    }
+    add_renewal(
+        state, renews ? state.wanted_guardians : state.guardians, work, pending
+    );
+    return true;
+}
+
 /// Handles this daemon's own lease row.
 void apply_own_row(key_owner& state, const platform::row& row) {
     // A read may return an older row than a transaction result that was
@@ -183,6 +219,7 @@
     state.owns_row = record.run == state.run;
     state.guardians = record.guardians;
     state.next_renewal = instant::min();
+    state.needs_read = state.needs_read || !may_write_lease(state);
 }
 
 /// Removes releases of ranges that this daemon no longer owns.
@@ -272,20 +309,14 @@
     platform::transaction work;
     key_owner::pending_transaction pending;
     pending.sent = now;
-    const bool is_due = !state.owns_row || now >= state.next_renewal ||
-                        state.wanted_guardians != state.guardians;
-    if (state.instance && is_due && wanted_guardians_ready(state, now)) {
-        add_renewal(state, work, pending);
+    if (!add_lease_write(state, instances, now, work, pending)) {
+        state.needs_read = true;
+        return std::nullopt;
     }
     const std::vector<transfer> transfers =
-        due_transfers(state, wanted, instances, now);
-    // A transaction of an earlier run may still be in flight. Rewriting the map
-    // changes its version, even if the value stays, so that the earlier
-    // transaction fails its condition.
-    const bool renews_map = pending.renews_lease && must_write_map(state) &&
-                            (state.uses_earlier_lease ||
-                             state.map_version != platform::row_version{});
-    if (!transfers.empty() || renews_map) {
+        due_transfers(state, wanted, instances, pending, now);
+    // Claims are written to the map.
+    if (!transfers.empty() || pending.makes_claims) {
         add_map_change(state, transfers, wanted, work, pending);
     }
     if (work.mutations.empty()) {
@@ -371,7 +402,7 @@
     return true;
 }
 
-void apply_rows(
+void apply_lease_rows(
     key_owner& state, const std::vector<platform::row>& rows, instant now
 ) {
     if (now - state.leases_read_at > state.policy.max_read_gap) {
@@ -382,12 +413,24 @@
         apply_row(state, row, now);
     }
     for (const owned_range& one : state.map.ranges) {
-        state.watched_leases.try_emplace(
-            one.owner, watched_lease{{}, now, {}, {}}
-        );
+        watch_lease(state, one.owner, now);
+    }
+}
+
+void apply_rows(
+    key_owner& state, const std::vector<platform::row>& rows, instant now
+) {
+    apply_lease_rows(state, rows, now);
+    const platform::row_key own_row = lease_row_key(state.service, state.self);
+    state.map_read_after = {};
+    for (const platform::row& row : rows) {
+        if (row.key == own_row) {
+            state.map_read_after = row.version;
+        }
     }
     state.rows_known = true;
-    state.needs_read = false;
+    // The lease row may have changed since it was read.
+    state.needs_read = !may_write_lease(state);
 }
 
 } // namespace apricotstile::keys
--- a/src/apricotstile/keys/lease_policy.hpp
+++ b/src/apricotstile/keys/lease_policy.hpp
@@ -21,7 +21,7 @@
     /// guardians still promise it.
     duration table_lease_duration{std::chrono::seconds{20}};
     /// Interval between two renewals in the table.
-    duration table_renewal_interval{std::chrono::seconds{6}};
+    duration table_renewal_interval{std::chrono::seconds{9}};
     /// The relative rate by which a clock may be slow.
     double clock_drift{0.03};
     /// Fixed safety margin, in addition to the clock drift, wherever one host
--- a/src/apricotstile/platform/shared_table.hpp
+++ b/src/apricotstile/platform/shared_table.hpp
@@ -42,7 +42,8 @@
     /// Reads all rows of a partition; `scope` is "table/part".
     virtual void read(const std::string& scope, read_handler done) = 0;
     /// Passes all rows of `table` to `on_change`, then each change, until this
-    /// object is destroyed. A row may be delivered more than once.
+    /// object is destroyed. All rows must be in the empty partition. A row may
+    /// be delivered more than once.
     virtual void follow(const std::string& table, change_handler on_change) = 0;
     /// Sets a function that is called when another era than the first is seen
     /// for the first time. Reads and transactions that began before end as
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -164,7 +164,15 @@
 }
 
 template <class Archive>
-void serialize(Archive&, config_request&) {}
+void serialize(Archive& archive, config_request& value) {
+    serialize_varint(archive, value.at_least.value);
+}
+
+template <class Archive>
+void serialize(Archive& archive, config_notice& value) {
+    serialize_varint(archive, value.version.value);
+    archive(value.is_current);
+}
 
 template <class Archive>
 void serialize(Archive& archive, config_reply& value) {
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -139,14 +139,24 @@
     std::vector<upstream::crash_report> reports;
 };
 
-/// Asks a peer for its configuration; sent by a daemon that has none because
-/// the configuration store doesn't answer.
-struct config_request {};
+/// Asks a peer for its configuration, as soon as it has this version or a newer
+/// one.
+struct config_request {
+    routing::config_version at_least;
+};
 
 struct config_reply {
     routing::routing_config config;
 };
 
+/// A reader of the configuration tells its region what it has applied; see
+/// `routing/config_readers.hpp`.
+struct config_notice {
+    routing::config_version version;
+    /// Whether it reads all changes at the moment.
+    bool is_current{false};
+};
+
 /// Departures in the receiver's own entry that the sender knew before the
 /// receiver's current run; sent when the sender learns of that run.
 struct earlier_departures_frame {
@@ -188,7 +198,8 @@
     config_reply,
     earlier_departures_frame,
     keep_departures_request,
-    keep_departures_reply>;
+    keep_departures_reply,
+    config_notice>;
 
 /// Encodes a frame with its length prefix. `headers` is the table of the
 /// direction that the frame is sent in. Each encoded frame must be sent, in
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -13,6 +13,7 @@
 #include <apricotstile/router/request_router.hpp>
 #include <apricotstile/router/router.hpp>
 #include <apricotstile/router/table_view.hpp>
+#include <apricotstile/routing/config_readers.hpp>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -50,6 +51,7 @@
     learn_departures(const directory::departures& learned, const char* source);
     [[nodiscard]] bool knows_departures() const;
     void ask_peers_to_keep_departures();
+    [[nodiscard]] bool may_write_entry() const;
     void write_entry();
     void
     merge_entry(const directory::member_entry& received, const char* source);
@@ -58,8 +60,20 @@
     void handle_newer_config(host_id peer, routing::config_version version);
     [[nodiscard]] bool has_config(routing::config_version version) const;
     void request_newer_config(host_id peer, routing::config_version version);
+    void renew_config(routing::config_version version);
+    void handle_config_request(
+        host_id peer,
+        const config_request& request,
+        const std::function<void(const frame&)>& reply
+    );
+    void answer_config_requests();
+    [[nodiscard]] routing::region_order region_daemons() const;
+    void update_config_readers();
+    void send_config_notice(bool is_current);
+    void handle_config_notice(host_id reader, const config_notice& notice);
     void update_config_current();
     void read_members();
+    [[nodiscard]] duration regular_read_interval() const;
     void merge_member_rows(const std::vector<platform::row>& rows);
     void read_map(const service_id& service);
     static void log_view_change(view_change change, const std::string& scope);
@@ -113,9 +127,11 @@
         table_view view;
     };
 
+    [[nodiscard]] bool
+    is_map_due(const cached_key_map& followed, instant now) const;
+
     std::map<service_id, cached_key_map> key_maps;
     table_view members_view;
-    std::uint32_t member_reads{0};
     std::shared_ptr<const routing::route_table> routes;
     bool members_loaded{false};
     instant started;
@@ -126,6 +142,15 @@
     routing::config_version newest_known_config;
     bool config_request_due{false};
     std::function<void()> on_stale_config;
+    routing::config_readers config_readers;
+    /// As of the last decision on who reads.
+    routing::region_order region{{own_host}, 0};
+    bool is_config_reader{true};
+    instant last_config_notice;
+    /// The newest version requested because a reader announced it.
+    routing::config_version requested_config;
+    /// Peers that want a configuration that this daemon doesn't have yet.
+    std::map<host_id, routing::config_version> waiting_for_config;
 
     /// Lease promises that this daemon made to others, as a guardian.
     keys::key_lease_guardian lease_guardian;
@@ -152,7 +177,7 @@
     platform::era_change era{platform::first_era, true};
 
     platform::row_version entry_version;
-    bool needs_entry_write{false};
+    bool needs_entry_write{true};
     bool entry_in_flight{false};
     /// After a failed write.
     instant entry_retry_at;
--- a/src/apricotstile/router/local_key_manager.cpp
+++ b/src/apricotstile/router/local_key_manager.cpp
@@ -71,7 +71,9 @@
     this->timers.after(0ms, [this] {
         this->request_promises();
     });
-    this->read_rows();
+    if (this->key_owner.needs_read) {
+        this->read_rows();
+    }
 }
 
 local_key_manager::~local_key_manager() = default;
@@ -324,10 +326,10 @@
     );
 }
 
-/// Reads the other owners' leases periodically if this daemon is one of the
-/// first by rank to take over the keys of an expired lease.
+/// Reads the other owners' leases periodically while an owner is unreachable,
+/// if this daemon is one of the first by rank to take over its keys.
 void local_key_manager::poll_leases() {
-    if (this->read_in_progress ||
+    if (this->read_in_progress || !this->is_owner_unreachable ||
         boot_clock::now() < this->last_read_at + lease_poll_interval) {
         return;
     }
@@ -348,7 +350,7 @@
                 return;
             }
             try {
-                keys::apply_rows(
+                keys::apply_lease_rows(
                     this->key_owner, leases.rows, boot_clock::now()
                 );
             } catch (const decode_error& error) {
--- a/src/apricotstile/router/local_key_manager.hpp
+++ b/src/apricotstile/router/local_key_manager.hpp
@@ -154,6 +154,8 @@
     /// Send times of recent promise requests, by sequence number.
     std::map<std::uint64_t, instant> promise_request_times;
     std::uint64_t last_promise_request{0};
+    /// Whether some other owner of keys is unreachable.
+    bool is_owner_unreachable{false};
     /// Since when owners and guardians have been unreachable.
     std::map<host_id, instant> unreachable_since;
 };
--- a/src/apricotstile/router/local_key_manager_guardians.cpp
+++ b/src/apricotstile/router/local_key_manager_guardians.cpp
@@ -18,8 +18,14 @@
 
 /// How long an owner is unreachable before the revocation of its lease is
 /// requested. Multiplied by one plus this daemon's rank, so that usually only
-/// one daemon acts.
+/// one daemon acts. A revocation takes some seconds; daemons beyond the first
+/// ones wait for longer than that.
 constexpr duration revocation_delay = 400ms;
+constexpr std::size_t prompt_ranks = 3;
+constexpr duration late_revocation_delay = 6s;
+
+/// Between reads of the leases while an owner is unreachable.
+constexpr duration unreachable_read_interval = 2s;
 
 /// How long a guardian is unreachable before it is replaced.
 constexpr duration guardian_replacement_delay = 2s;
@@ -30,6 +36,12 @@
 
 constexpr auto log_prefix = "keys";
 
+duration revocation_delay_of(std::size_t rank) {
+    const duration delay =
+        revocation_delay * static_cast<duration::rep>(rank + 1);
+    return rank < prompt_ranks ? delay : delay + late_revocation_delay;
+}
+
 } // namespace
 
 /// Keeps guardians that are reachable or were until recently, and fills the
@@ -104,18 +116,20 @@
 void local_key_manager::request_revocations() {
     const keys::membership_view view = this->dependencies.view();
     const instant now = boot_clock::now();
-    const duration delay =
-        revocation_delay * static_cast<duration::rep>(view.rank + 1);
-    for (auto& [host, lease] : this->key_owner.watched_leases) {
+    const duration delay = revocation_delay_of(view.rank);
+    this->is_owner_unreachable = false;
+    for (const host_id host : keys::owners_of(this->key_owner.map)) {
         if (host == this->key_owner.self ||
-            keys::owned_key_count(this->key_owner.map, host) == 0 ||
             this->dependencies.is_reachable_member(host)) {
             this->unreachable_since.erase(host);
             continue;
         }
+        const keys::watched_lease& lease =
+            keys::watch_lease(this->key_owner, host, now);
         const auto [entry, is_new] =
             this->unreachable_since.try_emplace(host, now);
         const instant since = entry->second;
+        this->is_owner_unreachable = true;
         if (is_new) {
             log::write(
                 log::level::warning,
@@ -130,8 +144,10 @@
         if (now - since < delay) {
             continue;
         }
-        if (!this->read_in_progress &&
-            now - this->last_read_at > revocation_delay) {
+        const bool is_read =
+            this->last_read_at > since &&
+            now - this->last_read_at < unreachable_read_interval;
+        if (!this->read_in_progress && !is_read) {
             this->read_leases();
         }
         for (const keys::guardian_id& guardian : lease.guardians) {
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -19,12 +19,6 @@
 
 constexpr duration periodic_task_interval = 250ms;
 
-/// How long the store may take to deliver a configuration that a peer has,
-/// before it is asked again, and before the peer is asked: a configuration is
-/// large, so it should be transferred once.
-constexpr duration config_renewal_delay = 300ms;
-constexpr duration config_request_delay = 1200ms;
-
 /// Time between the request to stop and the refusal of new connections.
 constexpr duration stop_notice_duration = 2500ms;
 
@@ -89,113 +83,18 @@
     this->table.set_era_handler([this](const platform::era_change& change) {
         this->handle_new_era(change);
     });
-    this->read_members();
+    if (!this->settings.is_first_start) {
+        this->read_members();
+    }
     this->timers.every(periodic_task_interval, [this] {
         this->run_periodic_tasks();
     });
     this->publish_entry();
 }
 
-void router::implementation::apply_config(
-    routing::routing_config config, const char* source
-) {
-    if (this->routes && config.version <= this->routes->config.version) {
-        return;
-    }
-    log::write(
-        log::level::info,
-        log_prefix,
-        "Configuration applied.",
-        {{"version", std::to_string(config.version.value)},
-         {"routes", std::to_string(config.routes.size())},
-         {"services", std::to_string(config.services.size())},
-         {"source", source}}
-    );
-    this->routes = std::make_shared<const routing::route_table>(
-        routing::make_route_table(std::move(config))
-    );
-    this->callers.set_config(this->routes);
-    this->links.set_config_version(this->routes->config.version);
-    this->update_config_current();
-    const auto& services = this->routes->config.services;
-    const auto service = services.find(this->settings.service);
-    if (service != services.end()) {
-        this->instance.set_max_connections(service->second.max_connections);
-    }
-    this->start_key_management();
-}
-
-/// A daemon that starts while the store is unavailable gets its configuration
-/// from a peer. The store's is applied as soon as it answers.
-void router::implementation::request_config_from_peer() {
-    const instant now = boot_clock::now();
-    if (this->routes || now - this->started < store_wait_timeout ||
-        now - this->config_requested_at < store_wait_timeout) {
-        return;
-    }
-    for (const auto& [peer, entry] : this->known_daemons.entries) {
-        if (peer != this->own_host && this->links.is_reachable(peer)) {
-            this->config_requested_at = now;
-            this->links.send_message(peer, config_request{});
-            return;
-        }
-    }
-}
-
-/// A route that isn't known may be in a newer configuration.
-void router::implementation::update_config_current() {
-    const routing::config_version own =
-        this->routes ? this->routes->config.version : routing::config_version{};
-    this->callers.set_config_current(
-        this->config_followed && own >= this->newest_known_config
-    );
-}
-
-/// Usually the store delivers the change right after. If it doesn't, it is
-/// asked again, and then the peer.
-void router::implementation::handle_newer_config(
-    host_id peer, routing::config_version version
-) {
-    if (version > this->newest_known_config) {
-        this->newest_known_config = version;
-        this->update_config_current();
-    }
-    if (this->config_request_due) {
-        return;
-    }
-    this->config_request_due = true;
-    this->timers.after(config_renewal_delay, [this, version] {
-        if (!this->has_config(version) && this->on_stale_config) {
-            this->on_stale_config();
-        }
-    });
-    this->timers.after(config_request_delay, [this, peer, version] {
-        this->config_request_due = false;
-        if (!this->has_config(version)) {
-            this->request_newer_config(peer, version);
-        }
-    });
-}
-
-bool router::implementation::has_config(routing::config_version version) const {
-    return this->routes && this->routes->config.version >= version;
-}
-
-void router::implementation::request_newer_config(
-    host_id peer, routing::config_version version
-) {
-    log::write(
-        log::level::warning,
-        log_prefix,
-        "Requesting a peer's newer configuration.",
-        {{"peer", internal::format_for_log(peer)},
-         {"version", std::to_string(version.value)}}
-    );
-    this->links.send_message(peer, config_request{});
-}
-
 void router::implementation::run_periodic_tasks() {
     this->poll_table();
+    this->update_config_readers();
     this->request_config_from_peer();
     this->write_entry();
     this->check_instance_liveness();
@@ -265,31 +164,6 @@
 
 router::~router() = default;
 
-void router::apply_config(routing::routing_config config) {
-    this->impl->apply_config(std::move(config), "table");
-}
-
-void router::set_config_followed(bool current) {
-    this->impl->config_followed = current;
-    this->impl->update_config_current();
-}
-
-void router::set_stale_config_handler(std::function<void()> on_stale_config) {
-    this->impl->on_stale_config = std::move(on_stale_config);
-}
-
-daemon_position router::position() const {
-    const implementation& daemon = *this->impl;
-    daemon_position result;
-    for (const auto& [peer, entry] : daemon.known_daemons.entries) {
-        if (peer != daemon.own_host && daemon.links.is_reachable(peer)) {
-            ++result.daemons;
-            result.rank += peer < daemon.own_host ? 1 : 0;
-        }
-    }
-    return result;
-}
-
 bool router::is_ready() const {
     const implementation& daemon = *this->impl;
     const bool knows_peers =
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -58,11 +58,13 @@
     other_instance
 };
 
-/// A daemon among all that it can reach, in the order of their hosts.
-struct daemon_position {
+/// A daemon among those that read the configuration from the store.
+struct config_reader_position {
+    /// Whether it is one of them.
+    bool reads{true};
     std::size_t rank{0};
-    /// At least one: this daemon counts too.
-    std::size_t daemons{1};
+    /// At least one.
+    std::size_t readers{1};
 };
 
 class router {
@@ -79,8 +81,9 @@
     /// Sets whether configuration changes reach this daemon.
     void set_config_followed(bool current);
 
-    /// Sets a function that is called when a peer has had a newer configuration
-    /// for a while, so that the store's changes seem not to arrive.
+    /// Sets a function that is called when the store is to be asked for changes
+    /// at once: a peer has had a newer configuration for a while, so that they
+    /// seem not to arrive, or this daemon is to read them from now on.
     void set_stale_config_handler(std::function<void()> on_stale_config);
 
     heartbeat_result handle_heartbeat(
@@ -97,8 +100,11 @@
     /// takes too long.
     void when_departures_recorded(std::function<void(bool recorded)> done);
 
-    /// This daemon's position among those that it can reach.
-    [[nodiscard]] daemon_position position() const;
+    /// The store has said that no change of the configuration is missing.
+    void note_config_confirmed();
+    /// Whether this daemon is to read the configuration, and with how many
+    /// others.
+    [[nodiscard]] config_reader_position reader_position() const;
     /// Whether this daemon can serve callers now.
     [[nodiscard]] bool is_ready() const;
     /// Finishes requests in progress, then calls `on_stopped` within
--- a/src/apricotstile/router/router_instance.cpp
+++ b/src/apricotstile/router/router_instance.cpp
@@ -123,6 +123,7 @@
          {"daemon_uptime_ms", internal::millis_text(uptime)}}
     );
     this->recorder.expect(this->own_entry.revision + 1);
+    this->needs_entry_write = true;
     if (!this->change_state(this->permitted_state(), source)) {
         this->publish_entry();
     }
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -58,6 +58,9 @@
         keys::begin_era(
             key_owner, this->era.era, this->is_first_start(), boot_clock::now()
         );
+    } else if (this->settings.is_first_start) {
+        // There are no rows yet; if there are, conflicts will show them.
+        keys::apply_rows(key_owner, {}, boot_clock::now());
     }
     // The instance's heartbeat may have arrived before the configuration.
     if (this->announced_state == directory::instance_state::ready) {
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -24,17 +24,25 @@
 /// Between reads of the members, or of a map, until the first one succeeds.
 constexpr duration initial_read_interval = 300ms;
 
+/// The row of a daemon whose instance hasn't announced itself is written this
+/// long after the start.
+constexpr duration first_write_timeout = 1200ms;
+
+/// How long a daemon of a system that starts for the first time waits for a map
+/// that its owners send, before it reads the map.
+constexpr duration first_map_timeout = 4s;
+
+/// Between reads of a map that isn't there yet.
+constexpr duration missing_map_read_interval = 3s;
+
 /// Between reads of the members, or of a map, after one has failed. Longer than
 /// a read may take.
 constexpr duration failed_read_interval = 3s;
 
-/// Reads at the shorter interval after the start: daemons that start together
-/// may miss each other's rows in their first reads.
-constexpr std::uint32_t early_reads = 3;
-
-constexpr duration early_read_interval = 1500ms;
-
-constexpr duration regular_read_interval = 20s;
+/// Between regular reads of one scope by one daemon, and by any of them: reads
+/// only find what links have lost, so the fleet's reads don't grow with it.
+constexpr duration min_regular_read_interval = 20s;
+constexpr duration regular_read_gap = 2s;
 
 constexpr auto log_prefix = "router";
 
@@ -89,19 +97,33 @@
     ++this->own_entry.revision;
     directory::merge_entry(this->known_daemons, this->own_entry);
     this->links.publish_entry({this->own_entry, this->instance.load()});
-    this->needs_entry_write = true;
     this->write_entry();
 }
 
-/// Writes this daemon's row if it has changed. If the result of a write isn't
-/// known, the row is read to get its version, and then written again.
+/// Whether this daemon knows its earlier row, or that there is none, and what
+/// its instance announces. A departure can't wait for the latter.
+bool router::implementation::may_write_entry() const {
+    const bool is_complete =
+        this->announced_state != directory::instance_state::absent ||
+        !this->recorder.is_recorded() ||
+        boot_clock::now() - this->started >= first_write_timeout;
+    const bool knows_row = this->entry_version != platform::row_version{} ||
+                           this->members_loaded ||
+                           this->settings.is_first_start;
+    return is_complete && knows_row;
+}
+
+/// Writes this daemon's row if it must be. The row lets daemons find each other
+/// and keeps departures; peers get all other changes over their links. If the
+/// result of a write isn't known, the row is read to get its version, and then
+/// written again.
 void router::implementation::write_entry() {
     const instant now = boot_clock::now();
     // A departure is acknowledged once it is written.
     const bool is_early =
         now < this->next_entry_write_at && this->recorder.is_recorded();
     if (!this->needs_entry_write || this->entry_in_flight ||
-        !this->members_loaded || now < this->entry_retry_at || is_early) {
+        !this->may_write_entry() || now < this->entry_retry_at || is_early) {
         return;
     }
     this->needs_entry_write = false;
@@ -120,6 +142,11 @@
              this->own_entry.revision](const platform::commit_result& result) {
             this->entry_in_flight = false;
             if (result.status == platform::commit_status::committed) {
+                if (this->entry_version == platform::row_version{}) {
+                    // Daemons that started at the same time find each other:
+                    // of any two, one reads the other's row.
+                    this->read_members();
+                }
                 this->entry_version =
                     std::max(this->entry_version, result.versions.front());
                 this->next_entry_write_at =
@@ -131,6 +158,10 @@
             }
             this->needs_entry_write = true;
             this->entry_retry_at = boot_clock::now() + entry_retry_delay;
+            if (!result.current.empty()) {
+                this->merge_member_rows(result.current);
+                return;
+            }
             if (result.status != platform::commit_status::unavailable) {
                 // Gets the row's current version for the next attempt, and
                 // departures that an earlier run has written late.
@@ -194,7 +225,6 @@
                 scope
             );
             if (read.answered) {
-                ++this->member_reads;
                 this->merge_member_rows(read.rows);
             }
         }
@@ -235,6 +265,7 @@
             if (received.run > this->own_entry.run) {
                 this->own_entry.run = next(received.run);
                 this->lease_guardian.run = this->own_entry.run;
+                this->needs_entry_write = true;
                 this->publish_entry();
             }
         } catch (const decode_error& error) {
@@ -250,21 +281,48 @@
     this->write_entry();
 }
 
+duration router::implementation::regular_read_interval() const {
+    const auto daemons =
+        static_cast<duration::rep>(this->known_daemons.entries.size());
+    return std::max(min_regular_read_interval, regular_read_gap * daemons);
+}
+
+/// Whether the map of a service that isn't this daemon's is to be read.
+bool router::implementation::is_map_due(
+    const cached_key_map& followed, instant now
+) const {
+    const bool is_known = followed.map.version != platform::row_version{};
+    if (!is_known && this->settings.is_first_start &&
+        now - this->started < first_map_timeout) {
+        return false;
+    }
+    // Peers have sent the map.
+    if (is_known && followed.view.requested_at == instant{}) {
+        return now - this->started >= this->regular_read_interval();
+    }
+    return is_due(
+        followed.view,
+        is_known ? this->regular_read_interval() : missing_map_read_interval,
+        is_known ? failed_read_interval : initial_read_interval,
+        now
+    );
+}
+
 /// Reads members and maps that haven't been read yet, and periodically all of
 /// them, since updates sent over links can be lost.
 void router::implementation::poll_table() {
     const instant now = boot_clock::now();
-    const duration members_read_interval = this->member_reads < early_reads
-                                               ? early_read_interval
-                                               : regular_read_interval;
     const duration members_retry_interval =
         this->members_loaded ? failed_read_interval : initial_read_interval;
-    if (is_due(
-            this->members_view,
-            members_read_interval,
-            members_retry_interval,
-            now
-        )) {
+    const bool waits_for_own_row =
+        this->settings.is_first_start &&
+        this->entry_version == platform::row_version{};
+    if (!waits_for_own_row && is_due(
+                                  this->members_view,
+                                  this->regular_read_interval(),
+                                  members_retry_interval,
+                                  now
+                              )) {
         this->read_members();
     }
     if (!this->routes) {
@@ -273,19 +331,8 @@
     for (const auto& [service, settings] : this->routes->config.services) {
         const bool is_own =
             this->local_keys != nullptr && service == this->settings.service;
-        if (!settings.keyed || is_own) {
-            continue;
-        }
-        const cached_key_map& followed = this->key_maps[service];
-        const bool is_known = followed.map.version != platform::row_version{};
-        const duration retry_interval =
-            is_known ? failed_read_interval : initial_read_interval;
-        if (is_due(
-                followed.view,
-                is_known ? regular_read_interval : initial_read_interval,
-                retry_interval,
-                now
-            )) {
+        if (settings.keyed && !is_own &&
+            this->is_map_due(this->key_maps[service], now)) {
             this->read_map(service);
         }
     }
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -109,10 +109,10 @@
         for (const upstream::crash_report& report : crash_reports->reports) {
             this->instance.handle_crash_report(peer, report);
         }
-    } else if (std::holds_alternative<config_request>(message)) {
-        if (this->routes) {
-            reply(config_reply{this->routes->config});
-        }
+    } else if (const auto* const wanted_config = std::get_if<config_request>(&message)) {
+        this->handle_config_request(peer, *wanted_config, reply);
+    } else if (const auto* const notice = std::get_if<config_notice>(&message)) {
+        this->handle_config_notice(peer, *notice);
     } else if (const auto* const config = std::get_if<config_reply>(&message)) {
         this->apply_config(config->config, "peer");
     } else if (const auto* const earlier = std::get_if<earlier_departures_frame>(&message)) {
--- a/tests/keys/key_simulation.cpp
+++ b/tests/keys/key_simulation.cpp
@@ -332,6 +332,12 @@
                 }
             }
         }
+        if (this->options.ignores_map_reads) {
+            self.state.map_read_after = self.state.has_lease_row
+                                            ? self.state.lease_version
+                                            : platform::row_version{};
+            self.state.needs_read = false;
+        }
         auto work = start_next_transaction(self.state, wanted, instances, time);
         this->advance_calls(index);
         if (!work) {
@@ -345,10 +351,28 @@
                 }
             );
         }
+        if (this->options.omits_lease_on_release) {
+            this->omit_lease_row(index, *work);
+        }
         this->result.revocations += wanted.revoked_owners.size();
         this->submit(index, *work);
     }
 
+    /// Removes the lease row from a transaction that changes the map too.
+    void omit_lease_row(std::size_t index, platform::transaction& work) {
+        const platform::row_key row =
+            lease_row_key(service, this->hosts[index].id);
+        const auto is_own = [&](const auto& one) {
+            return one.key == row;
+        };
+        if (work.mutations.size() < 2 || !is_own(work.mutations.front())) {
+            return;
+        }
+        std::erase_if(work.conditions, is_own);
+        std::erase_if(work.mutations, is_own);
+        this->hosts[index].daemon->state.in_flight->renews_lease = false;
+    }
+
     void submit(std::size_t index, const platform::transaction& work) {
         const std::uint64_t run = this->hosts[index].run;
         const bool answer_lost = this->options.faults && this->chance(10);
--- a/tests/keys/key_simulation.hpp
+++ b/tests/keys/key_simulation.hpp
@@ -29,9 +29,13 @@
     std::uint32_t rewinds{0};
     /// Seeded fault: promises expire this much too early at the guardians.
     duration early_promise_expiry{0};
-    /// Seeded fault: transactions omit the condition on the map version, so an
-    /// ended lease can be acquired on an outdated map.
+    /// Seeded fault: transactions omit the condition on the map version, so
+    /// that the map can be changed on an outdated one.
     bool omits_map_condition{false};
+    /// Seeded fault: an ended lease is acquired on an outdated map.
+    bool ignores_map_reads{false};
+    /// Seeded fault: an owner's releases don't write its lease row.
+    bool omits_lease_on_release{false};
     /// Seeded fault: keys that nobody has claimed in a new era are taken over
     /// while a lease of the earlier era may be valid.
     bool ignores_earlier_leases{false};
--- a/tests/keys/ownership.tests.cpp
+++ b/tests/keys/ownership.tests.cpp
@@ -152,13 +152,28 @@
     CHECK(simulations_until_violation(options, 60) <= 60);
 }
 
+TEST_CASE("a change of an outdated map is detected", "[keys][seeded-fault]") {
+    key_simulation_options options;
+    options.omits_map_condition = true;
+    CHECK(simulations_until_violation(options, 200) <= 200);
+}
+
 TEST_CASE(
     "an ended lease that is acquired on an outdated map is detected",
     "[keys][seeded-fault]"
 ) {
     key_simulation_options options;
-    options.omits_map_condition = true;
-    CHECK(simulations_until_violation(options, 200) <= 200);
+    options.ignores_map_reads = true;
+    CHECK(simulations_until_violation(options, 2000) <= 2000);
+}
+
+TEST_CASE(
+    "a release that doesn't write the lease row is detected",
+    "[keys][seeded-fault]"
+) {
+    key_simulation_options options;
+    options.omits_lease_on_release = true;
+    CHECK(simulations_until_violation(options, 2000) <= 2000);
 }
 
 TEST_CASE(
