Let one member submit the releases of all owners of a service

Change: an owner sends its release to the first member in the order of hosts, which submits those of 80 ms together, each conditional on its owner's lease row. Delays after conflicts double. Four members give keys to a new one, where all did. Owners decide on moves every 2 s (was 1 s), from 0.95 of their slots (was 0.85). Few enough ranges, revocations and releases go into one transaction for the table's limits at 300 owners; adjacent ranges of one instance are merged where the map has many. Readers of the configuration announce the table's era, which daemons that seldom call the store would otherwise learn late.

--- a/src/apricotstile/keys/key_map.cpp
+++ b/src/apricotstile/keys/key_map.cpp
@@ -45,6 +45,24 @@
     map.ranges.insert(place, added);
 }
 
+void merge_adjacent_ranges(key_map& map) {
+    std::vector<owned_range> merged;
+    for (owned_range& one : map.ranges) {
+        const bool continues = !merged.empty() &&
+                               merged.back().keys.last + 1 == one.keys.first &&
+                               merged.back().owner == one.owner &&
+                               merged.back().instance == one.instance;
+        if (!continues) {
+            merged.push_back(std::move(one));
+            continue;
+        }
+        merged.back().keys.last = one.keys.last;
+        merged.back().fence = std::max(merged.back().fence, one.fence);
+        merged.back().handover.clear();
+    }
+    map.ranges = std::move(merged);
+}
+
 } // namespace
 
 const owned_range* find_owned_range(const key_map& map, key_number key) {
@@ -72,6 +90,13 @@
             {one.keys, one.owner, one.instance, map.last_fence, one.handover}
         );
     }
+    if (map.ranges.size() > max_separate_ranges) {
+        merge_adjacent_ranges(map);
+    }
+}
+
+bool may_split_ranges(const key_map& map) {
+    return map.ranges.size() <= max_ranges_to_split;
 }
 
 void raise_last_fence(key_map& map, platform::table_era era) {
--- a/src/apricotstile/keys/key_map.hpp
+++ b/src/apricotstile/keys/key_map.hpp
@@ -89,10 +89,22 @@
     std::string handover;
 };
 
+/// Above this number of ranges, adjacent ones of the same instance are merged,
+/// so that the map fits into one row of the table.
+inline constexpr std::size_t max_separate_ranges = 600;
+
+/// Above this number no range is split to move a part of it for its load.
+inline constexpr std::size_t max_ranges_to_split = 650;
+
 /// Assigns ranges to their next owners, each under a new fencing token. Trims
-/// or removes existing ranges that overlap them.
+/// or removes existing ranges that overlap them. Merged ranges get the highest
+/// of their tokens, and no handover.
 void apply_transfers(key_map& map, const std::vector<transfer>& transfers);
 
+/// Whether a part of a range may be moved without making the map too large for
+/// a row of the table.
+[[nodiscard]] bool may_split_ranges(const key_map& map);
+
 /// Makes all tokens that are issued in this era higher than those of earlier
 /// ones, some of which may have been forgotten.
 void raise_last_fence(key_map& map, platform::table_era era);
--- a/src/apricotstile/keys/key_owner.hpp
+++ b/src/apricotstile/keys/key_owner.hpp
@@ -36,6 +36,7 @@
 #include <apricotstile/keys/key_map.hpp>
 #include <apricotstile/keys/key_map_change.hpp>
 #include <apricotstile/keys/lease_policy.hpp>
+#include <apricotstile/keys/relayed_release.hpp>
 #include <apricotstile/platform/transaction.hpp>
 #include <apricotstile/routing/grant_method.hpp>
 
@@ -260,6 +261,8 @@
     std::vector<transfer> transfers;
     /// Owners whose leases have expired and which the transaction revokes.
     std::vector<host_id> revoked_owners;
+    /// Releases of other owners that the transaction includes.
+    std::vector<relayed_release> relayed;
 };
 
 /// The current instances of the hosts that may receive keys.
--- a/src/apricotstile/keys/key_owner_transactions.cpp
+++ b/src/apricotstile/keys/key_owner_transactions.cpp
@@ -146,6 +146,9 @@
     result.insert(
         result.end(), wanted.transfers.begin(), wanted.transfers.end()
     );
+    for (const relayed_release& one : wanted.relayed) {
+        result.insert(result.end(), one.transfers.begin(), one.transfers.end());
+    }
     return result;
 }
 
@@ -169,6 +172,11 @@
             {lease_row_key(state.service, host), encode(lease_record{})}
         );
     }
+    for (const relayed_release& one : wanted.relayed) {
+        const platform::row_key lease = lease_row_key(state.service, one.owner);
+        work.conditions.push_back({lease, one.lease_version});
+        work.mutations.push_back({lease, one.lease_value});
+    }
     key_map changed = state.map;
     apply_transfers(changed, transfers);
     work.mutations.push_back({row, encode(changed)});
@@ -176,6 +184,13 @@
     pending.transfers = transfers;
 }
 
+/// Whether this daemon has use for a lease: it owns keys, or has run for long
+/// enough to know the daemons that can be its guardians.
+bool needs_lease(const key_owner& state, instant now) {
+    return now >= state.earlier_grants_expire_at ||
+           owned_key_count(state.map, state.self) > 0;
+}
+
 /// Adds a write of the lease row if it is due or a release is. Returns false if
 /// the map must be read before.
 bool add_lease_write(
@@ -185,8 +200,10 @@
     platform::transaction& work,
     key_owner::pending_transaction& pending
 ) {
-    const bool is_due = !state.owns_row || now >= state.next_renewal ||
-                        state.wanted_guardians != state.guardians;
+    const bool is_due = state.owns_row
+                            ? now >= state.next_renewal ||
+                                  state.wanted_guardians != state.guardians
+                            : needs_lease(state, now);
     const bool renews =
         state.instance && is_due && wanted_guardians_ready(state, now);
     if (!are_releases_ready(state, instances, now) && !renews) {
--- a/src/apricotstile/keys/load_rebalancing.hpp
+++ b/src/apricotstile/keys/load_rebalancing.hpp
@@ -22,7 +22,7 @@
 
 struct rebalancing_policy {
     /// An instance is overloaded above this load per slot.
-    double overload_threshold{0.85};
+    double overload_threshold{0.95};
     /// It is also overloaded above this number of running and waiting requests
     /// per slot.
     double backlog_threshold{1.2};
--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -41,6 +41,9 @@
         now >= state.no_expiry_before;
     std::vector<host_id> result;
     for (const auto& [host, watched] : state.watched_leases) {
+        if (result.size() == policy.max_revocations) {
+            break;
+        }
         const bool is_expired =
             has_recent_reads && now - watched.unchanged_since > wait;
         if (host != state.self && (is_expired || has_consent_quorum(watched)) &&
@@ -127,10 +130,30 @@
     return nullptr;
 }
 
+/// The members that own the most keys give some to a new one. If all did, they
+/// would contend for the map's row.
+bool is_donor(
+    const key_owner& state,
+    const takeover_policy& policy,
+    const membership_view& view,
+    host_id joined
+) {
+    const auto precedes_self = [&](const key_member& one) {
+        const auto own =
+            std::pair{owned_key_count(state.map, state.self), state.self};
+        return one.host != joined &&
+               std::pair{owned_key_count(state.map, one.host), one.host} > own;
+    };
+    const auto before =
+        std::count_if(view.members.begin(), view.members.end(), precedes_self);
+    return static_cast<std::size_t>(before) < policy.max_donors;
+}
+
 /// The part of this daemon's keys for a new member, from the end of its largest
 /// range.
-std::optional<key_range>
-range_for_new_member(const key_owner& state, std::size_t members) {
+std::optional<key_range> range_for_new_member(
+    const key_owner& state, const takeover_policy& policy, std::size_t members
+) {
     const std::vector<owned_range> kept = kept_ranges(state);
     const auto largest = std::max_element(
         kept.begin(),
@@ -147,7 +170,9 @@
         total += size_of(one.keys);
     }
     const std::uint64_t even = key_count / members;
-    const auto part = static_cast<key_number>(total / members);
+    const std::size_t donors = std::min(policy.max_donors, members - 1);
+    const auto part =
+        static_cast<key_number>(std::min(total / 2, even / donors));
     if (total < even * 2 / 3 || part == 0 || part >= size_of(largest->keys)) {
         return std::nullopt;
     }
@@ -234,10 +259,10 @@
         return std::nullopt;
     }
     const key_member* const joined = find_new_member(state, policy, view);
-    if (joined == nullptr) {
+    if (joined == nullptr || !is_donor(state, policy, view, joined->host)) {
         return std::nullopt;
     }
-    const auto part = range_for_new_member(state, view.members.size());
+    const auto part = range_for_new_member(state, policy, view.members.size());
     return part ? std::optional{key_move{*part, joined->host}} : std::nullopt;
 }
 
@@ -281,6 +306,9 @@
 
 std::optional<key_range>
 find_keys_to_move(const key_owner& state, const key_load& load, double slots) {
+    if (!may_split_ranges(state.map)) {
+        return std::nullopt;
+    }
     constexpr double min_factor = 0.8;
     constexpr double max_factor = 1.3;
     std::vector<key_range> ranges;
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -32,6 +32,9 @@
     /// Delay for each member with a lower rank, so that usually only one daemon
     /// acts.
     duration delay_per_rank{std::chrono::milliseconds{1500}};
+    /// Maximum number of owners whose leases one transaction revokes. The
+    /// table's transactions have a limited number of entries, two for each.
+    std::size_t max_revocations{40};
     /// An instance moves keys away if it is this many times slower than another
     /// one that has spare capacity.
     double slow_factor{1.5};
@@ -43,6 +46,8 @@
     /// unless the failure ratio of most of them is above `healthy_threshold`.
     double outlier_threshold{0.35};
     double healthy_threshold{0.1};
+    /// The number of members that move keys to a new member.
+    std::size_t max_donors{4};
     /// The part of its load that a slow instance moves away at a time.
     double slow_move_share{0.25};
 };
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -172,6 +172,7 @@
 void serialize(Archive& archive, config_notice& value) {
     serialize_varint(archive, value.version.value);
     archive(value.is_current);
+    serialize_varint(archive, value.era.value);
 }
 
 template <class Archive>
@@ -179,6 +180,21 @@
     archive(value.config);
 }
 
+template <class Archive>
+void serialize(Archive& archive, release_request& value) {
+    keys::relayed_release& release = value.release;
+    archive(release.owner);
+    serialize_varint(archive, release.sequence);
+    serialize_varint(archive, release.lease_version.value);
+    archive(release.lease_value, release.transfers);
+}
+
+template <class Archive>
+void serialize(Archive& archive, release_reply& value) {
+    serialize_varint(archive, value.sequence);
+    archive(value.status, value.change);
+}
+
 template <class Archive>
 void serialize(Archive& archive, capacity_request& value) {
     serialize_varint(archive, value.sequence);
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -7,6 +7,7 @@
 #include <apricotstile/http/message.hpp>
 #include <apricotstile/keys/key_lease_guardian.hpp>
 #include <apricotstile/keys/key_map_change.hpp>
+#include <apricotstile/keys/relayed_release.hpp>
 #include <apricotstile/platform/transaction.hpp>
 #include <apricotstile/router/compact_codec.hpp>
 #include <apricotstile/router/header_codec.hpp>
@@ -110,6 +111,19 @@
     keys::key_map_change change;
 };
 
+/// An owner asks a member of its service to submit a release; see
+/// `keys/relayed_release.hpp`.
+struct release_request {
+    keys::relayed_release release;
+};
+
+struct release_reply {
+    std::uint64_t sequence{0};
+    platform::commit_status status{platform::commit_status::unavailable};
+    /// If it was committed: the change of the map.
+    std::optional<keys::key_map_change> change;
+};
+
 /// An owner of keys asks a member of its service for free capacity; see
 /// `keys/load_rebalancing.hpp`.
 struct capacity_request {
@@ -155,6 +169,8 @@
     routing::config_version version;
     /// Whether it reads all changes at the moment.
     bool is_current{false};
+    /// The newest era of the table that it has seen.
+    platform::table_era era{platform::first_era};
 };
 
 /// Departures in the receiver's own entry that the sender knew before the
@@ -199,7 +215,9 @@
     earlier_departures_frame,
     keep_departures_request,
     keep_departures_reply,
-    config_notice>;
+    config_notice,
+    release_request,
+    release_reply>;
 
 /// Encodes a frame with its length prefix. `headers` is the table of the
 /// direction that the frame is sent in. Each encoded frame must be sent, in
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace apricotstile::router {
@@ -70,6 +71,7 @@
     [[nodiscard]] routing::region_order region_daemons() const;
     void update_config_readers();
     void send_config_notice(bool is_current);
+    void learn_era();
     void handle_config_notice(host_id reader, const config_notice& notice);
     void update_config_current();
     void read_members();
@@ -145,7 +147,7 @@
     routing::config_readers config_readers;
     /// As of the last decision on who reads.
     routing::region_order region{{own_host}, 0};
-    bool is_config_reader{true};
+    bool is_config_reader{false};
     instant last_config_notice;
     /// The newest version requested because a reader announced it.
     routing::config_version requested_config;
@@ -175,6 +177,9 @@
 
     /// The last change of the table's era; the first era if there was none.
     platform::era_change era{platform::first_era, true};
+    /// Whether a read is due that shows a newer era.
+    bool era_read_due{false};
+    std::minstd_rand random{std::random_device{}()};
 
     platform::row_version entry_version;
     bool needs_entry_write{true};
--- a/src/apricotstile/router/local_key_manager.cpp
+++ b/src/apricotstile/router/local_key_manager.cpp
@@ -30,7 +30,11 @@
 /// before the map is read.
 constexpr duration missing_change_timeout = 300ms;
 constexpr duration failed_call_backoff = 200ms;
-constexpr std::chrono::milliseconds max_conflict_backoff{40};
+constexpr duration max_failed_call_backoff = 1s;
+/// Doubles with each conflict in a row: the more owners contend for the map,
+/// the farther apart they try again.
+constexpr duration conflict_backoff = 30ms;
+constexpr duration max_conflict_backoff = 500ms;
 /// Only daemons with a rank below this read the other owners' leases
 /// periodically.
 constexpr std::size_t lease_poll_ranks = 2;
@@ -213,14 +217,16 @@
         );
     }
     keys::retarget_releases(this->key_owner, view);
-    const keys::ownership_changes wanted =
+    keys::ownership_changes wanted =
         keys::plan_takeover(this->key_owner, this->takeover_policy, view, now);
+    wanted.relayed = this->due_relayed_releases();
     const auto transaction = keys::start_next_transaction(
         this->key_owner, wanted, instances_of(view), now
     );
     if (!transaction) {
         return;
     }
+    this->note_relayed_in_flight(wanted.relayed.size());
     for (const host_id host : wanted.revoked_owners) {
         log::write(
             log::level::warning,
@@ -229,53 +235,67 @@
             {{"owner", format_for_log(host)}}
         );
     }
-    this->submit(*transaction);
+    const auto member = this->relaying_member(view);
+    const auto release =
+        member ? keys::take_relayable_release(this->key_owner, *transaction)
+               : std::nullopt;
+    if (release) {
+        this->send_release_request(*member, *release);
+    } else {
+        this->submit(*transaction);
+    }
 }
 
 void local_key_manager::submit(const platform::transaction& transaction) {
     this->table.submit(
         transaction,
         [this](const platform::commit_result& result) {
-            const bool had_lease =
-                keys::has_lease(this->key_owner, boot_clock::now());
-            const auto change = keys::handle_commit_result(
-                this->key_owner, result, boot_clock::now()
-            );
-            if (change) {
-                this->dependencies.broadcast(map_change_frame{*change});
-            }
-            this->begin_pending_era();
-            if (result.status != platform::commit_status::committed) {
-                log::write(
-                    log::level::warning,
-                    log_prefix,
-                    "Transaction on lease and key rows was not committed.",
-                    {{"status",
-                      std::to_string(static_cast<int>(result.status))}}
-                );
-                this->retry_at =
-                    boot_clock::now() +
-                    (result.status == platform::commit_status::conflict
-                         ? this->conflict_backoff()
-                         : failed_call_backoff);
-                this->timers.at(this->retry_at, [this] {
-                    this->advance();
-                });
-            }
-            if (!had_lease &&
-                keys::has_lease(this->key_owner, boot_clock::now())) {
-                log::write(log::level::info, log_prefix, "Lease acquired.");
-            }
-            this->advance();
+            this->handle_result(result);
         }
     );
 }
 
-/// A random delay, so that owners whose transactions on the map conflicted
-/// don't all retry at the same time.
-duration local_key_manager::conflict_backoff() {
-    return std::chrono::milliseconds{
-        random_below(this->random, max_conflict_backoff.count())};
+void local_key_manager::handle_result(const platform::commit_result& result) {
+    const bool had_lease = keys::has_lease(this->key_owner, boot_clock::now());
+    const auto change =
+        keys::handle_commit_result(this->key_owner, result, boot_clock::now());
+    if (change) {
+        this->dependencies.broadcast(map_change_frame{*change});
+    }
+    this->answer_relayed_releases(result, change);
+    this->begin_pending_era();
+    if (result.status != platform::commit_status::committed) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Transaction on lease and key rows was not committed.",
+            {{"status", std::to_string(static_cast<int>(result.status))}}
+        );
+        this->back_off(result.status == platform::commit_status::conflict);
+    } else {
+        this->backoff = duration{0};
+    }
+    if (!had_lease && keys::has_lease(this->key_owner, boot_clock::now())) {
+        log::write(log::level::info, log_prefix, "Lease acquired.");
+    }
+    this->advance();
+}
+
+/// Sets when to call the table again after a conflict or a failure. Random, so
+/// that daemons don't all call at the same time.
+void local_key_manager::back_off(bool is_conflict) {
+    const duration first = is_conflict ? conflict_backoff : failed_call_backoff;
+    const duration longest =
+        is_conflict ? max_conflict_backoff : max_failed_call_backoff;
+    this->backoff = std::clamp(this->backoff * 2, first, longest);
+    const auto range = static_cast<std::uint64_t>(this->backoff.count());
+    const duration delay{
+        static_cast<duration::rep>(random_below(this->random, range))};
+    this->retry_at =
+        boot_clock::now() + (is_conflict ? delay : (this->backoff + delay) / 2);
+    this->timers.at(this->retry_at, [this] {
+        this->advance();
+    });
 }
 
 void local_key_manager::read_rows() {
@@ -291,7 +311,7 @@
         [this, service](const platform::read_result& leases) {
             if (!leases.answered) {
                 this->read_in_progress = false;
-                this->retry_at = boot_clock::now() + failed_call_backoff;
+                this->back_off(false);
                 return;
             }
             this->table.read(
@@ -299,8 +319,7 @@
                 [this, rows = leases.rows](const platform::read_result& maps) {
                     this->read_in_progress = false;
                     if (!maps.answered) {
-                        this->retry_at =
-                            boot_clock::now() + failed_call_backoff;
+                        this->back_off(false);
                         return;
                     }
                     std::vector<platform::row> all_rows = rows;
--- a/src/apricotstile/router/local_key_manager.hpp
+++ b/src/apricotstile/router/local_key_manager.hpp
@@ -81,6 +81,9 @@
     /// Answers a member that wants to move some of its keys here.
     [[nodiscard]] capacity_reply
     reserve_capacity(host_id owner, const capacity_request& request);
+    /// Submits another owner's release, together with others.
+    void
+    handle_release_request(host_id owner, const keys::relayed_release& release);
     /// Handles the owner's reply to an offer.
     void handle_capacity_claim(host_id owner, const capacity_claim& claim);
     /// Applies a change that another daemon made. If earlier changes are
@@ -101,7 +104,20 @@
     void send_release(const keys::release_call& call);
     void begin_pending_era();
     void submit(const platform::transaction& transaction);
-    [[nodiscard]] duration conflict_backoff();
+    void handle_result(const platform::commit_result& result);
+    [[nodiscard]] std::optional<host_id>
+    relaying_member(const keys::membership_view& view) const;
+    void
+    send_release_request(host_id member, const keys::relayed_release& release);
+    void handle_release_reply(const release_reply& reply);
+    void drop_relayed_releases();
+    [[nodiscard]] std::vector<keys::relayed_release> due_relayed_releases();
+    void note_relayed_in_flight(std::size_t count);
+    void answer_relayed_releases(
+        const platform::commit_result& result,
+        const std::optional<keys::key_map_change>& change
+    );
+    void back_off(bool is_conflict);
     void read_rows();
     void read_leases();
     void poll_leases();
@@ -117,6 +133,12 @@
     std::size_t release_to_member(const keys::load_share& part);
     void release(const std::vector<keys::key_move>& moves, const char* why);
 
+    /// Another owner's release that this daemon submits.
+    struct waiting_release {
+        instant arrived;
+        keys::relayed_release release;
+    };
+
     struct pending_era {
         platform::table_era era;
         bool is_first_start{false};
@@ -139,6 +161,14 @@
     std::optional<pending_era> next_era;
     instant last_read_at;
     instant last_move_at;
+    /// Releases of other owners.
+    std::vector<waiting_release> relayed_waiting;
+    std::vector<waiting_release> relayed_in_flight;
+    /// This owner's release that another member submits; zero if there is none.
+    std::uint64_t relayed_release{0};
+    std::uint64_t last_relayed_release{0};
+    /// Releases aren't relayed before, as the member hasn't answered.
+    instant no_relay_before;
     /// Exponential moving average of running and waiting requests at the
     /// instance.
     double mean_work{0};
@@ -151,6 +181,8 @@
     std::vector<keys::capacity_offer> offers;
     random_source random;
     instant retry_at;
+    /// The last delay after a conflict or a failure; zero after a success.
+    duration backoff{0};
     /// Send times of recent promise requests, by sequence number.
     std::map<std::uint64_t, instant> promise_request_times;
     std::uint64_t last_promise_request{0};
--- a/src/apricotstile/router/local_key_manager_guardians.cpp
+++ b/src/apricotstile/router/local_key_manager_guardians.cpp
@@ -198,6 +198,8 @@
             );
             this->advance();
         }
+    } else if (const auto* const released = std::get_if<release_reply>(&reply)) {
+        this->handle_release_reply(*released);
     } else if (const auto* const offer = std::get_if<capacity_reply>(&reply)) {
         this->handle_offer(peer, *offer);
     }
--- a/src/apricotstile/router/local_key_manager_rebalancing.cpp
+++ b/src/apricotstile/router/local_key_manager_rebalancing.cpp
@@ -22,7 +22,7 @@
 constexpr double slots_per_millislot = 0.001;
 
 /// Minimum time between two decisions to move keys.
-constexpr duration move_interval = 1s;
+constexpr duration move_interval = 2s;
 
 /// Weight of the newest sample in the moving average of the work.
 constexpr double work_smoothing = 0.3;
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -61,7 +61,7 @@
 /// A daemon among those that read the configuration from the store.
 struct config_reader_position {
     /// Whether it is one of them.
-    bool reads{true};
+    bool reads{false};
     std::size_t rank{0};
     /// At least one.
     std::size_t readers{1};
--- a/src/apricotstile/router/router_config.cpp
+++ b/src/apricotstile/router/router_config.cpp
@@ -6,6 +6,7 @@
 #include <apricotstile/log/logger.hpp>
 
 #include <algorithm>
+#include <random>
 #include <set>
 
 namespace apricotstile::router {
@@ -23,6 +24,11 @@
 /// How long the configuration may take through the region's tree.
 constexpr duration config_tree_timeout = 400ms;
 
+/// When a daemon first decides whether it reads, after its start.
+constexpr duration first_reader_decision = 1500ms;
+
+constexpr duration max_era_read_delay = 1s;
+
 /// Between announcements of a reader that can't read.
 constexpr duration failing_notice_interval = 1s;
 
@@ -197,6 +203,10 @@
 /// Decides again whether this daemon reads the configuration from the store.
 void router::implementation::update_config_readers() {
     const instant now = boot_clock::now();
+    // Before, this daemon may not know its peers.
+    if (now - this->started < first_reader_decision) {
+        return;
+    }
     this->region = this->region_daemons();
     const bool reads =
         routing::reads_config(this->config_readers, this->region, now);
@@ -227,7 +237,8 @@
         return;
     }
     this->last_config_notice = boot_clock::now();
-    const config_notice notice{this->routes->config.version, is_current};
+    const config_notice notice{
+        this->routes->config.version, is_current, this->era.era};
     for (const host_id peer : this->region.daemons) {
         if (peer != this->own_host) {
             this->links.send_message(peer, notice);
@@ -235,6 +246,24 @@
     }
 }
 
+/// A peer has seen a newer era of the table. This daemon's next call shows it;
+/// at a random moment, so that not all daemons call at once.
+void router::implementation::learn_era() {
+    if (this->era_read_due) {
+        return;
+    }
+    this->era_read_due = true;
+    this->timers.after(
+        std::uniform_int_distribution<duration::rep>{
+            0, max_era_read_delay.count()}(this->random) *
+            duration{1},
+        [this] {
+            this->era_read_due = false;
+            this->read_members();
+        }
+    );
+}
+
 /// A reader has announced its version. The configuration comes from the daemon
 /// before this one in the region's tree, or else from the reader, or else from
 /// the store.
@@ -249,6 +278,9 @@
     this->newest_known_config =
         std::max(this->newest_known_config, notice.version);
     this->update_config_current();
+    if (notice.era > this->era.era) {
+        this->learn_era();
+    }
     const auto source =
         routing::config_source(this->config_readers.policy, this->region);
     if (!source || this->has_config(notice.version) ||
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -70,7 +70,8 @@
     );
     this->era = change;
     std::random_device random;
-    const duration spread = random_era_delay(random());
+    const duration spread =
+        change.is_initial ? duration{0} : random_era_delay(random());
     this->entry_version = {};
     this->needs_entry_write = true;
     this->next_entry_write_at = boot_clock::now() + spread;
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -134,6 +134,15 @@
                 ? this->local_keys->reserve_capacity(peer, *wanted_capacity)
                 : capacity_reply{wanted_capacity->sequence}
         );
+    } else if (const auto* const release = std::get_if<release_request>(&message)) {
+        if (this->local_keys) {
+            this->local_keys->handle_release_request(peer, release->release);
+        } else {
+            reply(release_reply{
+                release->release.sequence,
+                platform::commit_status::unavailable,
+                std::nullopt});
+        }
     } else if (const auto* const claim = std::get_if<capacity_claim>(&message)) {
         if (this->local_keys) {
             this->local_keys->handle_capacity_claim(peer, *claim);
--- a/src/apricotstile/routing/config_readers.hpp
+++ b/src/apricotstile/routing/config_readers.hpp
@@ -29,7 +29,7 @@
     std::size_t max_candidates{6};
     /// A reader's announcement counts for this time. Longer than the time
     /// between two announcements.
-    duration notice_timeout{std::chrono::milliseconds{3500}};
+    duration notice_timeout{std::chrono::milliseconds{4500}};
     /// How long there are too few readers before another daemon reads.
     duration takeover_delay{std::chrono::milliseconds{800}};
     /// Added for each daemon that takes over before.
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::uint32_t loopback = 0x7F000001;
 constexpr duration heartbeat_interval = 40ms;
+constexpr duration poll_interval = 300ms;
 
 address free_address() {
     QTcpServer probe;
@@ -101,6 +102,14 @@
     );
 }
 
+void loopback_table::poll(std::function<void()> done) {
+    this->answer([this, done = std::move(done)](bool) {
+        if (!this->rows.down) {
+            done();
+        }
+    });
+}
+
 void loopback_table::follow(const std::string&, change_handler) {}
 
 void loopback_table::set_era_handler(era_handler handler) {
@@ -179,6 +188,9 @@
     this->timers.every(heartbeat_interval, [this] {
         this->send_heartbeats();
     });
+    this->timers.every(poll_interval, [this] {
+        this->poll_tables();
+    });
     this->wait_until_ready();
 }
 
@@ -249,6 +261,19 @@
     }
 }
 
+/// Calls for changes of the configuration, by the daemons that read it.
+void daemon_group::poll_tables() {
+    for (const auto& one : this->hosts) {
+        if (one->daemon && one->daemon->reader_position().reads) {
+            one->table->poll([polling = one.get()] {
+                if (polling->daemon) {
+                    polling->daemon->note_config_confirmed();
+                }
+            });
+        }
+    }
+}
+
 void daemon_group::send_heartbeats_of(std::size_t index, bool sends) {
     this->hosts.at(index)->sends_heartbeats = sends;
 }
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -27,6 +27,8 @@
     void read(const std::string& scope, read_handler done) override;
     void follow(const std::string& table, change_handler on_change) override;
     void set_era_handler(era_handler on_era) override;
+    /// Calls `done` if the table answers a call for changes.
+    void poll(std::function<void()> done);
 
 private:
     void answer(std::function<void(bool of_this_era)> done);
@@ -101,6 +103,7 @@
     static void take_grants(host& one, const keys::heartbeat_answer& answer);
     bool send_heartbeat(host& one);
     void send_heartbeats();
+    void poll_tables();
     bool is_acknowledged(host& one);
     void wait_until_ready();
 
