Settle unanswered releases sooner; bound what callers send ahead

Callers: bytes behind a request that isn't answered were buffered without limit; beyond 64 KiB the connection now closes after that answer. The test failed before.

--- a/src/apricotstile/assignment/owner.cpp
+++ b/src/apricotstile/assignment/owner.cpp
@@ -17,6 +17,9 @@
 
 constexpr duration conflict_retry_delay = 100ms;
 constexpr duration outage_retry_delay = 500ms;
+/// A release that isn't answered for this long is settled by a read. Its answer
+/// may be lost, and the next owner waits for the record of requests.
+constexpr duration release_answer_timeout = 300ms;
 
 using internal::complete_release;
 
@@ -80,6 +83,9 @@
         return;
     }
     if (owner.sent) {
+        if (now - owner.sent->submitted_at >= release_answer_timeout) {
+            owner.sent->outcome_unknown = true;
+        }
         if (owner.sent->outcome_unknown) {
             read_chunks_of(owner, owner.sent->ranges, now, actions);
         }
--- a/src/apricotstile/http/message_reader.cpp
+++ b/src/apricotstile/http/message_reader.cpp
@@ -206,6 +206,10 @@
            this->impl->parser->is_header_done();
 }
 
+std::size_t request_reader::waiting_bytes() const {
+    return this->impl->received.size();
+}
+
 bool request_reader::expects_continue() const {
     if (!this->in_body()) {
         return false;
--- a/src/apricotstile/http/message_reader.hpp
+++ b/src/apricotstile/http/message_reader.hpp
@@ -53,6 +53,9 @@
     [[nodiscard]] bool has_begun() const;
     /// Whether the headers of the request are complete but its body isn't.
     [[nodiscard]] bool in_body() const;
+    /// Bytes received that aren't parsed yet, as a complete request comes
+    /// first.
+    [[nodiscard]] std::size_t waiting_bytes() const;
     /// Whether the sender waits for a "100 Continue" response.
     [[nodiscard]] bool expects_continue() const;
     /// Takes effect with the next request.
--- a/src/apricotstile/router/caller_connection.cpp
+++ b/src/apricotstile/router/caller_connection.cpp
@@ -6,6 +6,14 @@
 
 namespace apricotstile::router {
 
+namespace {
+
+/// Of requests behind one that isn't answered yet. Beyond it the connection
+/// closes after that answer, and its caller sends the others again.
+constexpr std::size_t max_waiting_bytes = 64U << 10U;
+
+} // namespace
+
 caller_connection::caller_connection(
     caller_id id,
     int descriptor,
@@ -30,12 +38,17 @@
 }
 
 void caller_connection::handle_data(std::string_view bytes) {
+    if (this->ignores_input) {
+        return;
+    }
     if (!this->request_begun) {
         this->request_begun = true;
         this->waiting_since = boot_clock::now();
     }
     const http::read_progress progress = this->reader.put(bytes);
     if (this->awaiting_response) {
+        this->ignores_input = this->reader.waiting_bytes() > max_waiting_bytes;
+        this->closing = this->closing || this->ignores_input;
         return;
     }
     if (progress == http::read_progress::incomplete) {
--- a/src/apricotstile/router/caller_connection.hpp
+++ b/src/apricotstile/router/caller_connection.hpp
@@ -71,6 +71,8 @@
     bool keep_alive{true};
     bool head_only{false};
     bool closing{false};
+    /// Whether the caller has sent too much behind the current request.
+    bool ignores_input{false};
     bool sent_continue{false};
     /// End of the last exchange, or arrival of a request's first byte.
     instant waiting_since;
--- a/tests/assignment/owner.tests.cpp
+++ b/tests/assignment/owner.tests.cpp
@@ -160,3 +160,22 @@
         CHECK_FALSE(fixture.owner.sent.has_value());
     }
 }
+
+// The next owner waits for the record of requests only for a second, and a call
+// to the store times out later than that.
+TEST_CASE(
+    "a release that takes effect without an answer is noticed by a read",
+    "[owner]"
+) {
+    owner_fixture fixture{other};
+    fixture.drain();
+    fixture.answer_reads();
+    const auto sent = *fixture.latest<platform::submit_transaction>();
+    static_cast<void>(commit(fixture.table, sent.work));
+    fixture.tick_after(100ms);
+    fixture.answer_reads();
+    CHECK(fixture.latest<range_released>() == nullptr);
+    fixture.tick_after(300ms);
+    fixture.answer_reads();
+    CHECK(fixture.latest<range_released>() != nullptr);
+}
--- a/tests/router/request_router.tests.cpp
+++ b/tests/router/request_router.tests.cpp
@@ -237,3 +237,113 @@
     fixture.requests.at(0).done(result(serving::attempt_outcome::answered));
     CHECK(status_line(caller).starts_with("HTTP/1.1 200"));
 }
+
+namespace {
+
+std::string pipelined_request(int id) {
+    return "GET /x/" + std::to_string(id) +
+           " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + std::to_string(id) +
+           "\r\nTime-Left: 10000\r\n\r\n";
+}
+
+/// Reads what has arrived until `count` responses are complete; their ids.
+std::vector<std::string> response_ids(QTcpSocket& caller, std::size_t count) {
+    std::string received;
+    const auto ids = [&] {
+        std::vector<std::string> result;
+        const std::string name = "Request-Id: ";
+        for (std::size_t at = received.find(name); at != std::string::npos;
+             at = received.find(name, at + 1)) {
+            const std::size_t begin = at + name.size();
+            result.push_back(
+                received.substr(begin, received.find("\r\n", begin) - begin)
+            );
+        }
+        return result;
+    };
+    REQUIRE(tests::wait_until([&] {
+        received += caller.readAll().toStdString();
+        return ids().size() >= count && received.ends_with("\r\n\r\n");
+    }));
+    return ids();
+}
+
+} // namespace
+
+TEST_CASE(
+    "requests behind one another are answered in order, wherever they are cut",
+    "[router][ingress][pipelining]"
+) {
+    const std::string bytes =
+        pipelined_request(1) + pipelined_request(2) + pipelined_request(3);
+    ingress_with_hosts fixture{1};
+    for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
+        const std::size_t before = fixture.requests.size();
+        QTcpSocket caller;
+        caller.connectToHost(QHostAddress::LocalHost, fixture.listen.port);
+        REQUIRE(tests::wait_until([&] {
+            return caller.state() == QAbstractSocket::ConnectedState;
+        }));
+        caller.write(bytes.substr(0, cut).c_str());
+        REQUIRE(tests::wait_until([&] {
+            return caller.bytesToWrite() == 0;
+        }));
+        caller.write(bytes.substr(cut).c_str());
+        for (std::size_t index = before; index < before + 3; ++index) {
+            REQUIRE(tests::wait_until([&] {
+                return fixture.requests.size() > index;
+            }));
+            // The one behind isn't forwarded before this one is answered.
+            CHECK(fixture.requests.size() == index + 1);
+            fixture.requests.at(index).done(
+                result(serving::attempt_outcome::answered)
+            );
+        }
+        CHECK(
+            response_ids(caller, 3) == std::vector<std::string>{"1", "2", "3"}
+        );
+    }
+}
+
+TEST_CASE(
+    "a stopping daemon leaves requests behind another one unforwarded",
+    "[router][ingress][pipelining]"
+) {
+    ingress_with_hosts fixture{1};
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress::LocalHost, fixture.listen.port);
+    caller.write((pipelined_request(1) + pipelined_request(2)).c_str());
+    REQUIRE(tests::wait_until([&] {
+        return fixture.requests.size() == 1;
+    }));
+    fixture.callers->start_closing(boot_clock::now() + 10s);
+    fixture.requests.at(0).done(result(serving::attempt_outcome::answered));
+    CHECK(status_line(caller).starts_with("HTTP/1.1 200"));
+    REQUIRE(tests::wait_until([&] {
+        return caller.state() == QAbstractSocket::UnconnectedState;
+    }));
+    CHECK(fixture.requests.size() == 1);
+}
+
+TEST_CASE(
+    "a caller can't make the daemon buffer requests without limit",
+    "[router][ingress][pipelining]"
+) {
+    constexpr int sent = 20'000;
+    ingress_with_hosts fixture{1};
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress::LocalHost, fixture.listen.port);
+    for (int id = 1; id <= sent; ++id) {
+        caller.write(pipelined_request(id).c_str());
+    }
+    REQUIRE(tests::wait_until([&] {
+        return fixture.requests.size() == 1 && caller.bytesToWrite() == 0;
+    }));
+    fixture.requests.at(0).done(result(serving::attempt_outcome::answered));
+    // The first is answered; the rest is to be sent again elsewhere.
+    CHECK(status_line(caller).starts_with("HTTP/1.1 200"));
+    REQUIRE(tests::wait_until([&] {
+        return caller.state() == QAbstractSocket::UnconnectedState;
+    }));
+    CHECK(fixture.requests.size() == 1);
+}
