--- a/tests/keys/key_simulation.cpp
+++ b/tests/keys/key_simulation.cpp
@@ -44,6 +44,8 @@
     std::uint64_t last_promise_request{0};
     /// When each request for promises was sent, by its sequence number.
     std::map<std::uint64_t, instant> promise_requests;
+    /// Start of the instance and sequence number.
+    std::pair<std::int64_t, std::uint64_t> last_heartbeat;
     bool reading{false};
     instant last_read;
     /// The grant call in progress; zero if there is none.
@@ -51,6 +53,13 @@
     grant_connection grants;
 };
 
+/// Outdated heartbeats are dropped, as by the router.
+bool is_newer(
+    const heartbeat& beat, const std::pair<std::int64_t, std::uint64_t>& last
+) {
+    return std::pair{beat.instance.started_ms, beat.sequence} > last;
+}
+
 struct host {
     host_id id;
     double rate{1};
@@ -533,6 +542,11 @@
         this->schedule(delay, [=, this] {
             this->run_in_daemon(index, run, [=, this] {
                 host& one = this->hosts[index];
+                if (!is_newer(beat, one.daemon->last_heartbeat)) {
+                    return;
+                }
+                one.daemon->last_heartbeat = {
+                    beat.instance.started_ms, beat.sequence};
                 const heartbeat_answer answer =
                     handle_heartbeat(one.daemon->state, beat, this->clock(one));
                 this->update_grant_connection(index);
