--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -88,6 +88,11 @@
     void check_instance_liveness();
     keys::membership_view membership_view();
     keys::guardian_list guardian_candidates();
+    void keep_departures(
+        host_id peer,
+        const keep_departures_request& request,
+        const std::function<void(const frame&)>& reply
+    );
     void handle_control_frame(
         host_id peer,
         const frame& message,
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -1,10 +1,19 @@
 // Forwards requests between the request router, peers and the local instance,
 // and handles peers' control frames.
 
+#include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/router_implementation.hpp>
 
+#include <apricotstile/log/logger.hpp>
+
 namespace apricotstile::router {
 
+namespace {
+
+constexpr auto log_prefix = "router";
+
+} // namespace
+
 request_router_dependencies
 router::implementation::make_request_router_dependencies() {
     request_router_dependencies result;
@@ -119,13 +128,7 @@
         this->peers_know_departures = true;
         this->learn_departures(earlier->departures, "peer");
     } else if (const auto* const kept = std::get_if<keep_departures_request>(&message)) {
-        const auto entry = this->known_daemons.entries.find(peer);
-        if (entry != this->known_daemons.entries.end()) {
-            directory::add_departures(
-                entry->second.known_departures, kept->departures
-            );
-            reply(keep_departures_reply{kept->revision});
-        }
+        this->keep_departures(peer, *kept, reply);
     } else if (const auto* const confirmed = std::get_if<keep_departures_reply>(&message)) {
         this->recorder.note_recorded(confirmed->revision);
     } else if (const auto* const wanted_capacity = std::get_if<capacity_request>(&message)) {
@@ -152,6 +155,28 @@
     }
 }
 
+/// Keeps the departures that a peer has acknowledged.
+void router::implementation::keep_departures(
+    host_id peer,
+    const keep_departures_request& request,
+    const std::function<void(const frame&)>& reply
+) {
+    const auto entry = this->known_daemons.entries.find(peer);
+    if (entry == this->known_daemons.entries.end()) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Departures not kept: the peer isn't known yet.",
+            {{"peer", internal::format_for_log(peer)}}
+        );
+        return;
+    }
+    directory::add_departures(
+        entry->second.known_departures, request.departures
+    );
+    reply(keep_departures_reply{request.revision});
+}
+
 std::function<void()> router::implementation::forward_request(
     host_id peer,
     routed_request&& request,
--- a/tests/adapter/fake_store.cpp
+++ b/tests/adapter/fake_store.cpp
@@ -76,6 +76,10 @@
     }
 }
 
+void fake_store::set_commit_body(const std::string& body) {
+    this->commit_body = body;
+}
+
 void fake_store::handle_connection(QTcpSocket* connection) {
     QObject::connect(connection, &QTcpSocket::readyRead, [this, connection] {
         this->handle_call(connection, connection->readAll().toStdString());
@@ -95,7 +99,11 @@
     if (head.find("/v1/rows-tx") != std::string::npos) {
         this->transaction_bodies.push_back(head);
         ++this->version;
-        this->respond(connection, status_ok, this->rows_body());
+        this->respond(
+            connection,
+            status_ok,
+            this->commit_body.empty() ? this->rows_body() : this->commit_body
+        );
         return;
     }
     if (!is_feed) {
--- a/tests/adapter/fake_store.hpp
+++ b/tests/adapter/fake_store.hpp
@@ -33,6 +33,8 @@
     /// The store comes back from an older copy: its version falls to `version`,
     /// and its responses name the next era.
     void restore_older(std::uint64_t older_version);
+    /// The body of later responses to transactions.
+    void set_commit_body(const std::string& body);
     /// Bodies of the transactions that arrived.
     [[nodiscard]] const std::vector<std::string>& transactions() const;
     /// Writes the table's only row and answers the calls that wait.
@@ -50,6 +52,7 @@
     std::uint64_t version{1};
     std::uint64_t era{0};
     std::vector<std::string> transaction_bodies;
+    std::string commit_body;
     std::string value;
     std::size_t feeds{0};
     std::size_t followed_reads{0};
--- a/tests/adapter/table_client.tests.cpp
+++ b/tests/adapter/table_client.tests.cpp
@@ -212,3 +212,26 @@
     work.mutations = {{{"t/p/k"}, "x"}};
     CHECK(fixture.submit(work).status == platform::commit_status::unknown);
 }
+
+TEST_CASE(
+    "a malformed response to a transaction leaves its outcome unknown",
+    "[adapter]"
+) {
+    following_client fixture;
+    const std::string body = GENERATE(
+        as<std::string>{},
+        R"({"schemaVersion":"7"})",
+        R"({"schemaVersion":-1})",
+        R"({"schemaVersion":null})",
+        R"({"rows":[]})",
+        "[]",
+        "not JSON"
+    );
+    fixture.store.set_commit_body(body);
+    platform::transaction work;
+    work.mutations.push_back({{"members//1"}, "value"});
+    CHECK(fixture.submit(work).status == platform::commit_status::unknown);
+    // The daemon goes on.
+    fixture.store.set_commit_body({});
+    CHECK(fixture.submit(work).status == platform::commit_status::committed);
+}
