--- a/tests/http/event_loop.hpp
+++ b/tests/http/event_loop.hpp
@@ -3,6 +3,8 @@
 #ifndef APRICOTSTILE_TESTS_HTTP_EVENT_LOOP_HPP
 #define APRICOTSTILE_TESTS_HTTP_EVENT_LOOP_HPP
 
+#include <apricotstile/host/address.hpp>
+
 #include <functional>
 
 namespace apricotstile::tests {
@@ -14,6 +16,9 @@
 /// within a timeout that is far longer than any test needs.
 [[nodiscard]] bool wait_until(const std::function<bool()>& done);
 
+/// A loopback address that no other call, process or outgoing connection uses.
+[[nodiscard]] address unused_address();
+
 } // namespace apricotstile::tests
 
 #endif
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -20,16 +20,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint32_t loopback = 0x7F000001;
 constexpr duration heartbeat_interval = 40ms;
 constexpr duration poll_interval = 300ms;
 
-address free_address() {
-    QTcpServer probe;
-    REQUIRE(probe.listen(QHostAddress::LocalHost));
-    return {loopback, probe.serverPort()};
-}
-
 routing::routing_config config_for(
     const std::vector<std::string>& services,
     const std::vector<std::string>& keyed
@@ -164,8 +157,8 @@
             "i" + std::to_string(this->hosts.size())
         );
         added->settings.where = {{"region"}, {"domain"}};
-        added->settings.caller_address = free_address();
-        added->settings.peer_address = free_address();
+        added->settings.caller_address = unused_address();
+        added->settings.peer_address = unused_address();
         added->settings.instance_address = added->upstream->where();
         added->settings.service = {service};
         added->settings.heartbeat_interval = 5s;
@@ -371,7 +364,7 @@
 int daemon_group::request(std::size_t index, const std::string& target) {
     QTcpSocket caller;
     caller.connectToHost(
-        QHostAddress::LocalHost,
+        QHostAddress{this->hosts.at(index)->settings.caller_address.ip},
         this->hosts.at(index)->settings.caller_address.port
     );
     const std::string head = "GET " + target +
--- a/tests/router/fake_upstream.cpp
+++ b/tests/router/fake_upstream.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr std::uint32_t loopback = 0x7F000001;
-
 /// The value of the header `name` in the head of a request; empty if absent.
 std::string header_in(const std::string& head, const std::string& name) {
     const std::size_t begin = head.find("\r\n" + name + ": ");
@@ -35,8 +33,9 @@
 
 fake_upstream::fake_upstream(const std::string& id) : current_run{id, 1} {
     need_application();
-    REQUIRE(this->server.listen(QHostAddress::LocalHost));
-    this->port = this->server.serverPort();
+    REQUIRE(this->server.listen(
+        QHostAddress{this->listen_address.ip}, this->listen_address.port
+    ));
     QObject::connect(&this->server, &QTcpServer::newConnection, [this] {
         while (QTcpSocket* const connection =
                    this->server.nextPendingConnection()) {
@@ -46,7 +45,7 @@
 }
 
 address fake_upstream::where() const {
-    return {loopback, this->port};
+    return this->listen_address;
 }
 
 const directory::instance_run& fake_upstream::run() const {
@@ -78,7 +77,9 @@
 
 void fake_upstream::restart() {
     ++this->current_run.started_ms;
-    REQUIRE(this->server.listen(QHostAddress::LocalHost, this->port));
+    REQUIRE(this->server.listen(
+        QHostAddress{this->listen_address.ip}, this->listen_address.port
+    ));
 }
 
 void fake_upstream::handle_connection(QTcpSocket* connection) {
--- a/tests/router/fake_upstream.hpp
+++ b/tests/router/fake_upstream.hpp
@@ -7,6 +7,7 @@
 #include <apricotstile/directory/entry.hpp>
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/http/message.hpp>
+#include <tests/http/event_loop.hpp>
 
 #include <QPointer>
 #include <QTcpServer>
@@ -37,7 +38,7 @@
     void handle_request(QTcpSocket* connection, const std::string& head);
 
     QTcpServer server;
-    std::uint16_t port{0};
+    address listen_address{unused_address()};
     directory::instance_run current_run;
     std::vector<std::string> targets;
     std::vector<http::header> extra_headers;
--- a/tests/router/request_router.tests.cpp
+++ b/tests/router/request_router.tests.cpp
@@ -18,14 +18,6 @@
 
 namespace {
 
-constexpr std::uint32_t loopback = 0x7F000001;
-
-address free_address() {
-    QTcpServer probe;
-    REQUIRE(probe.listen(QHostAddress::LocalHost));
-    return {loopback, probe.serverPort()};
-}
-
 /// A request router whose requests go to hosts that answer only if a test does.
 struct ingress_with_hosts {
     struct forwarded_request {
@@ -35,7 +27,7 @@
     };
 
     explicit ingress_with_hosts(std::uint64_t hosts, bool idempotent = true)
-        : listen(free_address()) {
+        : listen(tests::unused_address()) {
         tests::need_application();
         for (std::uint64_t id = 1; id <= hosts; ++id) {
             directory::member_entry entry;
@@ -92,7 +84,7 @@
     /// Sends a request and waits until it is forwarded.
     void request(QTcpSocket& caller) {
         const std::size_t before = this->requests.size();
-        caller.connectToHost(QHostAddress::LocalHost, this->listen.port);
+        caller.connectToHost(QHostAddress{this->listen.ip}, this->listen.port);
         caller.write("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
                      "Request-Id: 1\r\nTime-Left: 10000\r\n\r\n");
         REQUIRE(tests::wait_until([&] {
@@ -280,7 +272,9 @@
     for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
         const std::size_t before = fixture.requests.size();
         QTcpSocket caller;
-        caller.connectToHost(QHostAddress::LocalHost, fixture.listen.port);
+        caller.connectToHost(
+            QHostAddress{fixture.listen.ip}, fixture.listen.port
+        );
         REQUIRE(tests::wait_until([&] {
             return caller.state() == QAbstractSocket::ConnectedState;
         }));
@@ -311,7 +305,7 @@
 ) {
     ingress_with_hosts fixture{1};
     QTcpSocket caller;
-    caller.connectToHost(QHostAddress::LocalHost, fixture.listen.port);
+    caller.connectToHost(QHostAddress{fixture.listen.ip}, fixture.listen.port);
     caller.write((pipelined_request(1) + pipelined_request(2)).c_str());
     REQUIRE(tests::wait_until([&] {
         return fixture.requests.size() == 1;
@@ -332,7 +326,7 @@
     constexpr int sent = 20'000;
     ingress_with_hosts fixture{1};
     QTcpSocket caller;
-    caller.connectToHost(QHostAddress::LocalHost, fixture.listen.port);
+    caller.connectToHost(QHostAddress{fixture.listen.ip}, fixture.listen.port);
     for (int id = 1; id <= sent; ++id) {
         caller.write(pipelined_request(id).c_str());
     }
