Settle a relayed release whose answer lacks the map's change by a read

Cause, found by reading: a member answers a committed release without the change if its own map is newer by then; the owner then took the version from an empty list, which is undefined behaviour.

Change: such an answer, and any commit without versions, counts as unknown. The new test has no run on the code before.

--- a/src/apricotstile/keys/grants_by_call.hpp
+++ b/src/apricotstile/keys/grants_by_call.hpp
@@ -3,7 +3,7 @@
 // A call without a response may have arrived at any time until its connection
 // was aborted, and may be carried out later, after newer calls; its time counts
 // from its arrival. So after such a call the instance counts as a holder of the
-// keys for the duration of the grant from the abortion, whatever it responds to
+// keys for the duration of the grant from then on, whatever it responds to
 // a release. Grants are short enough that this ends before the lease does.
 
 #ifndef APRICOTSTILE_KEYS_GRANTS_BY_CALL_HPP
--- a/src/apricotstile/keys/key_owner_results.cpp
+++ b/src/apricotstile/keys/key_owner_results.cpp
@@ -114,10 +114,14 @@
         }
         return std::nullopt;
     }
-    if (result.status != platform::commit_status::committed) {
+    const bool lacks_versions =
+        result.status == platform::commit_status::committed &&
+        result.versions.empty();
+    if (result.status != platform::commit_status::committed || lacks_versions) {
         // It may still be committed later, with its guardian list.
         if (done.renews_lease &&
-            result.status == platform::commit_status::unknown) {
+            (lacks_versions || result.status == platform::commit_status::unknown
+            )) {
             state.in_doubt_guardians.push_back(done.guardians);
         }
         state.needs_read = true;
--- a/src/apricotstile/router/local_key_manager_relay.cpp
+++ b/src/apricotstile/router/local_key_manager_relay.cpp
@@ -76,7 +76,10 @@
     this->relayed_release = 0;
     platform::commit_result result;
     result.status = reply.status;
-    if (reply.status == platform::commit_status::committed && reply.change) {
+    if (reply.status == platform::commit_status::committed && !reply.change) {
+        // Without the change the rows' versions aren't known.
+        result.status = platform::commit_status::unknown;
+    } else if (reply.status == platform::commit_status::committed) {
         result.versions = {reply.change->to_version};
         this->apply_map_change(*reply.change);
     } else if (reply.status != platform::commit_status::conflict) {
--- a/tests/keys/relayed_release.tests.cpp
+++ b/tests/keys/relayed_release.tests.cpp
@@ -214,3 +214,17 @@
     CHECK(state.releases.empty());
     CHECK(owned_key_count(state.map, host_id{2}) == 0);
 }
+
+TEST_CASE(
+    "a committed release without the rows' versions is settled by a read",
+    "[keys][relay]"
+) {
+    key_owner state = owner(2);
+    static_cast<void>(release_of(2, state));
+    CHECK_FALSE(handle_commit_result(
+        state, {platform::commit_status::committed, {}, {}}, start + 1s
+    ));
+    CHECK(state.needs_read);
+    CHECK(state.lease_version == platform::row_version{4});
+    CHECK_FALSE(state.releases.empty());
+}
