Tell nested routes by the services' shares of the hosts

Cause: a route counted as nested only if it lacked the requests of a service with a tenth of all requests at the instance. Until 30 requests of a route were seen, each counted as a caller's.

Change: the origins of a route are compared with the services' shares of the hosts. Where the origin isn't known yet, work may wait as nested work may.

--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -101,6 +101,12 @@
     }
 }
 
+void local_instance::set_host_counts(
+    const std::map<service_id, std::size_t>& hosts
+) {
+    serving::set_host_counts(this->origins, hosts);
+}
+
 void local_instance::set_max_connections(std::uint32_t connections) {
     this->max_connections = std::max<std::uint32_t>(connections, 1);
 }
@@ -145,7 +151,10 @@
     serving::note_origin(
         this->origins, item.request.route_hash, item.caller_service
     );
-    offered.nested = serving::is_nested(this->origins, item.request.route_hash);
+    const serving::request_origin origin =
+        serving::origin_of(this->origins, item.request.route_hash);
+    offered.nested = origin == serving::request_origin::nested;
+    offered.may_be_nested = origin == serving::request_origin::unknown;
     offered.priority = item.request.priority;
     offered.target = now + item.request.time_to_target;
     offered.deadline = item.deadline;
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -15,6 +15,7 @@
 #include <apricotstile/upstream/crash_detector.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -55,6 +56,8 @@
     /// Whether new requests may go to the instance.
     void set_open(bool open);
     void set_max_connections(std::uint32_t connections);
+    /// Sets how many hosts there are of each service.
+    void set_host_counts(const std::map<service_id, std::size_t>& hosts);
 
     /// The instance sends no heartbeats and answers nothing.
     void handle_silence();
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -99,11 +99,14 @@
     this->write_entry();
     this->check_instance_liveness();
     this->change_state(this->permitted_state(), "departures known");
+    std::map<service_id, std::size_t> hosts;
     for (const auto& [peer, entry] : this->known_daemons.entries) {
+        ++hosts[entry.service];
         if (peer != this->own_host) {
             this->links.connect(peer);
         }
     }
+    this->instance.set_host_counts(hosts);
     this->finish_stop_if_done();
 }
 
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -49,7 +49,7 @@
 ) {
     const work_queue_policy& policy = queue.policy;
     const duration end = wait + work.expected;
-    if (work.nested) {
+    if (work.nested || work.may_be_nested) {
         return end <=
                scaled(work.deadline - now, policy.nested_deadline_fraction);
     }
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -39,6 +39,10 @@
     duration expected{0};
     /// Whether it must run alone, since it may crash the instance.
     bool alone{false};
+    /// Whether it isn't known if it is nested. Such work may wait as long as
+    /// nested work: if it is refused in vain, the request that waits for it
+    /// fails.
+    bool may_be_nested{false};
 };
 
 struct work_queue_policy {
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -155,6 +155,21 @@
 
 } // namespace
 
+TEST_CASE(
+    "work that may be nested waits until near its deadline", "[serving]"
+) {
+    // After a start, nested requests with most of their time left were refused.
+    work_queue queue = open_queue(1);
+    offered_work lookup = work(2);
+    lookup.target = start + 60ms;
+    REQUIRE(only(offer(queue, work(1), start)) == work_decision::start);
+    lookup.may_be_nested = true;
+    CHECK(offer(queue, lookup, start).empty());
+    lookup.id = work_id{3};
+    lookup.may_be_nested = false;
+    CHECK(only(offer(queue, lookup, start)) == work_decision::refuse_busy);
+}
+
 TEST_CASE("work starts while slots are free", "[serving][queue]") {
     work_queue queue = open_queue(2);
     CHECK(only(offer(queue, work(1), start)) == work_decision::start);
