--- a/tests/serving/caller_origins.tests.cpp
+++ b/tests/serving/caller_origins.tests.cpp
@@ -20,7 +20,8 @@
 
 caller_origins origins_with_three_services() {
     caller_origins origins;
-    set_host_counts(origins, {{{"desk"}, 6}, {{"release"}, 6}, {{"ledger"}, 6}}
+    set_host_counts(
+        origins, {{{"desk"}, 6}, {{"release"}, 6}, {{"ledger"}, 6}}
     );
     return origins;
 }
