Refuse work of unknown origin under a rate limit, and after half its time

Cause: requests of unknown origin waited like nested ones until 0.9 of their deadline.

Change: such work waits for half of its time at most, and not for a rate limit.

--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -49,10 +49,17 @@
 ) {
     const work_queue_policy& policy = queue.policy;
     const duration end = wait + work.expected;
-    if (work.nested || work.may_be_nested) {
+    if (work.nested) {
         return end <=
                scaled(work.deadline - now, policy.nested_deadline_fraction);
     }
+    // Under a rate limit the wait would be long for a caller.
+    if (work.may_be_nested && !queue.limit.per_second &&
+        end <= scaled(
+                   work.deadline - now, policy.maybe_nested_deadline_fraction
+               )) {
+        return true;
+    }
     if (is_late(work, now)) {
         return wait <= scaled(work.deadline - now, policy.late_wait_fraction) &&
                end <= scaled(work.deadline - now, policy.target_fraction);
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -39,8 +39,8 @@
     duration expected{0};
     /// Whether it must run alone, since it may crash the instance.
     bool alone{false};
-    /// Whether it isn't known if it is nested. Such work may wait as long as
-    /// nested work: if it is refused in vain, the request that waits for it
+    /// Whether it isn't known if it is nested. Such work may wait longer than
+    /// a caller's: if it is refused in vain, the request that waits for it
     /// fails.
     bool may_be_nested{false};
 };
@@ -58,6 +58,8 @@
     /// The same as a fraction of the time to the deadline, for nested work: the
     /// request that waits for it fails without it.
     double nested_deadline_fraction{0.9};
+    /// The same for work that may be nested, or may be a caller's.
+    double maybe_nested_deadline_fraction{0.5};
     /// Late work waits only if it is expected to start within this fraction of
     /// the time to its deadline; else its caller is refused at once.
     double late_wait_fraction{0.15};
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -155,9 +155,7 @@
 
 } // namespace
 
-TEST_CASE(
-    "work that may be nested waits until near its deadline", "[serving]"
-) {
+TEST_CASE("work that may be nested waits longer than a caller's", "[serving]") {
     // After a start, nested requests with most of their time left were refused.
     work_queue queue = open_queue(1);
     offered_work lookup = work(2);
@@ -170,6 +168,18 @@
     CHECK(only(offer(queue, lookup, start)) == work_decision::refuse_busy);
 }
 
+TEST_CASE(
+    "work that may be nested doesn't wait for a rate limit", "[serving]"
+) {
+    // Callers' first requests waited seconds for an instance with a low limit
+    // while another one was idle.
+    work_queue queue = open_queue(1);
+    REQUIRE(set_start_limit(queue, 4, start).empty());
+    offered_work lookup = work(1);
+    lookup.may_be_nested = true;
+    CHECK(only(offer(queue, lookup, start)) == work_decision::refuse_busy);
+}
+
 TEST_CASE("work starts while slots are free", "[serving][queue]") {
     work_queue queue = open_queue(2);
     CHECK(only(offer(queue, work(1), start)) == work_decision::start);
