Prefer instances in the caller's failure domain for large answers

Cause: an instance in another failure domain of the region was chosen for a few milliseconds' gain, whatever the answer's size.

Change: the expected size of a route's answers is learned; above 16 KiB another failure domain counts as slower, by half of the target latency at most. Smaller answers are placed as before.

The new case of instance_choice fails without the penalty by construction (the old choice had no such parameter).

--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -11,6 +11,7 @@
 #include <apricotstile/router/frames.hpp>
 #include <apricotstile/router/header_names.hpp>
 #include <apricotstile/routing/route_table.hpp>
+#include <apricotstile/serving/answer_sizes.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/request_progress.hpp>
 #include <apricotstile/serving/retrying_callers.hpp>
@@ -173,6 +174,7 @@
     std::unordered_map<host_id, leaving_instance> leaving_instances;
     std::map<service_id, serving::windowed_retry_budget> budgets;
     serving::retrying_callers retrying_callers;
+    serving::answer_sizes answer_sizes;
     serving::choice_policy choice_policy;
     serving::retry_policy retry_policy;
     random_source random;
--- a/src/apricotstile/router/request_router_answers.cpp
+++ b/src/apricotstile/router/request_router_answers.cpp
@@ -85,6 +85,9 @@
         this->counted.latencies[request.service],
         boot_clock::now() - request.progress.arrived
     );
+    serving::note_answer_size(
+        this->answer_sizes, name_hash(request.route->name), response.body.size()
+    );
     std::vector<http::header> headers = std::move(response.headers);
     if (!request.id.empty()) {
         headers.push_back({this->dependencies.names.request_id, request.id});
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -66,7 +66,10 @@
     return serving::choose_instance(
         candidates,
         this->choice_policy,
-        request.route->target_latency,
+        {request.route->target_latency,
+         serving::expected_answer_bytes(
+             this->answer_sizes, name_hash(request.route->name)
+         )},
         boot_clock::now(),
         this->random
     );
--- a/src/apricotstile/serving/instance_choice.cpp
+++ b/src/apricotstile/serving/instance_choice.cpp
@@ -19,7 +19,6 @@
     host_id host;
     duration latency{0};
     bool avoided{false};
-    bool cross_region{false};
 };
 
 } // namespace
@@ -94,6 +93,26 @@
     );
 }
 
+/// How much slower a nearer instance may be than one at `locality`.
+duration distance_penalty(
+    locality_tier locality,
+    const choice_policy& policy,
+    const choice_request& request
+) {
+    if (locality == locality_tier::other_region) {
+        return policy.cross_region_round_trip +
+               scaled(request.target_latency, policy.cross_region_penalty);
+    }
+    const double excess_bytes =
+        std::max(0.0, request.answer_bytes - policy.large_answer_bytes);
+    if (locality != locality_tier::region || excess_bytes == 0) {
+        return duration{0};
+    }
+    const double weight =
+        excess_bytes / (excess_bytes + policy.large_answer_bytes);
+    return scaled(request.target_latency, policy.cross_domain_penalty * weight);
+}
+
 } // namespace
 
 double failure_ratio_now(const instance_view& view, instant now) {
@@ -106,15 +125,13 @@
 std::optional<host_id> choose_instance(
     const std::vector<candidate>& candidates,
     const choice_policy& policy,
-    duration target_latency,
+    const choice_request& request,
     instant now,
     random_source& random
 ) {
     if (candidates.empty()) {
         return std::nullopt;
     }
-    const duration cross_region_delay =
-        scaled(target_latency, policy.cross_region_penalty);
     const duration median = median_service_time(candidates);
     std::vector<scored_candidate> all;
     all.reserve(candidates.size());
@@ -124,13 +141,9 @@
             *one.view, service_time_of(*one.view, median, policy, now)
         );
         entry.latency +=
-            failure_penalty_of(*one.view, policy, target_latency, now);
+            failure_penalty_of(*one.view, policy, request.target_latency, now);
+        entry.latency += distance_penalty(one.locality, policy, request);
         entry.avoided = now < one.view->avoided_until;
-        entry.cross_region = one.locality == locality_tier::other_region;
-        if (entry.cross_region) {
-            entry.latency +=
-                policy.cross_region_round_trip + cross_region_delay;
-        }
         all.push_back(entry);
     }
     const bool all_avoided =
--- a/src/apricotstile/serving/instance_choice.hpp
+++ b/src/apricotstile/serving/instance_choice.hpp
@@ -1,7 +1,8 @@
 // Chooses the instance for a request of a service that isn't sharded by key.
 // Under uneven load it takes the instance with the lowest expected latency, and
 // one in another region only if the nearer ones would be much slower, since
-// traffic between regions is billed by volume.
+// traffic between regions is billed by volume. So is traffic between failure
+// domains, at a lower price: it counts for large answers.
 
 #ifndef APRICOTSTILE_SERVING_INSTANCE_CHOICE_HPP
 #define APRICOTSTILE_SERVING_INSTANCE_CHOICE_HPP
@@ -62,6 +63,11 @@
     /// How much slower a nearer instance may be before one in another region is
     /// chosen, as a fraction of the target latency.
     double cross_region_penalty{0.5};
+    /// The same for another failure domain of the region and an answer of many
+    /// times `large_answer_bytes`; half of it if it has twice as many bytes,
+    /// nothing below.
+    double cross_domain_penalty{0.5};
+    double large_answer_bytes{16384};
     /// How much slower an instance that fails all requests counts, in target
     /// latencies; in proportion for one that fails a fraction of them.
     double failure_penalty{3};
@@ -83,12 +89,19 @@
 /// The instance's share of failures, decayed since its load was reported.
 [[nodiscard]] double failure_ratio_now(const instance_view& view, instant now);
 
+/// What decides on the instance for a request, besides the instances.
+struct choice_request {
+    duration target_latency{0};
+    /// Expected bytes of the answer; zero while unknown.
+    double answer_bytes{0};
+};
+
 /// The best of `candidates`, or nothing if there are none. Avoided ones are
 /// considered only if all are avoided.
 [[nodiscard]] std::optional<host_id> choose_instance(
     const std::vector<candidate>& candidates,
     const choice_policy& policy,
-    duration target_latency,
+    const choice_request& request,
     instant now,
     random_source& random
 );
--- a/tests/serving/instance_choice.tests.cpp
+++ b/tests/serving/instance_choice.tests.cpp
@@ -25,7 +25,7 @@
 
 host_id choose(const std::vector<candidate>& candidates) {
     random_source random{1};
-    const auto chosen = choose_instance(candidates, {}, 250ms, start, random);
+    const auto chosen = choose_instance(candidates, {}, {250ms}, start, random);
     REQUIRE(chosen);
     return *chosen;
 }
@@ -136,7 +136,7 @@
         {host_id{2}, locality_tier::region, &failing}};
     random_source random{7};
     const auto chosen = [&](instant now) {
-        return choose_instance(both, {}, 250ms, now, random);
+        return choose_instance(both, {}, {250ms}, now, random);
     };
     CHECK(chosen(start) == host_id{1});
     // It is chosen again once the failures have decayed.
@@ -153,5 +153,29 @@
         {host_id{1}, locality_tier::region, &busy},
         {host_id{2}, locality_tier::region, &idle}};
     random_source random{7};
-    CHECK(choose_instance(both, {}, 250ms, start, random) == host_id{2});
+    CHECK(choose_instance(both, {}, {250ms}, start, random) == host_id{2});
+}
+
+TEST_CASE(
+    "large answers come from the caller's failure domain while it has room",
+    "[choice]"
+) {
+    // Downloads crossed failure domains for a few milliseconds' gain.
+    instance_view near = view_with(10, 60ms);
+    const instance_view far = view_with(2, 50ms);
+    const auto chosen = [&](double answer_bytes) {
+        random_source random{1};
+        return choose_instance(
+            {{host_id{1}, locality_tier::failure_domain, &near},
+             {host_id{2}, locality_tier::region, &far}},
+            {},
+            {800ms, answer_bytes},
+            start,
+            random
+        );
+    };
+    CHECK(chosen(90'000) == host_id{1});
+    CHECK(chosen(2'000) == host_id{2});
+    near.load.waiting = 90;
+    CHECK(chosen(90'000) == host_id{2});
 }
