Let the expected size of refused answers decay

Cause: a route whose requests are all refused for the size of its answers would stay refused after its answers have become smaller.

Change: while its requests are refused, a route's mean size is halved every 10 s; the next answer replaces what the mean has lost.

The new test failed with a weight of one sixteenth for the answer after a decay.

--- a/src/apricotstile/serving/egress_schedule.cpp
+++ b/src/apricotstile/serving/egress_schedule.cpp
@@ -156,6 +156,20 @@
     return scaled(schedule.policy.retry_spread, place - std::floor(place));
 }
 
+/// What is left of a route's mean, as a fraction.
+double decay_of(
+    const egress_policy& policy,
+    const egress_schedule::route_size& size,
+    instant now
+) {
+    if (!size.refused_at) {
+        return 1;
+    }
+    const std::chrono::duration<double> age = now - *size.refused_at;
+    const std::chrono::duration<double> half_life = policy.size_half_life;
+    return std::exp2(-age / half_life);
+}
+
 } // namespace
 
 bool is_enabled(const egress_schedule& schedule) {
@@ -173,7 +187,7 @@
 
 std::optional<egress_refusal>
 admit(egress_schedule& schedule, const egress_request& request, instant now) {
-    const double bytes = expected_bytes(schedule, request.route);
+    const double bytes = expected_bytes(schedule, request.route, now);
     if (!is_enabled(schedule) ||
         bytes <= static_cast<double>(schedule.policy.large_above)) {
         return std::nullopt;
@@ -181,6 +195,8 @@
     if (!request.nested) {
         const duration lateness = added_lateness(schedule, request, bytes, now);
         if (lateness > duration{0}) {
+            auto& refused_at = schedule.route_sizes[request.route].refused_at;
+            refused_at = refused_at.value_or(now);
             return egress_refusal{
                 std::max(min_retry_after, lateness) + next_spread(schedule)};
         }
@@ -194,7 +210,10 @@
 }
 
 void note_size(
-    egress_schedule& schedule, std::uint32_t route, std::size_t bytes
+    egress_schedule& schedule,
+    std::uint32_t route,
+    std::size_t bytes,
+    instant now
 ) {
     if (!is_enabled(schedule)) {
         return;
@@ -205,8 +224,14 @@
     const auto found = schedule.route_sizes.find(route);
     const auto seen = static_cast<double>(bytes);
     if (found != schedule.route_sizes.end()) {
-        found->second.mean += (seen - found->second.mean) / smoothing;
-        found->second.last_seen = ++schedule.answers_seen;
+        egress_schedule::route_size& size = found->second;
+        // The answer replaces what the mean has lost while it decayed.
+        const double weight =
+            std::max(1 / smoothing, 1 - decay_of(schedule.policy, size, now));
+        const double before = expected_bytes(schedule, route, now);
+        size.mean = before + (seen - before) * weight;
+        size.last_seen = ++schedule.answers_seen;
+        size.refused_at.reset();
         return;
     }
     if (schedule.route_sizes.size() >= schedule.policy.max_routes) {
@@ -218,12 +243,17 @@
             }
         ));
     }
-    schedule.route_sizes[route] = {seen, ++schedule.answers_seen};
+    schedule.route_sizes[route] = {seen, ++schedule.answers_seen, std::nullopt};
 }
 
-double expected_bytes(const egress_schedule& schedule, std::uint32_t route) {
+double expected_bytes(
+    const egress_schedule& schedule, std::uint32_t route, instant now
+) {
     const auto found = schedule.route_sizes.find(route);
-    return found == schedule.route_sizes.end() ? 0 : found->second.mean;
+    if (found == schedule.route_sizes.end()) {
+        return 0;
+    }
+    return found->second.mean * decay_of(schedule.policy, found->second, now);
 }
 
 void hold(
--- a/src/apricotstile/serving/egress_schedule.hpp
+++ b/src/apricotstile/serving/egress_schedule.hpp
@@ -50,6 +50,8 @@
     /// A refused request is asked to return within this time after its answer
     /// could leave, each at another moment.
     duration retry_spread{std::chrono::milliseconds{500}};
+    /// Half-life of a route's mean while its requests are refused.
+    duration size_half_life{std::chrono::seconds{10}};
     /// Routes whose answers' sizes are kept.
     std::size_t max_routes{1024};
 };
@@ -83,6 +85,10 @@
     struct route_size {
         double mean{0};
         std::uint64_t last_seen{0};
+        /// The first refusal since the last answer. From then on the mean
+        /// decays: a route whose requests are all refused would otherwise stay
+        /// refused after its answers have become smaller.
+        std::optional<instant> refused_at;
     };
 
     /// Moving averages of answers' sizes by hash of the route's name.
@@ -151,12 +157,16 @@
 
 /// Learns the size of an answer to a peer.
 void note_size(
-    egress_schedule& schedule, std::uint32_t route, std::size_t bytes
+    egress_schedule& schedule,
+    std::uint32_t route,
+    std::size_t bytes,
+    instant now
 );
 
 /// Expected size of the route's answers; zero while it is unknown.
-[[nodiscard]] double
-expected_bytes(const egress_schedule& schedule, std::uint32_t route);
+[[nodiscard]] double expected_bytes(
+    const egress_schedule& schedule, std::uint32_t route, instant now
+);
 
 /// Adds a large answer. `release_due` is to be called next.
 void hold(
--- a/tests/serving/egress_replay.tests.cpp
+++ b/tests/serving/egress_replay.tests.cpp
@@ -144,7 +144,7 @@
             break;
         case event_kind::ready:
             note_end(there.schedule, next.id);
-            note_size(there.schedule, large_route, next.bytes);
+            note_size(there.schedule, large_route, next.bytes, now);
             if (!is_large(there.schedule, next.bytes)) {
                 this->put_last(now, there, next.id, next.bytes);
                 break;
--- a/tests/serving/egress_schedule.tests.cpp
+++ b/tests/serving/egress_schedule.tests.cpp
@@ -57,7 +57,7 @@
 
 void learn(egress_schedule& schedule, std::uint32_t route, std::size_t bytes) {
     for (int i = 0; i < 200; ++i) {
-        note_size(schedule, route, bytes);
+        note_size(schedule, route, bytes, start);
     }
 }
 
@@ -77,7 +77,7 @@
     "nothing is large or refused without a link rate", "[serving][egress]"
 ) {
     egress_schedule schedule;
-    note_size(schedule, 1, 1U << 20U);
+    note_size(schedule, 1, 1U << 20U, start);
     CHECK_FALSE(is_large(schedule, 1U << 20U));
     CHECK_FALSE(admit(schedule, request_for(1, 1ms), start));
     CHECK(schedule.expected.empty());
@@ -285,17 +285,35 @@
     CHECK_FALSE(admit(schedule, request, start));
 }
 
+TEST_CASE(
+    "a route whose requests are all refused is tried again", "[serving][egress]"
+) {
+    egress_schedule schedule = ten_mbit_schedule();
+    learn(schedule, 1, 5'000'000);
+    CHECK(admit(schedule, request_for(1, 2500ms), start));
+    const instant later = start + 40s;
+    egress_request request = request_for(2, 2500ms);
+    request.target = later + 2500ms;
+    request.deadline = later + 2500ms;
+    CHECK_FALSE(admit(schedule, request, later));
+    note_end(schedule, {2});
+    // Its answer shows whether the mean was right.
+    note_size(schedule, 1, 5'000'000, later);
+    request.id = {3};
+    CHECK(admit(schedule, request, later));
+}
+
 TEST_CASE("the sizes of few routes are kept", "[serving][egress]") {
     egress_schedule schedule = ten_mbit_schedule();
     schedule.policy.max_routes = 4;
     for (std::uint32_t route = 0; route < 100; ++route) {
-        note_size(schedule, 1000, 50'000);
-        note_size(schedule, route, 1000 + route);
+        note_size(schedule, 1000, 50'000, start);
+        note_size(schedule, route, 1000 + route, start);
     }
     CHECK(schedule.route_sizes.size() == 4);
-    CHECK(expected_bytes(schedule, 1000) == 50'000);
-    CHECK(expected_bytes(schedule, 99) == 1099);
-    CHECK(expected_bytes(schedule, 5) == 0);
+    CHECK(expected_bytes(schedule, 1000, start) == 50'000);
+    CHECK(expected_bytes(schedule, 99, start) == 1099);
+    CHECK(expected_bytes(schedule, 5, start) == 0);
 }
 
 TEST_CASE(
