Schedule large answers to peers on links of known rate

Cause: on links of 10 Mbit/s, small answers to nested requests timed out behind large ones that the sockets had already accepted.

Change: settings have host.link_mbps, from limits.linkMbps in the template. With it, answers above 16 KiB to peers leave in slices (frame response_part) by deadline, requests whose answers couldn't leave in time are refused as busy before they run, and the reported load of a service without keys includes the link's backlog. An answer that can't be in time is reported as timed_out, one beyond 16 MB of memory as lost. Without the setting nothing changes.

--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -109,6 +109,12 @@
     serialize_varint(archive, value.config.value);
 }
 
+template <class Archive>
+void serialize(Archive& archive, response_part& value) {
+    serialize_varint(archive, value.stream.value);
+    serialize_string(archive, value.bytes);
+}
+
 template <class Archive>
 void serialize(Archive& archive, cancel_frame& value) {
     serialize_varint(archive, value.stream.value);
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -189,6 +189,14 @@
     std::uint64_t revision{0};
 };
 
+/// The next bytes of the body of a large response, sent while small frames pass
+/// in between; see `serving/egress_schedule.hpp`. Its `response_frame` follows
+/// with the last bytes, or without the body if it is given up.
+struct response_part {
+    stream_id stream;
+    std::string bytes;
+};
+
 /// The receiver replies with a `pong_frame` at once.
 struct ping_frame {};
 
@@ -217,7 +225,8 @@
     keep_departures_reply,
     config_notice,
     release_request,
-    release_reply>;
+    release_reply,
+    response_part>;
 
 /// Encodes a frame with its length prefix. `headers` is the table of the
 /// direction that the frame is sent in. Each encoded frame must be sent, in
--- a/src/apricotstile/router/internal/peer_link_state.hpp
+++ b/src/apricotstile/router/internal/peer_link_state.hpp
@@ -39,6 +39,8 @@
     header_table received_headers;
     stream_id last_stream;
     std::unordered_map<stream_id, response_handler> waiting;
+    /// The first bytes of the bodies of responses in `waiting`.
+    std::unordered_map<stream_id, std::string> response_parts;
     /// The link isn't opened again before this time.
     instant reopen_at;
     duration reopen_backoff{internal::initial_reopen_backoff};
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -6,6 +6,7 @@
 #include <apricotstile/directory/directory.hpp>
 #include <apricotstile/keys/key_lease_guardian.hpp>
 #include <apricotstile/keys/key_map_change.hpp>
+#include <apricotstile/router/answer_sender.hpp>
 #include <apricotstile/router/departure_recorder.hpp>
 #include <apricotstile/router/local_instance.hpp>
 #include <apricotstile/router/local_key_manager.hpp>
@@ -110,8 +111,11 @@
         routed_request&& request,
         const service_id& caller_service
     );
+    [[nodiscard]] std::optional<duration>
+    admit_to_link(peer_request_id from, const routed_request& request);
     void send_crash_reports(std::vector<upstream::crash_report>&& reports);
     void send_all_crash_reports(host_id peer);
+    [[nodiscard]] serving::reported_load reported_load() const;
     void record_key_request(const routed_request& request);
     void start_key_management();
     bool stop_notice_passed() const;
@@ -164,6 +168,7 @@
     std::unique_ptr<local_key_manager> local_keys;
     local_instance instance;
     peer_links links;
+    answer_sender answers;
     request_router callers;
 
     std::uint64_t last_sequence{0};
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -334,6 +334,11 @@
     );
 }
 
+bool local_instance::may_be_nested(std::uint32_t route) const {
+    return serving::origin_of(this->origins, route) !=
+           serving::request_origin::callers;
+}
+
 std::size_t local_instance::unfinished() const {
     return this->work_items.size();
 }
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -82,6 +82,9 @@
     [[nodiscard]] serving::reported_load load() const;
     /// Expected service time of a route, given the hash of its name.
     [[nodiscard]] duration expected_service_time(std::uint32_t route) const;
+    /// Whether requests of a route may be nested: running requests may wait for
+    /// them.
+    [[nodiscard]] bool may_be_nested(std::uint32_t route) const;
     /// Requests that are waiting or running.
     [[nodiscard]] std::size_t unfinished() const;
     /// Slots that requests can keep busy: those of the instance, or fewer if it
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -103,6 +103,7 @@
 
 void peer_links::cancel(host_id peer, stream_id stream) {
     outgoing_link& link = this->link_to(peer);
+    link.response_parts.erase(stream);
     if (link.waiting.erase(stream) > 0 && link.stream != nullptr) {
         link.stream->write(encode_frame(cancel_frame{stream}, link.sent_headers)
         );
@@ -130,6 +131,23 @@
     link.stream->write(encode_frame(std::move(response), link.sent_headers));
 }
 
+void peer_links::respond_part(peer_request_id to, const response_part& part) {
+    const auto found = this->incoming_links.find(to.connection);
+    if (found == this->incoming_links.end() ||
+        !found->second->unanswered.contains(to.stream)) {
+        return;
+    }
+    incoming_link& link = *found->second;
+    link.stream->write(encode_frame(part, link.sent_headers));
+}
+
+std::size_t peer_links::unsent_response_bytes(peer_request_id to) const {
+    const auto found = this->incoming_links.find(to.connection);
+    return found == this->incoming_links.end()
+               ? 0
+               : found->second->stream->unsent_bytes();
+}
+
 void peer_links::publish_entry(const entry_frame& entry) {
     this->own_entry = entry;
     this->has_own_entry = true;
--- a/src/apricotstile/router/peer_links.hpp
+++ b/src/apricotstile/router/peer_links.hpp
@@ -77,6 +77,12 @@
     void cancel(host_id peer, stream_id stream);
     /// Answers a peer's request. Ignored if its connection has ended.
     void respond(peer_request_id to, response_frame&& response);
+    /// Sends some of the bytes of the response's body, whose rest is passed to
+    /// `respond` later.
+    void respond_part(peer_request_id to, const response_part& part);
+    /// Bytes on the connection that the response goes to that the kernel hasn't
+    /// accepted yet.
+    [[nodiscard]] std::size_t unsent_response_bytes(peer_request_id to) const;
     /// Sets the version that requests and responses to peers carry.
     void set_config_version(routing::config_version version);
     /// Sends this daemon's entry to all peers, now and whenever a link opens.
@@ -99,6 +105,8 @@
     void open(outgoing_link& link);
     void connect_without_backoff(host_id peer);
     void handle_outgoing_data(outgoing_link& link, std::string_view bytes);
+    static void
+    handle_response_part(outgoing_link& link, const response_part& part);
     void handle_outgoing_end(outgoing_link& link, bool was_open);
     void check_liveness();
     void compare_config(host_id peer, routing::config_version version);
--- a/src/apricotstile/router/peer_links_outgoing.cpp
+++ b/src/apricotstile/router/peer_links_outgoing.cpp
@@ -80,6 +80,10 @@
             if (std::holds_alternative<pong_frame>(*one)) {
                 continue;
             }
+            if (const auto* const part = std::get_if<response_part>(&*one)) {
+                this->handle_response_part(link, *part);
+                continue;
+            }
             const auto* const response = std::get_if<response_frame>(&*one);
             if (response == nullptr) {
                 this->events.on_control(link.peer, *one, [](const frame&) {});
@@ -93,7 +97,13 @@
             }
             const response_handler handler = std::move(found->second);
             link.waiting.erase(found);
-            handler(routed_response{response->response});
+            routed_response received = response->response;
+            const auto parts = link.response_parts.extract(response->stream);
+            if (!parts.empty() &&
+                received.outcome == serving::attempt_outcome::answered) {
+                received.body.insert(0, parts.mapped());
+            }
+            handler(std::move(received));
         }
     } catch (const decode_error& error) {
         log::write(
@@ -107,6 +117,19 @@
     }
 }
 
+void peer_links::handle_response_part(
+    outgoing_link& link, const response_part& part
+) {
+    if (!link.waiting.contains(part.stream)) {
+        return;
+    }
+    std::string& bytes = link.response_parts[part.stream];
+    if (bytes.size() + part.bytes.size() > max_frame_length) {
+        throw decode_error{"the parts of a response exceed the maximum"};
+    }
+    bytes += part.bytes;
+}
+
 void peer_links::handle_outgoing_end(outgoing_link& link, bool was_open) {
     link.stream = nullptr;
     link.open = false;
@@ -129,6 +152,7 @@
         handlers.push_back(std::move(handler));
     }
     link.waiting.clear();
+    link.response_parts.clear();
     for (const response_handler& handler : handlers) {
         handler(unanswered_response(outcome));
     }
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -66,6 +66,14 @@
           }
       ),
       links(settings.peer_address, timers, this->make_link_events()),
+      answers(
+          links,
+          timers,
+          settings.link_bytes_per_second,
+          [this] {
+              return this->reported_load();
+          }
+      ),
       callers(
           settings.caller_address,
           timers,
@@ -129,9 +137,9 @@
         // instances.
         this->instance.set_open(false);
     }
-    const bool idle = this->callers.waiting() == 0 &&
-                      this->instance.unfinished() == 0 &&
-                      this->callers.open_connections() == 0;
+    const bool idle =
+        this->callers.waiting() == 0 && this->instance.unfinished() == 0 &&
+        this->answers.held() == 0 && this->callers.open_connections() == 0;
     if ((this->stop_notice_passed() && idle) || now >= this->stop_at) {
         const auto handler = std::move(this->on_stopped);
         this->on_stopped = nullptr;
@@ -238,6 +246,7 @@
           {"refused", quarantine.refused},
           {"requests", quarantine.crash_records.size()}}},
         {"views", daemon.describe_views()},
+        {"egress", daemon.answers.describe()},
         {"links", {{"open", daemon.links.open_links()}}},
         {"directory", {{"members", daemon.known_daemons.entries.size()}}},
         {"config",
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -44,6 +44,9 @@
     serving::windowed_retry_budget_policy retry_budget;
     header_names names;
     key_call_format key_calls;
+    /// Rate of the host's link. Zero if it isn't known; then large answers to
+    /// peers aren't scheduled.
+    double link_bytes_per_second{0};
     /// Whether the whole system starts for the first time, so that no earlier
     /// run of a daemon has granted any keys.
     bool is_first_start{false};
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -99,7 +99,7 @@
             },
             [this] {
                 this->links.publish_entry(
-                    {this->own_entry, this->instance.load()}
+                    {this->own_entry, this->reported_load()}
                 );
             },
             [this](host_id holder, platform::row_version version) {
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -97,7 +97,7 @@
 void router::implementation::publish_entry() {
     ++this->own_entry.revision;
     directory::merge_entry(this->known_daemons, this->own_entry);
-    this->links.publish_entry({this->own_entry, this->instance.load()});
+    this->links.publish_entry({this->own_entry, this->reported_load()});
     this->write_entry();
 }
 
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -61,6 +61,7 @@
             this->peer_work.erase(found);
             this->instance.withdraw(work);
         }
+        this->answers.cancel(from);
     };
     result.on_entry = [this](host_id, const entry_frame& received) {
         this->callers.update_load(received.member.host, received.load);
@@ -244,6 +245,38 @@
     }
 }
 
+/// The load that other daemons are told. Members of a keyed service are told
+/// that of the instance alone, as moving keys for the link's sake would not
+/// help the requests that don't use it much.
+serving::reported_load router::implementation::reported_load() const {
+    const serving::reported_load load = this->instance.load();
+    return this->local_keys ? load : this->answers.with_link_load(load);
+}
+
+/// Returns when the request should be sent again if the host's link couldn't
+/// carry its answer in time.
+std::optional<duration> router::implementation::admit_to_link(
+    peer_request_id from, const routed_request& request
+) {
+    // The instance's refusal tells the peer to look for the key's owner.
+    if (request.key &&
+        !(this->local_keys && this->local_keys->may_dispatch(*request.key))) {
+        return std::nullopt;
+    }
+    const instant now = boot_clock::now();
+    return this->answers.admit(
+        from,
+        {request.route_hash,
+         this->instance.may_be_nested(request.route_hash),
+         this->instance.expected_service_time(request.route_hash),
+         now + request.time_to_target,
+         now + request.time_to_deadline,
+         std::string{http::header_value(
+             request.headers, this->settings.names.request_id
+         )}}
+    );
+}
+
 void router::implementation::handle_peer_request(
     peer_request_id from,
     routed_request&& request,
@@ -251,9 +284,7 @@
 ) {
     const auto respond = [this, from](routed_response&& response) {
         this->peer_work.erase(from);
-        this->links.respond(
-            from, {from.stream, std::move(response), this->instance.load(), {}}
-        );
+        this->answers.send(from, std::move(response));
     };
     if (request.service_hash != name_hash(this->settings.service.value)) {
         routed_response refused;
@@ -262,6 +293,13 @@
         return;
     }
     this->record_key_request(request);
+    if (const auto retry_after = this->admit_to_link(from, request)) {
+        routed_response refused;
+        refused.outcome = serving::attempt_outcome::refused_busy;
+        refused.retry_after = *retry_after;
+        respond(std::move(refused));
+        return;
+    }
     this->peer_work[from] = serving::work_id{};
     const serving::work_id work =
         this->instance.submit(std::move(request), caller_service, respond);
--- a/src/apricotstile/settings/json_fields.hpp
+++ b/src/apricotstile/settings/json_fields.hpp
@@ -34,6 +34,8 @@
     );
 
     [[nodiscard]] bool has(const std::string& key);
+    /// Whether the key is there and its value isn't null.
+    [[nodiscard]] bool has_value(const std::string& key);
     /// The nested object, or an empty one with a problem noted.
     [[nodiscard]] json_fields object(const std::string& key);
     [[nodiscard]] std::string
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -163,6 +163,7 @@
         added->settings.service = {service};
         added->settings.heartbeat_interval = 5s;
         added->settings.drain_timeout = options.drain_timeout;
+        added->settings.link_bytes_per_second = options.link_bytes_per_second;
         added->settings.names.request_id = "Request-Id";
         added->settings.names.remaining_deadline = "Time-Left";
         added->settings.names.caller_service = "Caller-Service";
@@ -361,9 +362,10 @@
     one.daemon->apply_config(std::move(config));
 }
 
-int daemon_group::request(std::size_t index, const std::string& target) {
-    QTcpSocket caller;
-    caller.connectToHost(
+std::unique_ptr<QTcpSocket>
+daemon_group::begin_request(std::size_t index, const std::string& target) {
+    auto caller = std::make_unique<QTcpSocket>();
+    caller->connectToHost(
         QHostAddress{this->hosts.at(index)->settings.caller_address.ip},
         this->hosts.at(index)->settings.caller_address.port
     );
@@ -371,12 +373,18 @@
                              " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " +
                              std::to_string(++this->last_request) +
                              "\r\nTime-Left: 5000\r\nKey: 1\r\n\r\n";
-    caller.write(head.c_str());
+    caller->write(head.c_str());
+    return caller;
+}
+
+int daemon_group::request(std::size_t index, const std::string& target) {
+    const std::unique_ptr<QTcpSocket> caller =
+        this->begin_request(index, target);
     REQUIRE(wait_until([&] {
-        return caller.canReadLine();
+        return caller->canReadLine();
     }));
     // "HTTP/1.1 200 OK"
-    return caller.readLine().split(' ').at(1).toInt();
+    return caller->readLine().split(' ').at(1).toInt();
 }
 
 fake_upstream& daemon_group::upstream(std::size_t index) {
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -9,6 +9,8 @@
 #include <tests/router/fake_upstream.hpp>
 #include <tests/support/fake_table.hpp>
 
+#include <QTcpSocket>
+
 #include <functional>
 #include <memory>
 #include <vector>
@@ -48,6 +50,8 @@
     std::vector<std::string> keyed;
     /// How long a leaving upstream may still get requests.
     duration drain_timeout{std::chrono::milliseconds{600}};
+    /// Rate of each host's link as the daemons know it; zero if they don't.
+    double link_bytes_per_second{0};
 };
 
 class daemon_group {
@@ -87,6 +91,10 @@
     /// Sends a request to daemon `index` and returns its answer's status. All
     /// requests have the same key.
     int request(std::size_t index, const std::string& target);
+    /// Sends a request to daemon `index`; the answer can be read from the
+    /// socket.
+    std::unique_ptr<QTcpSocket>
+    begin_request(std::size_t index, const std::string& target);
     [[nodiscard]] fake_upstream& upstream(std::size_t index);
     [[nodiscard]] nlohmann::json describe(std::size_t index) const;
     [[nodiscard]] duration drain_timeout() const;
--- a/tests/router/fake_upstream.cpp
+++ b/tests/router/fake_upstream.cpp
@@ -64,6 +64,10 @@
     this->extra_headers = std::move(headers);
 }
 
+void fake_upstream::set_large_body(std::string body) {
+    this->large_body = std::move(body);
+}
+
 void fake_upstream::crash() {
     this->server.close();
     for (const QPointer<QTcpSocket>& one :
@@ -101,13 +105,17 @@
         this->crash();
         return;
     }
+    const bool is_large = target.find("large") != std::string::npos;
+    const std::string body = is_large ? this->large_body : std::string{};
     std::string answer = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
-                         "Content-Length: 0\r\nRequest-Id: " +
-                         header_in(head, "Request-Id") + "\r\n";
+                         "Content-Length: " +
+                         std::to_string(body.size()) +
+                         "\r\nRequest-Id: " + header_in(head, "Request-Id") +
+                         "\r\n";
     for (const http::header& one : this->extra_headers) {
         answer += one.name + ": " + one.value + "\r\n";
     }
-    connection->write((answer + "\r\n").c_str());
+    connection->write(QByteArray::fromStdString(answer + "\r\n" + body));
 }
 
 } // namespace apricotstile::tests
--- a/tests/router/fake_upstream.hpp
+++ b/tests/router/fake_upstream.hpp
@@ -28,6 +28,8 @@
     [[nodiscard]] const std::vector<std::string>& requests() const;
     /// Headers added to each answer.
     void set_extra_headers(std::vector<http::header> headers);
+    /// Body of the answers to requests whose target contains "large".
+    void set_large_body(std::string body);
     /// Resets all connections and stops listening.
     void crash();
     /// Starts again as a new run at the same address.
@@ -42,6 +44,7 @@
     directory::instance_run current_run;
     std::vector<std::string> targets;
     std::vector<http::header> extra_headers;
+    std::string large_body;
     std::vector<QPointer<QTcpSocket>> connections;
 };
 
--- a/tests/router/frames.tests.cpp
+++ b/tests/router/frames.tests.cpp
@@ -64,6 +64,19 @@
     CHECK(second + 20 < first);
 }
 
+TEST_CASE(
+    "a part of a response is decoded between other frames", "[router][frames]"
+) {
+    header_table table;
+    const std::string body("\0\r\nx", 4);
+    std::string bytes = encode_frame(response_part{{7}, body}, table) +
+                        encode_frame(ping_frame{}, table);
+    const auto part = std::get<response_part>(*decode_frame(bytes, table));
+    CHECK(part.stream == stream_id{7});
+    CHECK(part.bytes == body);
+    CHECK(std::holds_alternative<ping_frame>(*decode_frame(bytes, table)));
+}
+
 TEST_CASE("decoded control frames equal the sent ones", "[router][frames]") {
     header_table table;
     std::string bytes =
