Let resends wait for the memory of the slice's owner before

The new owner was to hold such calls until the memory comes, but dispatch_duty::awaits_handover was never called. It also expected no memory from a member that has left, and the owner before kept the memory back until its own map showed the release, although it had settled the release by a read before.

Change: calls are held while a memory is expected, also from a member that has left. The release of a single key no longer closes the memory of its slice, and a memory is handed over only to a later token than that of the slice.

--- a/src/apricotstile/assignment/owner.cpp
+++ b/src/apricotstile/assignment/owner.cpp
@@ -110,6 +110,28 @@
            (unplanned && release.target_chosen_here);
 }
 
+/// The token that `change` assigns to the range's owner. Zero for a key that
+/// goes back to its slice.
+fencing_token assigned_token(const map_change& change, const range_id& range) {
+    fencing_token result;
+    for (const service_change& service : change.services) {
+        if (service.service != range.service) {
+            continue;
+        }
+        for (const slice_change& one : service.slices) {
+            if (range.key.empty() && one.slice == range.slice) {
+                result = one.assignment.token;
+            }
+        }
+        for (const key_change& one : service.keys) {
+            if (one.key == range.key && one.assignment) {
+                result = one.assignment->token;
+            }
+        }
+    }
+    return result;
+}
+
 void submit_release(owner_state& owner, instant now, owner_actions& actions) {
     release_transaction sent;
     sent.change.version = next(owner.reader.rows.head.version);
@@ -120,6 +142,7 @@
             range_release& release = owner.releases.at(range);
             release.phase = release_phase::releasing;
             set_owner(sent.change, owner.reader.rows, range, release.to);
+            release.next_token = assigned_token(sent.change, range);
             sent.ranges.push_back(range);
         }
     }
@@ -141,9 +164,10 @@
     for (const range_id& range : owner.sent->ranges) {
         const auto found = owner.releases.find(range);
         if (found != owner.releases.end()) {
-            const member::member_ref to = found->second.to;
+            const range_release release = found->second;
             complete_release(owner, range);
-            actions.emplace_back(range_released{range, to});
+            actions.emplace_back(range_released{
+                range, release.to, release.next_token});
         }
     }
     owner.sent.reset();
@@ -174,14 +198,15 @@
 void report_reassigned(
     const owner_state& owner,
     const range_id& range,
-    const member::member_ref& to,
+    const range_release& release,
     owner_actions& actions
 ) {
     const auto* stored = find_range(owner.reader.rows, range);
     if (stored != nullptr && stored->owner == owner.self) {
         actions.emplace_back(resume_dispatching{range});
     } else {
-        actions.emplace_back(range_released{range, to});
+        actions.emplace_back(range_released{
+            range, release.to, release.next_token});
     }
 }
 
@@ -200,9 +225,9 @@
             continue;
         }
         if (internal::is_reassigned(owner, range)) {
-            const member::member_ref to = found->second.to;
+            const range_release release = found->second;
             complete_release(owner, range);
-            report_reassigned(owner, range, to, actions);
+            report_reassigned(owner, range, release, actions);
         } else {
             found->second.phase = release_phase::drained;
         }
--- a/src/apricotstile/assignment/owner.hpp
+++ b/src/apricotstile/assignment/owner.hpp
@@ -52,6 +52,8 @@
     member::member_ref to;
     /// The token under which this member owned the range.
     fencing_token token;
+    /// The token that the submitted release assigns to the next owner.
+    fencing_token next_token;
     /// Passed with `stop_dispatching` and returned with `range_drained`, so
     /// that an answer to an earlier attempt isn't taken for this one's.
     std::uint64_t attempt{0};
@@ -152,10 +154,13 @@
     member::member_ref to;
 };
 
-/// The range's release took effect.
+/// The range's release took effect, or the range was assigned to another
+/// member meanwhile.
 struct range_released {
     range_id range;
     member::member_ref to;
+    /// The token of `to`, if the release took effect.
+    fencing_token token;
 };
 
 /// The leaving daemon owns no ranges any more.
--- a/src/apricotstile/daemon/dispatch_duty.cpp
+++ b/src/apricotstile/daemon/dispatch_duty.cpp
@@ -71,8 +71,7 @@
 std::size_t dispatch_duty::unfinished() {
     std::size_t count = 0;
     this->run([&] {
-        count = this->held.size() + this->works.size() +
-                this->unsent_memories.size();
+        count = this->held.size() + this->works.size();
     });
     return count;
 }
@@ -104,9 +103,7 @@
         }
         this->retry_held();
     } else if (auto* released = std::get_if<assignment::range_released>(&message)) {
-        const instant now = boot_clock::now();
-        this->unsent_memories.emplace_back(now, std::move(*released));
-        this->hand_over_released(now);
+        this->hand_over(*released, boot_clock::now());
     } else if (auto* memory = std::get_if<request::slice_handover>(&message)) {
         if (this->handovers.size() < max_handovers) {
             this->handovers.emplace_back(boot_clock::now(), std::move(*memory));
@@ -165,10 +162,13 @@
     }
     const assignment::dispatch_decision decision =
         this->decide(work.request.service, work.request.key, now);
+    const bool may_serve = decision.verdict == dispatch_verdict::serve &&
+                           this->is_granted(*upstream, decision) &&
+                           !this->awaits_handover(work.request, decision, now);
     if (decision.verdict == dispatch_verdict::not_owner ||
         decision.verdict == dispatch_verdict::drained) {
         this->refuse(work, refusal::not_owner);
-    } else if (decision.verdict == dispatch_verdict::serve && this->is_granted(*upstream, decision)) {
+    } else if (may_serve) {
         if (wants_ticket) {
             this->issue_ticket(work, *upstream, decision);
             return;
@@ -357,7 +357,6 @@
 nlohmann::json dispatch_duty::description() const {
     nlohmann::json result;
     result["held"] = this->held.size();
-    result["unsent_memories"] = this->unsent_memories.size();
     result["works"] = this->works.size();
     result["ranges_draining"] = this->draining.size();
     result["dispatched"] = this->dispatched;
--- a/src/apricotstile/daemon/dispatch_duty.hpp
+++ b/src/apricotstile/daemon/dispatch_duty.hpp
@@ -42,7 +42,7 @@
 
     inbox<dispatch_message> messages;
 
-    /// Requests that wait or run, and memories that are still to be sent on.
+    /// Requests that wait or run.
     [[nodiscard]] std::size_t unfinished();
 
 protected:
@@ -129,10 +129,8 @@
         bool accepted
     );
     void open_owned_slices(instant now);
-    /// Sends the slice's memory on. False while the map doesn't show the
-    /// release, and so not the token that the next owner holds.
-    bool hand_over(const assignment::range_released& what, instant now);
-    void hand_over_released(instant now);
+    /// Sends the slice's memory to its next owner.
+    void hand_over(const assignment::range_released& what, instant now);
     /// Notes the slices that `view` shows to be this member's since `before`
     /// by a release, whose memory is on its way.
     void expect_handovers(
@@ -164,8 +162,6 @@
     std::map<upstream::work_id, known_work> works;
     std::map<work_key, upstream::work_id> work_of;
     upstream::work_id last_work;
-    /// Released ranges whose memories wait for the map to show the release.
-    std::deque<std::pair<instant, assignment::range_released>> unsent_memories;
     /// Until when non-idempotent requests wait for a slice's memory.
     std::map<request::slice_ref, instant> expected;
     /// Memories handed over that wait for the map; bounded.
--- a/src/apricotstile/daemon/dispatch_upstreams.cpp
+++ b/src/apricotstile/daemon/dispatch_upstreams.cpp
@@ -204,7 +204,6 @@
     }
     this->open_owned_slices(now);
     this->take_handovers(now);
-    this->hand_over_released(now);
     for (auto& [where, upstream] : this->upstreams) {
         upstream.dispatcher.quarantine.self =
             this->wiring.state.view.load()->self;
@@ -266,9 +265,12 @@
         for (std::uint32_t index = 0; index < assigned.slices.size(); ++index) {
             const member::member_ref old_owner = old_slices.at(index).owner;
             const auto record = view.members.find(old_owner.host);
-            const bool released = record != view.members.end() &&
-                                  record->second.self == old_owner &&
-                                  member::owns_slices(record->second.state);
+            // One that has left has released the slice before; the map may
+            // show it later than that.
+            const bool released =
+                record != view.members.end() &&
+                record->second.self == old_owner &&
+                record->second.state != member::member_state::deposed;
             const bool gained = assigned.slices[index].owner == view.self &&
                                 old_owner != view.self;
             if (gained && released) {
@@ -296,20 +298,19 @@
     return !ticket || ticket->token != decision.token;
 }
 
-bool dispatch_duty::hand_over(
+void dispatch_duty::hand_over(
     const assignment::range_released& what, instant now
 ) {
-    const auto view = this->wiring.state.view.load();
-    const assignment::slice_assignment* const slice =
-        assignment::find_range(*view->map, what.range);
-    if (slice == nullptr || slice->owner != what.to) {
-        return false;
+    // The memory is that of the whole slice and stays with its owner when a
+    // single key leaves.
+    if (!what.range.key.empty()) {
+        return;
     }
     for (auto& [where, upstream] : this->upstreams) {
         auto memory = request::hand_over(
             upstream.dispatcher.memory,
             {what.range.service, what.range.slice},
-            slice->token,
+            what.token,
             now
         );
         if (memory) {
@@ -318,17 +319,6 @@
                 what.to.host, std::move(*memory)});
         }
     }
-    return true;
-}
-
-void dispatch_duty::hand_over_released(instant now) {
-    std::deque<std::pair<instant, assignment::range_released>> waiting;
-    waiting.swap(this->unsent_memories);
-    for (auto& [since, range] : waiting) {
-        if (!this->hand_over(range, now) && now - since < handover_timeout) {
-            this->unsent_memories.emplace_back(since, std::move(range));
-        }
-    }
 }
 
 void dispatch_duty::take_handovers(instant now) {
--- a/src/apricotstile/request/memory_handover.cpp
+++ b/src/apricotstile/request/memory_handover.cpp
@@ -134,7 +134,8 @@
     instant now
 ) {
     const auto found = memory.slices.find(slice);
-    if (found == memory.slices.end()) {
+    if (found == memory.slices.end() ||
+        found->second.token.value >= released_to.value) {
         return std::nullopt;
     }
     internal::forget_expired(memory, found->second, now);
--- a/src/apricotstile/request/owner_memory.hpp
+++ b/src/apricotstile/request/owner_memory.hpp
@@ -82,7 +82,8 @@
 
 /// Closes `slice` and returns its memory for the owner that holds the token
 /// `released_to`. Call it only after the release is known to be committed.
-/// Running requests are handed over as `unknown`. Empty if not open.
+/// Running requests are handed over as `unknown`. Empty if not open under an
+/// earlier token.
 [[nodiscard]] std::optional<slice_handover> hand_over(
     owner_memory& memory,
     const slice_ref& slice,
--- a/tests/assignment/owner.tests.cpp
+++ b/tests/assignment/owner.tests.cpp
@@ -126,6 +126,7 @@
         sent.id, commit(fixture.table, sent.work)});
     fixture.tick_after(50ms);
     CHECK(fixture.latest<range_released>()->to == other);
+    CHECK(fixture.latest<range_released>()->token == fencing_token{8});
     CHECK(fixture.latest<all_released>() != nullptr);
     CHECK(fixture.verdict() == dispatch_verdict::drained);
 }
@@ -177,5 +178,6 @@
     CHECK(fixture.latest<range_released>() == nullptr);
     fixture.tick_after(300ms);
     fixture.answer_reads();
-    CHECK(fixture.latest<range_released>() != nullptr);
+    REQUIRE(fixture.latest<range_released>() != nullptr);
+    CHECK(fixture.latest<range_released>()->token == fencing_token{8});
 }
