Tell complete reads of a followed table from its changes

After a start or a loss of history a followed table is read whole, and a row that was removed meanwhile is missing there. The handler couldn't tell such a delivery from changes, so it couldn't know of the removal.

--- a/src/apricotstile/platform/shared_table.hpp
+++ b/src/apricotstile/platform/shared_table.hpp
@@ -19,6 +19,17 @@
     bool erased{false};
 };
 
+/// Rows of a followed table.
+struct followed_rows {
+    /// Whether `rows` are all rows of the table, so that a row which is missing
+    /// doesn't exist, and not just the changes since the last delivery.
+    bool is_complete{false};
+    /// Nothing is missing up to this version.
+    row_version version;
+    /// Changes in the order in which they were made.
+    std::vector<row_change> rows;
+};
+
 /// A new era of the table has begun; see `table_era`.
 struct era_change {
     table_era era;
@@ -31,7 +42,7 @@
     using era_handler = std::function<void(const era_change&)>;
     using commit_handler = std::function<void(const commit_result&)>;
     using read_handler = std::function<void(const read_result&)>;
-    using change_handler = std::function<void(const std::vector<row_change>&)>;
+    using change_handler = std::function<void(const followed_rows&)>;
 
     shared_table() = default;
     shared_table(const shared_table&) = delete;
@@ -42,8 +53,8 @@
     /// Reads all rows of a partition; `scope` is "table/part".
     virtual void read(const std::string& scope, read_handler done) = 0;
     /// Passes all rows of `table` to `on_change`, then each change, until this
-    /// object is destroyed. All rows must be in the empty partition. A row may
-    /// be delivered more than once.
+    /// object is destroyed; after a loss of changes all rows again. All rows
+    /// must be in the empty partition. A row may be delivered more than once.
     virtual void follow(const std::string& table, change_handler on_change) = 0;
     /// Sets a function that is called when another era than the first is seen
     /// for the first time. Reads and transactions that began before end as
--- a/tests/adapter/fake_store.cpp
+++ b/tests/adapter/fake_store.cpp
@@ -76,6 +76,17 @@
     }
 }
 
+void fake_store::remove_row_and_history() {
+    constexpr int status_gone = 410;
+    ++this->version;
+    this->value.clear();
+    for (const QPointer<QTcpSocket>& one : std::exchange(this->waiting, {})) {
+        if (one) {
+            this->respond(one, status_gone, "{}");
+        }
+    }
+}
+
 void fake_store::set_commit_body(const std::string& body) {
     this->commit_body = body;
 }
--- a/tests/adapter/fake_store.hpp
+++ b/tests/adapter/fake_store.hpp
@@ -37,6 +37,9 @@
     void set_commit_body(const std::string& body);
     /// Bodies of the transactions that arrived.
     [[nodiscard]] const std::vector<std::string>& transactions() const;
+    /// Removes the table's only row. The store drops the history of changes,
+    /// and the calls that wait are told so.
+    void remove_row_and_history();
     /// Writes the table's only row and answers the calls that wait.
     void write_row(const std::string& base64_value);
 
--- a/tests/adapter/table_client.tests.cpp
+++ b/tests/adapter/table_client.tests.cpp
@@ -26,8 +26,9 @@
           ) {
         this->client.follow(
             "t",
-            [this](const std::vector<platform::row_change>& changes) {
-                for (const platform::row_change& one : changes) {
+            [this](const platform::followed_rows& changes) {
+                this->deliveries.push_back(changes);
+                for (const platform::row_change& one : changes.rows) {
                     this->last_value = one.changed.value;
                 }
             }
@@ -69,6 +70,7 @@
     net::timer_queue timers;
     bool following{false};
     std::string last_value;
+    std::vector<platform::followed_rows> deliveries;
     table_client client;
 };
 
@@ -235,3 +237,54 @@
     fixture.store.set_commit_body({});
     CHECK(fixture.submit(work).status == platform::commit_status::committed);
 }
+
+TEST_CASE(
+    "a row that was removed unseen is missing from a delivery that is marked "
+    "as "
+    "complete",
+    "[adapter][store]"
+) {
+    following_client fixture;
+    REQUIRE(fixture.deliveries.size() == 1);
+    CHECK(fixture.deliveries.front().is_complete);
+    fixture.store.write_row("YQ==");
+    REQUIRE(wait_until([&] {
+        return fixture.deliveries.size() == 2;
+    }));
+    CHECK_FALSE(fixture.deliveries.back().is_complete);
+    CHECK(fixture.deliveries.back().version == platform::row_version{2});
+    CHECK(
+        fixture.deliveries.back().rows.front().changed.version ==
+        platform::row_version{2}
+    );
+    REQUIRE(wait_until([&] {
+        return fixture.store.feed_calls() == 2;
+    }));
+    fixture.store.remove_row_and_history();
+    REQUIRE(wait_until([&] {
+        return fixture.deliveries.size() == 3;
+    }));
+    CHECK(fixture.deliveries.back().is_complete);
+    CHECK(fixture.deliveries.back().rows.empty());
+    CHECK(fixture.deliveries.back().version == platform::row_version{3});
+}
+
+TEST_CASE(
+    "deliveries of a later era have higher versions although the store counts "
+    "from an older one",
+    "[adapter][store][era]"
+) {
+    following_client fixture;
+    fixture.store.write_row("YQ==");
+    REQUIRE(wait_until([&] {
+        return fixture.deliveries.size() == 2;
+    }));
+    const platform::row_version before = fixture.deliveries.back().version;
+    fixture.store.restore_older(1);
+    REQUIRE(wait_until([&] {
+        static_cast<void>(fixture.read());
+        return fixture.deliveries.size() > 2;
+    }));
+    CHECK(fixture.deliveries.back().is_complete);
+    CHECK(fixture.deliveries.back().version > before);
+}
