Evacuate a failure domain by an operator's row

An operator had no means to take a failure domain out of use in a bounded time and to use it again later: a departure is final.

While the table op has a row evacuate/ZONE, daemons in ZONE drain the instance beside them and the others exclude it. Readers of the table pass changes on by the new frame evacuation_notice; a daemon that starts lets nothing through before it knows. Keys move away and return through the moves to members with few keys; of two members, the one that owned all keys had no range to give, so whole ranges may move then. A stale timer of an evacuation that was withdrawn doesn't close the instance. Off unless the settings have evacuation_timeout_ms.

--- a/src/apricotstile/keys/key_owner.hpp
+++ b/src/apricotstile/keys/key_owner.hpp
@@ -252,6 +252,10 @@
 /// answer to its next heartbeat omits them.
 void start_release(key_owner& state, const key_range& keys, host_id target);
 
+/// Keeps the ranges whose release the instance hasn't been told of. Returns how
+/// many there are.
+std::size_t cancel_releases(key_owner& state);
+
 /// The map's entries for the keys that this daemon owns and isn't releasing.
 [[nodiscard]] std::vector<owned_range> kept_ranges(const key_owner& state);
 
--- a/src/apricotstile/keys/key_owner_heartbeats.cpp
+++ b/src/apricotstile/keys/key_owner_heartbeats.cpp
@@ -173,4 +173,11 @@
     state.releases.push_back(added);
 }
 
+std::size_t cancel_releases(key_owner& state) {
+    return std::erase_if(state.releases, [](const range_release& one) {
+        return !one.omitted_at && !one.is_released && !one.is_sent &&
+               one.pending_call == instance_call_id{} && one.handover.empty();
+    });
+}
+
 } // namespace apricotstile::keys
--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -173,9 +173,14 @@
     const std::size_t donors = std::min(policy.max_donors, members - 1);
     const auto part =
         static_cast<key_number>(std::min(total / 2, even / donors));
-    if (total < even * 2 / 3 || part == 0 || part >= size_of(largest->keys)) {
+    if (total < even * 2 / 3 || part == 0) {
         return std::nullopt;
     }
+    if (part >= size_of(largest->keys)) {
+        return policy.moves_whole_ranges && kept.size() > 1
+                   ? std::optional{largest->keys}
+                   : std::nullopt;
+    }
     return key_range{largest->keys.last - part + 1, largest->keys.last};
 }
 
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -48,6 +48,10 @@
     double healthy_threshold{0.1};
     /// The number of members that move keys to a new member.
     std::size_t max_donors{4};
+    /// Whether a new member may get a whole range if none is large enough to be
+    /// split. Of two members, the one that has taken over from the other has
+    /// no range that is larger than half of all keys.
+    bool moves_whole_ranges{false};
     /// The part of its load that a slow instance moves away at a time.
     double slow_move_share{0.25};
 };
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -7,6 +7,7 @@
 #include <apricotstile/core/hashing.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace apricotstile::router {
 
@@ -25,6 +26,18 @@
     value = std::chrono::milliseconds{millis};
 }
 
+/// Ages above the maximum of the type are sent as the maximum, 49 days.
+template <class Archive>
+void serialize_age(Archive& archive, duration& value) {
+    const auto whole =
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    auto millis = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        whole, 0, std::numeric_limits<std::uint32_t>::max()
+    ));
+    serialize_varint(archive, millis);
+    value = std::chrono::milliseconds{millis};
+}
+
 struct serialize_header {
     template <class Archive>
     void operator()(Archive& archive, encoded_header& one) const {
@@ -175,6 +188,20 @@
     serialize_varint(archive, value.era.value);
 }
 
+template <class Archive>
+void serialize(Archive& archive, evacuation_notice& value) {
+    serialize_varint(archive, value.report.version.value);
+    serialize_list(
+        archive,
+        value.report.domains,
+        [](Archive& to, routing::evacuation_report::evacuated_domain& one) {
+            serialize_string(to, one.domain.value);
+            serialize_varint(to, one.version.value);
+            serialize_age(to, one.age);
+        }
+    );
+}
+
 template <class Archive>
 void serialize(Archive& archive, config_reply& value) {
     archive(value.config);
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -11,6 +11,7 @@
 #include <apricotstile/platform/transaction.hpp>
 #include <apricotstile/router/compact_codec.hpp>
 #include <apricotstile/router/header_codec.hpp>
+#include <apricotstile/routing/evacuations.hpp>
 #include <apricotstile/routing/routing_config.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/request_progress.hpp>
@@ -173,6 +174,12 @@
     platform::table_era era{platform::first_era};
 };
 
+/// The failure domains that the sender knows to be evacuated; see
+/// `routing/evacuations.hpp`.
+struct evacuation_notice {
+    routing::evacuation_report report;
+};
+
 /// Departures in the receiver's own entry that the sender knew before the
 /// receiver's current run; sent when the sender learns of that run.
 struct earlier_departures_frame {
@@ -217,7 +224,8 @@
     keep_departures_reply,
     config_notice,
     release_request,
-    release_reply>;
+    release_reply,
+    evacuation_notice>;
 
 /// Encodes a frame with its length prefix. `headers` is the table of the
 /// direction that the frame is sent in. Each encoded frame must be sent, in
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -14,6 +14,7 @@
 #include <apricotstile/router/router.hpp>
 #include <apricotstile/router/table_view.hpp>
 #include <apricotstile/routing/config_readers.hpp>
+#include <apricotstile/routing/evacuations.hpp>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -51,6 +52,27 @@
     void
     learn_departures(const directory::departures& learned, const char* source);
     [[nodiscard]] bool knows_departures() const;
+    [[nodiscard]] bool has_departed() const;
+    void close_after_drain();
+    void apply_evacuations(const routing::evacuation_changes& update);
+    void
+    handle_evacuation_notice(host_id peer, const evacuation_notice& notice);
+    void handle_evacuation_difference(
+        const routing::evacuation_difference& difference, const char* source
+    );
+    [[nodiscard]] std::optional<evacuation_notice>
+    make_evacuation_notice() const;
+    void send_evacuation_notice();
+    [[nodiscard]] bool knows_evacuations() const;
+    [[nodiscard]] bool is_evacuated(const location& where) const;
+    [[nodiscard]] bool may_serve_keys(const location& where) const;
+    [[nodiscard]] std::optional<instant> own_key_service_end() const;
+    void begin_evacuation();
+    void update_evacuation();
+    void close_evacuated_instance(const char* why);
+    void end_evacuation();
+    [[nodiscard]] std::uint64_t owned_keys() const;
+    [[nodiscard]] nlohmann::json describe_evacuations() const;
     void ask_peers_to_keep_departures();
     [[nodiscard]] bool may_write_entry() const;
     void write_entry();
@@ -166,6 +188,25 @@
     peer_links links;
     request_router callers;
 
+    /// Evacuated failure domains.
+    routing::evacuations evacuations;
+    routing::evacuation_policy evacuation_policy;
+    /// Whether the table itself has told which domains are evacuated.
+    bool evacuations_read{false};
+
+    /// The drain of the instance beside this daemon, whose failure domain is
+    /// evacuated.
+    struct evacuation_drain {
+        instant began;
+        bool is_closed{false};
+        /// Whether it owned keys when the drain began or later.
+        bool had_keys{false};
+        /// Whether the move of its last key has been logged.
+        bool is_empty{false};
+    };
+
+    std::optional<evacuation_drain> drain;
+
     std::uint64_t last_sequence{0};
     instant last_heartbeat;
     /// What the instance said last, or `absent` if it is silent or gone.
--- a/src/apricotstile/router/local_key_manager.cpp
+++ b/src/apricotstile/router/local_key_manager.cpp
@@ -10,6 +10,7 @@
 #include <apricotstile/router/key_call_sender.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace apricotstile::router {
 
@@ -77,6 +78,11 @@
 
 local_key_manager::~local_key_manager() = default;
 
+void local_key_manager::set_takeover_policy(const keys::takeover_policy& policy
+) {
+    this->takeover_policy = policy;
+}
+
 keys::heartbeat_answer
 local_key_manager::handle_heartbeat(const keys::heartbeat& beat) {
     const instant now = boot_clock::now();
@@ -111,6 +117,21 @@
     );
 }
 
+void local_key_manager::keep_remaining_keys() {
+    if (!std::exchange(this->departing, false)) {
+        return;
+    }
+    const std::size_t kept = keys::cancel_releases(this->key_owner);
+    log::write(
+        log::level::info,
+        log_prefix,
+        "No longer releasing all keys.",
+        {{"kept_ranges", std::to_string(kept)},
+         {"moving_ranges", std::to_string(this->key_owner.releases.size())}}
+    );
+    this->advance();
+}
+
 void local_key_manager::handle_instance_stopped() {
     this->release_all_keys();
     keys::handle_instance_stopped(this->key_owner);
--- a/src/apricotstile/router/local_key_manager.hpp
+++ b/src/apricotstile/router/local_key_manager.hpp
@@ -60,6 +60,7 @@
     local_key_manager& operator=(const local_key_manager&) = delete;
     ~local_key_manager();
 
+    void set_takeover_policy(const keys::takeover_policy& policy);
     /// Handles a heartbeat of the local instance; the answer has the ranges
     /// that are granted to it.
     [[nodiscard]] keys::heartbeat_answer
@@ -67,6 +68,9 @@
     /// Starts to release all keys to other members, as the instance or this
     /// daemon is shutting down.
     void release_all_keys();
+    /// The instance stays after all. Keys that have begun to move go on doing
+    /// so; the others stay.
+    void keep_remaining_keys();
     /// The instance has stopped or sends no more heartbeats. Its keys are
     /// transferred to other members once its last grant has expired.
     void handle_instance_stopped();
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -45,6 +45,11 @@
     /// Reports that the key map of a service may be stale.
     std::function<void(const service_id&)> report_stale_map;
     std::function<bool(host_id)> is_reachable;
+    /// Whether the failure domain at this location is evacuated.
+    std::function<bool(const location&)> is_evacuated;
+    /// Whether instances at this location may still serve their keys. False at
+    /// some time after the domain's evacuation began.
+    std::function<bool(const location&)> may_serve_keys;
     using response_handler = std::function<void(routed_response&&)>;
     /// Forwards a request to the daemon of a host, this one included; returns a
     /// function that cancels it.
@@ -110,6 +115,8 @@
     void start_attempt(pending_request& request);
     void try_another_instance(pending_request& request);
     std::optional<host_id> choose_host(pending_request& request);
+    [[nodiscard]] bool has_evacuated_owner(host_id owner) const;
+    [[nodiscard]] bool is_evacuated_everywhere(const service_id& service) const;
     void note_leaving(host_id host, const routed_response& response);
     [[nodiscard]] bool has_left(host_id host) const;
     serving::locality_tier locality_of(const location& where) const;
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -42,9 +42,9 @@
     if (request.key) {
         const auto owner =
             this->dependencies.owner_of(request.service, *request.key);
-        const bool is_usable = owner &&
-                               this->dependencies.is_reachable(*owner) &&
-                               !this->has_left(*owner);
+        const bool is_usable =
+            owner && this->dependencies.is_reachable(*owner) &&
+            !this->has_left(*owner) && !this->has_evacuated_owner(*owner);
         return is_usable ? owner : std::nullopt;
     }
     std::vector<serving::candidate> candidates;
@@ -56,7 +56,8 @@
                 tried_hosts.end() ||
             (one->stopping && one->host != this->dependencies.self) ||
             !this->dependencies.is_reachable(one->host) ||
-            this->has_left(one->host)) {
+            this->has_left(one->host) ||
+            this->dependencies.is_evacuated(one->where)) {
             continue;
         }
         candidates.push_back(
@@ -72,6 +73,32 @@
     );
 }
 
+/// Whether the owner of a key must serve none any more, as its failure domain
+/// is evacuated.
+bool request_router::has_evacuated_owner(host_id owner) const {
+    const auto entry = this->dependencies.known->entries.find(owner);
+    return entry != this->dependencies.known->entries.end() &&
+           !this->dependencies.may_serve_keys(entry->second.where);
+}
+
+/// Whether the service has instances, but all of them in evacuated failure
+/// domains, so that its keys move nowhere. An evacuated instance may still be
+/// announced as ready.
+bool request_router::is_evacuated_everywhere(const service_id& service) const {
+    bool any = false;
+    for (const auto& [host, entry] : this->dependencies.known->entries) {
+        if (entry.service != service ||
+            entry.state == directory::instance_state::absent) {
+            continue;
+        }
+        if (!this->dependencies.is_evacuated(entry.where)) {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
 routed_request
 request_router::make_routed_request(const pending_request& request) const {
     const instant now = boot_clock::now();
@@ -139,6 +166,22 @@
     const caller_id caller = request.caller;
     const std::uint64_t number = ++request.last_attempt;
     request.attempt = {number, host.value_or(host_id{}), {}};
+    if (!host && request.key &&
+        this->is_evacuated_everywhere(request.service)) {
+        // Waiting for the key to move would be in vain.
+        request.attempt.reset();
+        request.progress.retry_after = std::max(
+            request.progress.retry_after,
+            this->retry_policy.key_move_retry_after
+        );
+        this->perform_step(
+            request,
+            request.progress.may_have_run ? serving::next_step::fail
+                                          : serving::next_step::refuse,
+            {}
+        );
+        return;
+    }
     if (!host) {
         routed_response none;
         none.outcome = request.key ? serving::attempt_outcome::refused_not_owner
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -73,6 +73,11 @@
       ) {
     this->started = boot_clock::now();
     this->lease_guardian.started = this->started;
+    this->evacuation_policy.timeout =
+        settings.evacuation_timeout.value_or(this->evacuation_policy.timeout);
+    this->evacuation_policy.margin = drain_margin;
+    this->evacuation_policy.max_key_service =
+        std::max(settings.drain_timeout - drain_margin, duration{0});
     this->own_entry.host = this->own_host;
     this->own_entry.where = settings.where;
     this->own_entry.service = settings.service;
@@ -99,6 +104,7 @@
     this->write_entry();
     this->check_instance_liveness();
     this->change_state(this->permitted_state(), "departures known");
+    this->update_evacuation();
     std::map<service_id, std::size_t> hosts;
     for (const auto& [peer, entry] : this->known_daemons.entries) {
         ++hosts[entry.service];
@@ -211,7 +217,7 @@
     const serving::reported_load load = daemon.instance.load();
     const upstream::quarantine& quarantine =
         daemon.instance.request_quarantine();
-    return {
+    nlohmann::json result = {
         {"ingress",
          {{"requests", counted.requests},
           {"answered", counted.answered},
@@ -243,6 +249,10 @@
         {"config",
          {{"version",
            daemon.routes ? daemon.routes->config.version.value : 0}}}};
+    if (daemon.settings.evacuation_timeout) {
+        result["evacuations"] = daemon.describe_evacuations();
+    }
+    return result;
 }
 
 } // namespace apricotstile::router
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -12,6 +12,7 @@
 #include <apricotstile/platform/shared_table.hpp>
 #include <apricotstile/router/header_names.hpp>
 #include <apricotstile/router/key_call_format.hpp>
+#include <apricotstile/routing/evacuations.hpp>
 #include <apricotstile/routing/routing_config.hpp>
 #include <apricotstile/serving/windowed_retry_budget.hpp>
 
@@ -19,6 +20,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace apricotstile::router {
@@ -41,6 +43,9 @@
     duration drain_timeout{std::chrono::seconds{2}};
     /// Time between two heartbeats.
     duration heartbeat_interval{std::chrono::seconds{1}};
+    /// From the operator's write until an evacuated failure domain gets no more
+    /// requests. Nothing: evacuations are off.
+    std::optional<duration> evacuation_timeout;
     serving::windowed_retry_budget_policy retry_budget;
     header_names names;
     key_call_format key_calls;
@@ -78,6 +83,9 @@
 
     /// Applies a configuration unless it is no newer than the current one.
     void apply_config(routing::routing_config config);
+    /// Applies what the table says of evacuated failure domains. Ignored while
+    /// evacuations are off.
+    void apply_evacuations(const routing::evacuation_changes& update);
     /// Sets whether configuration changes reach this daemon.
     void set_config_followed(bool current);
 
--- a/src/apricotstile/router/router_config.cpp
+++ b/src/apricotstile/router/router_config.cpp
@@ -244,6 +244,7 @@
             this->links.send_message(peer, notice);
         }
     }
+    this->send_evacuation_notice();
 }
 
 /// A peer has seen a newer era of the table. This daemon's next call shows it;
--- a/src/apricotstile/router/router_instance.cpp
+++ b/src/apricotstile/router/router_instance.cpp
@@ -56,20 +56,33 @@
         (state == directory::instance_state::ready || moves_keys) &&
         !this->stop_notice_passed()
     );
-    if (moves_keys) {
-        this->timers.after(
-            this->settings.drain_timeout - drain_margin,
-            [this, draining_instance = this->own_entry.instance] {
-                if (this->own_entry.instance == draining_instance) {
-                    this->instance.set_open(false);
-                }
-            }
-        );
+    if (moves_keys && this->has_departed()) {
+        this->close_after_drain();
     }
     this->publish_entry();
     return true;
 }
 
+/// Whether the instance has announced that it leaves, which is final.
+bool router::implementation::has_departed() const {
+    return this->announced_state == directory::instance_state::draining ||
+           directory::has_departed(
+               this->own_entry.known_departures, this->own_entry.instance
+           );
+}
+
+/// Closes an instance that has departed at the end of its drain.
+void router::implementation::close_after_drain() {
+    this->timers.after(
+        this->settings.drain_timeout - drain_margin,
+        [this, draining_instance = this->own_entry.instance] {
+            if (this->own_entry.instance == draining_instance) {
+                this->instance.set_open(false);
+            }
+        }
+    );
+}
+
 /// The state that follows from what the instance has announced.
 directory::instance_state router::implementation::permitted_state() const {
     if (this->announced_state != directory::instance_state::ready) {
@@ -80,8 +93,12 @@
         )) {
         return directory::instance_state::draining;
     }
-    return this->knows_departures() ? directory::instance_state::ready
-                                    : directory::instance_state::absent;
+    if (this->is_evacuated(this->own_entry.where)) {
+        return directory::instance_state::draining;
+    }
+    return this->knows_departures() && this->knows_evacuations()
+               ? directory::instance_state::ready
+               : directory::instance_state::absent;
 }
 
 /// Whether this daemon knows what its earlier runs have acknowledged. Peers
@@ -124,9 +141,15 @@
     );
     this->recorder.expect(this->own_entry.revision + 1);
     this->needs_entry_write = true;
-    if (!this->change_state(this->permitted_state(), source)) {
-        this->publish_entry();
+    if (this->change_state(this->permitted_state(), source)) {
+        return;
+    }
+    if (this->drain && !this->drain->is_closed && this->has_departed()) {
+        // It drains already as its failure domain is evacuated, which may be
+        // withdrawn.
+        this->close_after_drain();
     }
+    this->publish_entry();
 }
 
 /// Adds departures that were announced to earlier runs of this daemon.
@@ -154,7 +177,11 @@
 
 /// Stops sending requests to an unresponsive instance until its next heartbeat.
 void router::implementation::check_instance_liveness() {
-    if (this->own_entry.state != directory::instance_state::ready) {
+    const bool is_expected =
+        this->own_entry.state == directory::instance_state::ready ||
+        (this->own_entry.state == directory::instance_state::draining &&
+         this->drain);
+    if (!is_expected) {
         return;
     }
     const instant last_heard =
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -116,6 +116,11 @@
               )
             : nullptr
     );
+    if (this->settings.evacuation_timeout) {
+        keys::takeover_policy takeover;
+        takeover.moves_whole_ranges = true;
+        this->local_keys->set_takeover_policy(takeover);
+    }
 }
 
 keys::membership_view router::implementation::membership_view() {
@@ -125,8 +130,9 @@
              this->known_daemons, this->settings.service
          )) {
         const bool is_usable =
-            one->host == this->own_host ||
-            (!one->stopping && this->links.is_reachable(one->host));
+            (one->host == this->own_host ||
+             (!one->stopping && this->links.is_reachable(one->host))) &&
+            !this->is_evacuated(one->where);
         if (!is_usable) {
             continue;
         }
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -32,6 +32,12 @@
     result.is_reachable = [this](host_id peer) {
         return peer == this->own_host || this->links.is_reachable(peer);
     };
+    result.is_evacuated = [this](const location& where) {
+        return this->is_evacuated(where);
+    };
+    result.may_serve_keys = [this](const location& where) {
+        return this->may_serve_keys(where);
+    };
     result.forward_request =
         [this](
             host_id peer,
@@ -68,6 +74,9 @@
     };
     result.on_link_ready = [this](host_id peer) {
         this->send_all_crash_reports(peer);
+        if (const auto evacuated = this->make_evacuation_notice()) {
+            this->links.send_message(peer, *evacuated);
+        }
     };
     result.on_control = [this](
                             host_id peer,
@@ -122,6 +131,8 @@
         this->handle_config_request(peer, *wanted_config, reply);
     } else if (const auto* const notice = std::get_if<config_notice>(&message)) {
         this->handle_config_notice(peer, *notice);
+    } else if (const auto* const evacuated = std::get_if<evacuation_notice>(&message)) {
+        this->handle_evacuation_notice(peer, *evacuated);
     } else if (const auto* const config = std::get_if<config_reply>(&message)) {
         this->apply_config(config->config, "peer");
     } else if (const auto* const earlier = std::get_if<earlier_departures_frame>(&message)) {
--- a/src/apricotstile/settings/json_fields.cpp
+++ b/src/apricotstile/settings/json_fields.cpp
@@ -69,6 +69,11 @@
     return this->find(key) != nullptr;
 }
 
+bool json_fields::is_set(const std::string& key) {
+    const nlohmann::json* const found = this->find(key);
+    return found != nullptr && !found->is_null();
+}
+
 json_fields json_fields::object(const std::string& key) {
     const nlohmann::json* const found = this->find(key);
     static const nlohmann::json missing;
--- a/src/apricotstile/settings/json_fields.hpp
+++ b/src/apricotstile/settings/json_fields.hpp
@@ -34,6 +34,8 @@
     );
 
     [[nodiscard]] bool has(const std::string& key);
+    /// Whether the key has another value than null.
+    [[nodiscard]] bool is_set(const std::string& key);
     /// The nested object, or an empty one with a problem noted.
     [[nodiscard]] json_fields object(const std::string& key);
     [[nodiscard]] std::string
--- a/tests/keys/key_owner.tests.cpp
+++ b/tests/keys/key_owner.tests.cpp
@@ -237,3 +237,18 @@
         CHECK(consent_quorum(count) <= count);
     }
 }
+
+TEST_CASE(
+    "only releases that the instance hasn't been told of are cancelled",
+    "[keys][keeper][move]"
+) {
+    key_owner state = leased_owner();
+    start_release(state, {0, 499}, host_id{2});
+    static_cast<void>(handle_heartbeat(state, make_heartbeat(2), start + 100ms)
+    );
+    start_release(state, {500, 999}, host_id{2});
+    CHECK(cancel_releases(state) == 1);
+    REQUIRE(state.releases.size() == 1);
+    CHECK(state.releases.front().keys == key_range{0, 499});
+    CHECK(kept_ranges(state).front().keys == key_range{500, 999});
+}
--- a/tests/keys/takeover.tests.cpp
+++ b/tests/keys/takeover.tests.cpp
@@ -163,3 +163,32 @@
     view.members[3].limited = false;
     CHECK(plan_newcomer_move(state, {}, view));
 }
+
+TEST_CASE(
+    "one of two members gets keys back although the other one has no range "
+    "larger than half of them",
+    "[keys][takeover][evacuation]"
+) {
+    key_owner state =
+        make_key_owner({}, host_id{1}, incarnation{1}, {"registry"});
+    state.rows_known = true;
+    constexpr key_number quarter = key_count / 4;
+    apply_transfers(
+        state.map,
+        {{{0, quarter - 1}, host_id{1}, {"i", 1}, ""},
+         {{quarter, 2 * quarter - 1}, host_id{1}, {"i", 1}, ""},
+         {{2 * quarter, key_count - 1}, host_id{1}, {"i", 1}, ""}}
+    );
+    CHECK_FALSE(plan_newcomer_move(state, {}, view_of(2)));
+    takeover_policy policy;
+    policy.moves_whole_ranges = true;
+    const auto next = plan_newcomer_move(state, policy, view_of(2));
+    REQUIRE(next);
+    CHECK(next->target == host_id{2});
+    CHECK(next->keys == key_range{2 * quarter, key_count - 1});
+    // Its only range isn't moved.
+    apply_transfers(
+        state.map, {{{0, 2 * quarter - 1}, host_id{2}, {"i", 1}, ""}}
+    );
+    CHECK_FALSE(plan_newcomer_move(state, policy, view_of(2)));
+}
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -144,6 +144,9 @@
     std::vector<keys::released_range> released;
     /// The run whose heartbeat was accepted last.
     directory::instance_run accepted;
+    /// The daemon has all evacuations up to this version; nothing before its
+    /// first read.
+    std::optional<platform::row_version> delivered;
 };
 
 daemon_group::daemon_group(
@@ -156,7 +159,12 @@
         added->upstream = std::make_unique<fake_upstream>(
             "i" + std::to_string(this->hosts.size())
         );
-        added->settings.where = {{"region"}, {"domain"}};
+        const std::size_t index = this->hosts.size();
+        added->settings.where = {
+            {"region"},
+            {index < options.domains.size() ? options.domains[index]
+                                            : "domain"}};
+        added->settings.evacuation_timeout = options.evacuation_timeout;
         added->settings.caller_address = unused_address();
         added->settings.peer_address = unused_address();
         added->settings.instance_address = added->upstream->where();
@@ -199,6 +207,10 @@
     one.daemon->set_config_followed(true);
     one.daemon->apply_config(one.config);
     one.accepted = {};
+    one.delivered.reset();
+    one.table->poll([this, &one] {
+        this->deliver_evacuations(one);
+    });
 }
 
 /// Holds what is granted, and releases the rest.
@@ -257,14 +269,48 @@
 /// Calls for changes of the configuration, by the daemons that read it.
 void daemon_group::poll_tables() {
     for (const auto& one : this->hosts) {
-        if (one->daemon && one->daemon->reader_position().reads) {
-            one->table->poll([polling = one.get()] {
-                if (polling->daemon) {
-                    polling->daemon->note_config_confirmed();
-                }
+        if (!one->daemon ||
+            (one->delivered && !one->daemon->reader_position().reads)) {
+            continue;
+        }
+        one->table->poll([this, polling = one.get()] {
+            if (polling->daemon) {
+                this->deliver_evacuations(*polling);
+                polling->daemon->note_config_confirmed();
+            }
+        });
+    }
+}
+
+/// Passes on all rows at first, as a daemon reads them at its start, and then
+/// their changes.
+void daemon_group::deliver_evacuations(host& one) {
+    const platform::row_version newest{this->evacuation_changes.size() + 1};
+    if (!one.daemon || one.delivered == newest) {
+        return;
+    }
+    routing::evacuation_changes update{!one.delivered, newest, {}};
+    for (const routing::evacuation_change& change : this->evacuation_changes) {
+        if (!one.delivered && change.withdrawn) {
+            std::erase_if(update.changes, [&](const auto& earlier) {
+                return earlier.domain == change.domain;
             });
+        } else if (!one.delivered || change.version > *one.delivered) {
+            update.changes.push_back(change);
         }
     }
+    one.delivered = newest;
+    one.daemon->apply_evacuations(update);
+}
+
+void daemon_group::evacuate(const std::string& domain) {
+    const platform::row_version version{this->evacuation_changes.size() + 2};
+    this->evacuation_changes.push_back({{domain}, version, false});
+}
+
+void daemon_group::end_evacuation(const std::string& domain) {
+    const platform::row_version version{this->evacuation_changes.size() + 2};
+    this->evacuation_changes.push_back({{domain}, version, true});
 }
 
 void daemon_group::send_heartbeats_of(std::size_t index, bool sends) {
@@ -338,6 +384,10 @@
     this->hosts.at(index)->daemon.reset();
 }
 
+void daemon_group::start_daemon(std::size_t index) {
+    this->start(*this->hosts.at(index));
+}
+
 void daemon_group::restart_daemon(std::size_t index) {
     host& one = *this->hosts.at(index);
     one.daemon.reset();
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -11,6 +11,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace apricotstile::tests {
@@ -48,6 +50,10 @@
     std::vector<std::string> keyed;
     /// How long a leaving upstream may still get requests.
     duration drain_timeout{std::chrono::milliseconds{600}};
+    /// Failure domains of the hosts, in order; "domain" for the rest.
+    std::vector<std::string> domains{};
+    /// Nothing: evacuations are off.
+    std::optional<duration> evacuation_timeout{};
 };
 
 class daemon_group {
@@ -64,6 +70,8 @@
     /// Kills and starts daemon `index`; returns when it is ready and linked,
     /// and has accepted a heartbeat unless they are suspended.
     void restart_daemon(std::size_t index);
+    /// Starts daemon `index` after it was killed; returns at once.
+    void start_daemon(std::size_t index);
     /// Kills daemon `index`.
     void stop_daemon(std::size_t index);
     /// Whether upstream `index` sends heartbeats.
@@ -81,6 +89,10 @@
     void restore_older_table();
     /// While true, the table answers no call.
     void set_table_down(bool down);
+    /// Writes the row that evacuates a failure domain.
+    void evacuate(const std::string& domain);
+    /// Removes that row.
+    void end_evacuation(const std::string& domain);
     /// Applies a configuration of this version, with the same routes, to one
     /// daemon.
     void apply_config(std::size_t index, std::uint64_t version);
@@ -104,10 +116,13 @@
     bool send_heartbeat(host& one);
     void send_heartbeats();
     void poll_tables();
+    void deliver_evacuations(host& one);
     bool is_acknowledged(host& one);
     void wait_until_ready();
 
     fake_table rows;
+    /// Changes of the operators' rows, in order; their versions count from 2.
+    std::vector<routing::evacuation_change> evacuation_changes;
     net::timer_queue timers;
     std::vector<std::unique_ptr<host>> hosts;
     std::uint64_t last_request{0};
--- a/tests/router/frames.tests.cpp
+++ b/tests/router/frames.tests.cpp
@@ -121,3 +121,24 @@
     CHECK(decoded.services.at({"s"}).keyed);
     CHECK(decoded.limits.idle_timeout == 15s);
 }
+
+TEST_CASE(
+    "a decoded evacuation notice equals the sent one", "[router][frames]"
+) {
+    evacuation_notice sent;
+    constexpr std::uint64_t second_era = (1ULL << 40U) + 7;
+    sent.report.version = {second_era};
+    sent.report.domains = {{{"a"}, {5}, 1500ms}, {{"b"}, {6}, -1ms}};
+    header_table table;
+    std::string bytes = encode_frame(sent, table);
+    const auto decoded_frame = decode_frame(bytes, table);
+    REQUIRE(decoded_frame);
+    const routing::evacuation_report& decoded =
+        std::get<evacuation_notice>(*decoded_frame).report;
+    CHECK(decoded.version.value == second_era);
+    REQUIRE(decoded.domains.size() == 2);
+    CHECK(decoded.domains[0].domain == failure_domain_id{"a"});
+    CHECK(decoded.domains[0].version == platform::row_version{5});
+    CHECK(decoded.domains[0].age == 1500ms);
+    CHECK(decoded.domains[1].age == 0ms);
+}
--- a/tests/router/request_router.tests.cpp
+++ b/tests/router/request_router.tests.cpp
@@ -47,6 +47,12 @@
         dependencies.is_reachable = [this](host_id host) {
             return host != this->unresponsive;
         };
+        dependencies.is_evacuated = [this](const location& where) {
+            return where.failure_domain == this->evacuated;
+        };
+        dependencies.may_serve_keys = [](const location&) {
+            return true;
+        };
         dependencies.report_stale_map = [](const service_id&) {};
         dependencies.forward_request =
             [this](
@@ -96,6 +102,7 @@
     address listen;
     net::timer_queue timers;
     host_id unresponsive;
+    failure_domain_id evacuated{"z"};
     std::vector<forwarded_request> requests;
     std::unique_ptr<request_router> callers;
 };
@@ -341,3 +348,32 @@
     }));
     CHECK(fixture.requests.size() == 1);
 }
+
+TEST_CASE(
+    "no instance in an evacuated failure domain is chosen, although its daemon "
+    "announces it as ready",
+    "[router][ingress][evacuation]"
+) {
+    ingress_with_hosts fixture{3};
+    for (const std::uint64_t id : {1, 3}) {
+        fixture.known.entries.at(host_id{id}).where.failure_domain =
+            fixture.evacuated;
+    }
+    constexpr std::size_t requests = 20;
+    std::vector<std::unique_ptr<QTcpSocket>> callers;
+    while (callers.size() < requests) {
+        callers.push_back(std::make_unique<QTcpSocket>());
+        fixture.request(*callers.back());
+        CHECK(fixture.requests.back().host == host_id{2});
+    }
+    fixture.known.entries.at(host_id{2}).where.failure_domain =
+        fixture.evacuated;
+    QTcpSocket rejected;
+    rejected.connectToHost(
+        QHostAddress{fixture.listen.ip}, fixture.listen.port
+    );
+    rejected.write("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                   "Request-Id: 2\r\nTime-Left: 10000\r\n\r\n");
+    CHECK(status_line(rejected).starts_with("HTTP/1.1 503"));
+    CHECK(fixture.requests.size() == requests);
+}
