--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -13,6 +13,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace apricotstile::tests {
@@ -52,6 +54,10 @@
     duration drain_timeout{std::chrono::milliseconds{600}};
     /// Rate of each host's link as the daemons know it; zero if they don't.
     double link_bytes_per_second{0};
+    /// Failure domains of the hosts, in order; "domain" for the rest.
+    std::vector<std::string> domains{};
+    /// Nothing: evacuations are off.
+    std::optional<duration> evacuation_timeout{};
 };
 
 class daemon_group {
@@ -68,6 +74,8 @@
     /// Kills and starts daemon `index`; returns when it is ready and linked,
     /// and has accepted a heartbeat unless they are suspended.
     void restart_daemon(std::size_t index);
+    /// Starts daemon `index` after it was killed; returns at once.
+    void start_daemon(std::size_t index);
     /// Kills daemon `index`.
     void stop_daemon(std::size_t index);
     /// Whether upstream `index` sends heartbeats.
@@ -85,6 +93,10 @@
     void restore_older_table();
     /// While true, the table answers no call.
     void set_table_down(bool down);
+    /// Writes the row that evacuates a failure domain.
+    void evacuate(const std::string& domain);
+    /// Removes that row.
+    void end_evacuation(const std::string& domain);
     /// Applies a configuration of this version, with the same routes, to one
     /// daemon.
     void apply_config(std::size_t index, std::uint64_t version);
@@ -112,10 +124,13 @@
     bool send_heartbeat(host& one);
     void send_heartbeats();
     void poll_tables();
+    void deliver_evacuations(host& one);
     bool is_acknowledged(host& one);
     void wait_until_ready();
 
     fake_table rows;
+    /// Changes of the operators' rows, in order; their versions count from 2.
+    std::vector<routing::evacuation_change> evacuation_changes;
     net::timer_queue timers;
     std::vector<std::unique_ptr<host>> hosts;
     std::uint64_t last_request{0};
