Bound the requests that a cold instance receives

Cause: an instance is cold for some seconds after its start and crashes at a rate that it takes when warm. Nothing kept daemons from sending it as much as to any other; idle as it is, it looks best to all of them.

Change: where the settings have `cold_overage` and `cold_slack` and the service has `coldPerS`, the daemon beside the instance counts all requests to it in a token bucket (`serving/cold_limit`), which the work queue consults beside the start limit. It learns that the instance is cold from `coldRemainingMs` in heartbeats, from the header `X-Apricotstile-Cold-Remaining`, and assumes it after a refused connection, a crash or silence. Excess requests are refused at once; those for keys may wait. Others see fewer usable slots. A cold member gets no moves of keys and gives none away for its load or speed.

--- a/src/apricotstile/keys/heartbeat.hpp
+++ b/src/apricotstile/keys/heartbeat.hpp
@@ -7,6 +7,8 @@
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/keys/key_map.hpp>
 
+#include <optional>
+
 namespace apricotstile::keys {
 
 struct held_range {
@@ -27,6 +29,9 @@
     std::uint64_t sequence{0};
     directory::instance_state state{directory::instance_state::ready};
     std::uint32_t slots{0};
+    /// How long the instance says that it stays cold; zero if it isn't cold.
+    /// Nothing if the value was malformed.
+    std::optional<duration> cold_remaining{duration{0}};
     /// Ranges that the instance holds, or for which requests still run.
     std::vector<held_range> holds;
     /// Ranges released since the last heartbeat that got an answer.
--- a/src/apricotstile/keys/load_rebalancing.cpp
+++ b/src/apricotstile/keys/load_rebalancing.cpp
@@ -29,6 +29,9 @@
 
 double
 excess_load(const rebalancing_policy& policy, const instance_load& load) {
+    if (load.cold) {
+        return 0;
+    }
     const bool has_backlog =
         load.outstanding_requests > load.slots * policy.backlog_threshold;
     if (load.owned_key_load <= load.slots * policy.overload_threshold &&
@@ -66,7 +69,7 @@
     const double available =
         load.slots * policy.target_utilization - used - reserved;
     const double offered = std::min(available, wanted);
-    if (offered < policy.min_moved_slots) {
+    if (load.cold || offered < policy.min_moved_slots) {
         return 0;
     }
     reservations.reserved[id] = {offered, now + policy.offer_timeout};
--- a/src/apricotstile/keys/load_rebalancing.hpp
+++ b/src/apricotstile/keys/load_rebalancing.hpp
@@ -53,6 +53,9 @@
     double outstanding_requests{0};
     /// Mean service time of a request; zero while unknown.
     duration mean_service_time{0};
+    /// Whether it is cold. It neither gives keys away for its load, since it is
+    /// warm again in seconds, nor receives any.
+    bool cold{false};
 };
 
 /// The load in slots that an owner should move away; zero if it isn't
--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -112,6 +112,20 @@
     return result;
 }
 
+/// The members that keys are moved to: those with a warm instance, or else all.
+/// A cold instance that gets keys gets the requests for them as well.
+std::vector<key_member>
+move_receivers(const membership_view& view, host_id self) {
+    std::vector<key_member> result = others(view, {self});
+    const auto is_cold = [](const key_member& one) {
+        return one.cold;
+    };
+    if (!std::all_of(result.begin(), result.end(), is_cold)) {
+        std::erase_if(result, is_cold);
+    }
+    return result;
+}
+
 /// A healthy member with less than half of an even share of the keys, or null.
 /// An instance that limits its requests has few keys because of that.
 const key_member* find_new_member(
@@ -332,7 +346,7 @@
 std::vector<key_move>
 plan_departure(const key_owner& state, const membership_view& view) {
     std::vector<key_move> result;
-    receiver_balancer receivers{state, others(view, {state.self})};
+    receiver_balancer receivers{state, move_receivers(view, state.self)};
     if (receivers.empty()) {
         return result;
     }
@@ -345,7 +359,7 @@
 }
 
 void retarget_releases(key_owner& state, const membership_view& view) {
-    receiver_balancer receivers{state, others(view, {state.self})};
+    receiver_balancer receivers{state, move_receivers(view, state.self)};
     if (receivers.empty()) {
         return;
     }
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -19,6 +19,9 @@
     double requests_per_slot{0};
     /// Whether its instance accepts fewer requests than its slots could serve.
     bool limited{false};
+    /// Whether its instance is, or may be, cold: a member reports this by its
+    /// usable slots only, as it reports a limit.
+    bool cold{false};
     /// Mean service time of its instance; zero while unknown.
     duration mean_service_time{0};
     /// Failure ratio of its instance's answers, from 0 to 1.
@@ -108,11 +111,13 @@
 /// The load in slots of the keys that this daemon owns and isn't releasing.
 [[nodiscard]] double kept_load(const key_owner& state, const key_load& load);
 
-/// Moves for all keys of this daemon, as its instance leaves.
+/// Moves for all keys of this daemon, as its instance leaves. Members with a
+/// cold instance receive none if there are others.
 [[nodiscard]] std::vector<key_move>
 plan_departure(const key_owner& state, const membership_view& view);
 
-/// Assigns another target to each release whose target is no longer a member.
+/// Assigns another target to each release whose target is no longer a member;
+/// one with a cold instance only if there are no others.
 void retarget_releases(key_owner& state, const membership_view& view);
 
 } // namespace apricotstile::keys
--- a/src/apricotstile/router/header_names.hpp
+++ b/src/apricotstile/router/header_names.hpp
@@ -36,6 +36,8 @@
     std::string server_limit;
     /// In a response: "1" if the instance is leaving.
     std::string server_leaving;
+    /// In a response: the milliseconds for which the instance stays cold.
+    std::string cold_remaining;
 };
 
 /// Whether an instance says in its response that it leaves.
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -57,6 +57,8 @@
     void
     merge_entry(const directory::member_entry& received, const char* source);
     void apply_config(routing::routing_config config, const char* source);
+    [[nodiscard]] std::optional<serving::cold_policy> cold_policy() const;
+    void publish_cold_change();
     void request_config_from_peer();
     void handle_newer_config(host_id peer, routing::config_version version);
     [[nodiscard]] bool has_config(routing::config_version version) const;
@@ -194,6 +196,10 @@
     /// Limits the rate of writes.
     instant next_entry_write_at;
 
+    /// Whether the load is to be sent since the instance became cold or warm.
+    bool cold_publication_due{false};
+    instant next_cold_publication;
+
     std::vector<host_id> last_member_hosts;
     instant members_unchanged_since;
 
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -71,8 +71,9 @@
     connection& result = *added;
     result.idle_since = boot_clock::now();
     result.stream = new net::stream{this->where, open_timeout};
-    result.stream->on_open = [&result] {
+    result.stream->on_open = [this, &result] {
         result.open = true;
+        this->handle_connected(result);
     };
     result.stream->on_data = [this, &result](std::string_view bytes) {
         this->handle_data(result, bytes);
@@ -202,6 +203,7 @@
         return;
     }
     this->read_rate_limit(answer.headers);
+    this->read_cold_time(answer.headers);
     if (!this->queue.has_answered) {
         this->perform_actions(
             serving::note_first_answer(this->queue, boot_clock::now())
@@ -272,6 +274,7 @@
     conn.current = nullptr;
     this->close_connection(conn);
     if (!was_open) {
+        this->note_possible_restart();
         this->handle_instance_down();
     }
     if (item == nullptr || item->conn != &conn) {
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -155,6 +155,8 @@
         serving::origin_of(this->origins, item.request.route_hash);
     offered.nested = origin == serving::request_origin::nested;
     offered.may_be_nested = origin == serving::request_origin::unknown;
+    // Only the owner of a key may serve it.
+    offered.can_go_elsewhere = !item.request.key;
     offered.priority = item.request.priority;
     offered.target = now + item.request.time_to_target;
     offered.deadline = item.deadline;
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -59,6 +59,15 @@
     /// Sets how many hosts there are of each service.
     void set_host_counts(const std::map<service_id, std::size_t>& hosts);
 
+    /// Sets or removes the limit that applies while the instance is cold.
+    void set_cold_policy(const std::optional<serving::cold_policy>& policy);
+    /// Sets a function that is called when the instance becomes cold or warm.
+    void set_cold_handler(std::function<void()> on_cold_change);
+    /// A heartbeat has arrived, with the time for which the instance says that
+    /// it is cold; nothing if that is malformed.
+    void
+    note_heartbeat(std::optional<duration> cold_remaining, bool is_new_run);
+
     /// The instance sends no heartbeats and answers nothing.
     void handle_silence();
 
@@ -85,11 +94,17 @@
     /// Requests that are waiting or running.
     [[nodiscard]] std::size_t unfinished() const;
     /// Slots that requests can keep busy: those of the instance, or fewer if it
-    /// limits its requests.
+    /// limits its requests or is cold.
     [[nodiscard]] double usable_slots() const;
+    /// The same once the instance is warm.
+    [[nodiscard]] double warm_slots() const;
+    /// Whether the instance is cold, and its requests are limited because of
+    /// it.
+    [[nodiscard]] bool is_cold() const;
+    [[nodiscard]] const serving::cold_limit& cold_state() const;
     /// Waiting and running requests per usable slot.
     [[nodiscard]] double requests_per_slot() const;
-    /// Whether the instance's limit leaves some of its slots unused.
+    /// Whether a limit leaves some of the instance's slots unused.
     [[nodiscard]] bool is_limited() const;
     /// When the instance last answered.
     [[nodiscard]] instant last_answer() const;
@@ -122,6 +137,12 @@
     void read_rate_limit(const std::vector<http::header>& headers);
     void set_rate_limit(std::optional<double> per_second);
     void schedule_start();
+    void read_cold_time(const std::vector<http::header>& headers);
+    void note_cold_time(std::optional<duration> remaining, const char* source);
+    void update_cold(const char* source);
+    void schedule_cold_check();
+    void note_possible_restart();
+    void handle_connected(connection& conn);
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
     void note_unanswered(const work& item);
@@ -133,6 +154,7 @@
     ) const;
     void log_unserved(const work& item, serving::attempt_outcome outcome) const;
     void handle_deadline(serving::work_id id);
+    [[nodiscard]] duration mean_time() const;
     std::vector<http::header> headers_for(const work& item) const;
 
     address where;
@@ -159,6 +181,15 @@
     bool start_scheduled{false};
     /// Whether a check that the instance still listens is due.
     bool listening_check_due{false};
+    std::function<void()> on_cold_change;
+    /// Whether the instance was cold when that was last checked.
+    bool was_cold{false};
+    bool cold_check_due{false};
+    instant cold_since;
+    /// Refusals because of the cold limit until `cold_since`.
+    std::uint64_t cold_rejections_before{0};
+    /// Limits the rate of warnings about malformed values.
+    instant next_cold_warning;
 };
 
 } // namespace apricotstile::router
--- a/src/apricotstile/router/local_instance_crashes.cpp
+++ b/src/apricotstile/router/local_instance_crashes.cpp
@@ -59,6 +59,7 @@
 }
 
 void local_instance::handle_silence() {
+    this->note_possible_restart();
     this->handle_instance_down();
 }
 
--- a/src/apricotstile/router/local_instance_signals.cpp
+++ b/src/apricotstile/router/local_instance_signals.cpp
@@ -19,6 +19,9 @@
 
 constexpr auto log_prefix = "instance";
 
+/// An instance that accepts next to nothing still counts as part of a slot.
+constexpr double min_usable_slots = 0.1;
+
 } // namespace
 
 std::optional<double> local_instance::rate_limit() const {
@@ -58,12 +61,25 @@
     });
 }
 
+double local_instance::warm_slots() const {
+    return std::max(
+        min_usable_slots, serving::usable_slots(this->queue, this->mean_time())
+    );
+}
+
 double local_instance::usable_slots() const {
-    constexpr double least = 0.1;
-    const duration mean = this->times.overall_mean > duration{0}
-                              ? this->times.overall_mean
-                              : default_service_time;
-    return std::max(least, serving::usable_slots(this->queue, mean));
+    return std::max(
+        min_usable_slots,
+        serving::usable_slots_while_cold(
+            this->queue, this->mean_time(), boot_clock::now()
+        )
+    );
+}
+
+/// Mean service time, or an assumption before the first answer.
+duration local_instance::mean_time() const {
+    return this->times.overall_mean > duration{0} ? this->times.overall_mean
+                                                  : default_service_time;
 }
 
 double local_instance::requests_per_slot() const {
--- a/src/apricotstile/router/local_key_manager_rebalancing.cpp
+++ b/src/apricotstile/router/local_key_manager_rebalancing.cpp
@@ -68,7 +68,7 @@
     if (wanted > 0) {
         std::vector<host_id> members;
         for (const keys::key_member& one : view.members) {
-            if (one.host != this->key_owner.self) {
+            if (one.host != this->key_owner.self && !one.cold) {
                 members.push_back(one.host);
             }
         }
@@ -77,7 +77,15 @@
             std::min(members.size(), this->rebalancing_policy.max_members_asked)
         );
         this->request_capacity(wanted, members);
-    } else if (const auto faster_member = keys::find_much_faster_member(this->key_owner, this->takeover_policy, view)) {
+        return;
+    }
+    // A cold instance is slow only for a while.
+    const auto faster_member =
+        current.cold ? std::nullopt
+                     : keys::find_much_faster_member(
+                           this->key_owner, this->takeover_policy, view
+                       );
+    if (faster_member) {
         this->request_capacity(
             current.owned_key_load * this->takeover_policy.slow_move_share,
             {*faster_member}
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -79,6 +79,9 @@
     this->own_entry.run = make_incarnation();
     this->lease_guardian.run = this->own_entry.run;
     this->instance.set_self({this->own_host, this->own_entry.run});
+    this->instance.set_cold_handler([this] {
+        this->publish_cold_change();
+    });
     directory::merge_entry(this->known_daemons, this->own_entry);
     this->table.set_era_handler([this](const platform::era_change& change) {
         this->handle_new_era(change);
@@ -211,6 +214,11 @@
     const serving::reported_load load = daemon.instance.load();
     const upstream::quarantine& quarantine =
         daemon.instance.request_quarantine();
+    const serving::cold_limit& cold = daemon.instance.cold_state();
+    const instant now = boot_clock::now();
+    const bool is_cold = serving::is_cold(cold, now);
+    const duration cold_left =
+        is_cold ? serving::cold_until(cold) - now : duration{0};
     return {
         {"ingress",
          {{"requests", counted.requests},
@@ -232,7 +240,13 @@
           {"state", std::string{directory::name_of(daemon.own_entry.state)}},
           {"ready", daemon.own_entry.state == directory::instance_state::ready},
           {"limited", daemon.instance.rate_limit().has_value()},
-          {"limit_per_second", daemon.instance.rate_limit().value_or(0)}}},
+          {"limit_per_second", daemon.instance.rate_limit().value_or(0)},
+          {"cold", is_cold},
+          {"cold_left_ms",
+           std::chrono::ceil<std::chrono::milliseconds>(cold_left).count()},
+          {"cold_limit_per_second", cold.policy ? cold.policy->per_second : 0},
+          {"cold_limit_burst", cold.policy ? cold.policy->burst : 0},
+          {"cold_refused", cold.rejections}}},
         {"quarantine",
          {{"crashes", quarantine.crashes},
           {"refused", quarantine.refused},
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -13,12 +13,14 @@
 #include <apricotstile/router/header_names.hpp>
 #include <apricotstile/router/key_call_format.hpp>
 #include <apricotstile/routing/routing_config.hpp>
+#include <apricotstile/serving/cold_limit.hpp>
 #include <apricotstile/serving/windowed_retry_budget.hpp>
 
 #include <nlohmann/json_fwd.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace apricotstile::router {
@@ -42,6 +44,8 @@
     /// Time between two heartbeats.
     duration heartbeat_interval{std::chrono::seconds{1}};
     serving::windowed_retry_budget_policy retry_budget;
+    /// The bound on requests to cold instances; nothing if there is none.
+    std::optional<serving::cold_bounds> cold_bounds;
     header_names names;
     key_call_format key_calls;
     /// Whether the whole system starts for the first time, so that no earlier
--- a/src/apricotstile/router/router_config.cpp
+++ b/src/apricotstile/router/router_config.cpp
@@ -27,6 +27,9 @@
 /// When a daemon first decides whether it reads, after its start.
 constexpr duration first_reader_decision = 1500ms;
 
+/// Between two announcements that the instance has become cold or warm.
+constexpr duration cold_publication_interval = 1s;
+
 constexpr duration max_era_read_delay = 1s;
 
 /// Between announcements of a reader that can't read.
@@ -63,9 +66,44 @@
     if (service != services.end()) {
         this->instance.set_max_connections(service->second.max_connections);
     }
+    this->instance.set_cold_policy(this->cold_policy());
     this->start_key_management();
 }
 
+/// The limit for the instance beside this daemon while it is cold.
+std::optional<serving::cold_policy>
+router::implementation::cold_policy() const {
+    if (!this->routes) {
+        return std::nullopt;
+    }
+    const auto& services = this->routes->config.services;
+    const auto service = services.find(this->settings.service);
+    if (service == services.end()) {
+        return std::nullopt;
+    }
+    return serving::make_cold_policy(
+        this->settings.cold_bounds,
+        service->second.cold_per_second,
+        service->second.cold_start_time
+    );
+}
+
+/// Sends the load to all peers after the instance became cold or warm, at a
+/// limited rate.
+void router::implementation::publish_cold_change() {
+    if (this->cold_publication_due) {
+        return;
+    }
+    this->cold_publication_due = true;
+    const instant now = boot_clock::now();
+    this->next_cold_publication = std::max(now, this->next_cold_publication);
+    this->timers.at(this->next_cold_publication, [this] {
+        this->cold_publication_due = false;
+        this->next_cold_publication += cold_publication_interval;
+        this->links.publish_entry({this->own_entry, this->instance.load()});
+    });
+}
+
 /// A daemon that starts while the store is unavailable gets its configuration
 /// from a peer. The store's is applied as soon as it answers.
 void router::implementation::request_config_from_peer() {
--- a/src/apricotstile/router/router_instance.cpp
+++ b/src/apricotstile/router/router_instance.cpp
@@ -189,6 +189,7 @@
     daemon.last_sequence = heartbeat.sequence;
     daemon.last_heartbeat = boot_clock::now();
     daemon.instance.set_instance(heartbeat.instance, heartbeat.slots);
+    daemon.instance.note_heartbeat(heartbeat.cold_remaining, !same_instance);
     daemon.announced_state = heartbeat.state;
     if (!same_instance || daemon.own_entry.slots != heartbeat.slots) {
         log::write(
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -76,11 +76,17 @@
             },
             [this] {
                 const serving::reported_load load = this->instance.load();
+                const bool is_cold = this->instance.is_cold();
+                // What waits for the limit of a cold instance shows no lack of
+                // capacity.
                 return keys::instance_load{
-                    this->instance.usable_slots(),
+                    this->instance.warm_slots(),
                     0,
-                    static_cast<double>(load.running + load.waiting),
-                    load.mean_service_time};
+                    static_cast<double>(
+                        is_cold ? load.running : load.running + load.waiting
+                    ),
+                    load.mean_service_time,
+                    is_cold};
             },
             [this] {
                 return this->guardian_candidates();
@@ -120,6 +126,7 @@
 
 keys::membership_view router::implementation::membership_view() {
     keys::membership_view view;
+    const bool has_cold_limit = this->cold_policy().has_value();
     std::vector<host_id> hosts;
     for (const directory::member_entry* const one : directory::ready_instances(
              this->known_daemons, this->settings.service
@@ -136,6 +143,7 @@
             member.limited = this->instance.is_limited();
             const serving::reported_load load = this->instance.load();
             member.mean_service_time = load.mean_service_time;
+            member.cold = this->instance.is_cold();
             member.failure_ratio =
                 load.failures_per_thousand * failure_ratio_unit;
         } else if (const auto* const seen = this->callers.instance_view_of(one->host)) {
@@ -145,6 +153,7 @@
                 std::max<std::uint32_t>(load.slots, 1);
             member.limited =
                 seen->load_reported_at != instant{} && load.slots < one->slots;
+            member.cold = has_cold_limit && member.limited;
             member.mean_service_time = load.mean_service_time;
             member.failure_ratio =
                 serving::failure_ratio_now(*seen, boot_clock::now());
--- a/src/apricotstile/routing/routing_config.hpp
+++ b/src/apricotstile/routing/routing_config.hpp
@@ -4,11 +4,14 @@
 #ifndef APRICOTSTILE_ROUTING_ROUTING_CONFIG_HPP
 #define APRICOTSTILE_ROUTING_ROUTING_CONFIG_HPP
 
+#include <apricotstile/core/codec.hpp>
 #include <apricotstile/core/ids.hpp>
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/routing/grant_method.hpp>
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -55,6 +58,11 @@
     /// How long requests for a key are slow after a change of its owner without
     /// a handover by the previous one.
     duration warm_up_time{0};
+    /// How long an instance is cold after its start.
+    duration cold_start_time{0};
+    /// Requests a second that a cold instance tolerates; zero if it has no
+    /// limit.
+    double cold_per_second{0};
 };
 
 /// Limits on the size and duration of callers' requests.
@@ -96,9 +104,75 @@
     archive(value.header_timeout, value.idle_timeout);
 }
 
+/// Fields that only some deployments have follow the others, each kind of them
+/// as a number and its bytes. So a configuration without such fields has no
+/// more bytes than before there were any, and unknown kinds are skipped.
+enum class config_extension : std::uint8_t { cold_services = 1 };
+
+/// The fields of a service that has a limit for cold instances.
+struct cold_service {
+    duration start_time{0};
+    double per_second{0};
+};
+
+template <class Archive>
+void serialize(Archive& archive, cold_service& value) {
+    archive(value.start_time, value.per_second);
+}
+
+template <class Archive>
+void save_extensions(Archive& archive, const routing_config& value) {
+    std::map<service_id, cold_service> cold;
+    for (const auto& [service, one] : value.services) {
+        if (one.cold_start_time != duration{0} || one.cold_per_second != 0) {
+            cold[service] = {one.cold_start_time, one.cold_per_second};
+        }
+    }
+    if (!cold.empty()) {
+        archive(config_extension::cold_services, encode(cold));
+    }
+}
+
+/// The kind of the next extension; nothing at the end of the bytes.
+template <class Archive>
+std::optional<config_extension> next_extension(Archive& archive) {
+    try {
+        config_extension result{};
+        archive(result);
+        return result;
+    } catch (const cereal::Exception&) {
+        return std::nullopt;
+    }
+}
+
+template <class Archive>
+void load_extensions(Archive& archive, routing_config& value) {
+    while (const auto kind = next_extension(archive)) {
+        std::string bytes;
+        archive(bytes);
+        if (*kind != config_extension::cold_services) {
+            continue;
+        }
+        const auto cold = decode<std::map<service_id, cold_service>>(bytes);
+        for (const auto& [service, one] : cold) {
+            const auto found = value.services.find(service);
+            if (found != value.services.end()) {
+                found->second.cold_start_time = one.start_time;
+                found->second.cold_per_second = one.per_second;
+            }
+        }
+    }
+}
+
+/// The last value of whatever contains it, as it ends with its extensions.
 template <class Archive>
 void serialize(Archive& archive, routing_config& value) {
     archive(value.version, value.routes, value.services, value.limits);
+    if constexpr (Archive::is_saving::value) {
+        save_extensions(archive, value);
+    } else {
+        load_extensions(archive, value);
+    }
 }
 
 } // namespace apricotstile::routing
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -23,11 +23,20 @@
     return work.alone ? queue.running.empty() : queue.running.size() < slots;
 }
 
+/// How long until `starts` pieces of work may have started by both limits.
+duration
+wait_for_limits(const work_queue& queue, std::size_t starts, instant now) {
+    return std::max(
+        wait_for_starts(queue.limit, starts, now),
+        wait_for_tokens(queue.cold, starts, now)
+    );
+}
+
 bool has_capacity(
     const work_queue& queue, const offered_work& work, instant now
 ) {
     return has_slot(queue, work) &&
-           wait_for_starts(queue.limit, 1, now) == duration{0};
+           wait_for_limits(queue, 1, now) == duration{0};
 }
 
 /// Whether work that isn't nested would miss its target even if it started now.
@@ -92,7 +101,7 @@
     const auto starts = static_cast<std::size_t>((ahead + 1) * interval);
     return std::max(
         work.expected * (ahead + 1) * interval / slots,
-        wait_for_starts(queue.limit, starts, now)
+        wait_for_limits(queue, starts, now)
     );
 }
 
@@ -107,12 +116,27 @@
 
 /// When refused work should be offered again.
 duration retry_delay(work_queue& queue, duration wait, instant now) {
-    const bool is_limited = wait_for_starts(queue.limit, 1, now) > duration{0};
+    const bool is_limited = wait_for_limits(queue, 1, now) > duration{0};
     return std::max(
         min_retry_after, is_limited ? wait + next_spread(queue) : wait
     );
 }
 
+void refuse_busy(
+    work_queue& queue,
+    const offered_work& work,
+    duration wait,
+    instant now,
+    std::vector<work_action>& actions
+) {
+    if (wait_for_tokens(queue.cold, 1, now) > duration{0}) {
+        ++queue.cold.rejections;
+    }
+    actions.push_back(
+        {work.id, work_decision::refuse_busy, retry_delay(queue, wait, now)}
+    );
+}
+
 void start(
     work_queue& queue,
     const offered_work& work,
@@ -120,6 +144,7 @@
     std::vector<work_action>& actions
 ) {
     count_start(queue.limit, now);
+    count_token(queue.cold, now);
     queue.running.emplace(work.id, work);
     if (work.alone) {
         queue.alone = work.id;
@@ -159,7 +184,7 @@
 duration
 expected_wait(const work_queue& queue, const offered_work& work, instant now) {
     if (queue.running.size() < queue.policy.slots && queue.waiting.empty()) {
-        return wait_for_starts(queue.limit, 1, now);
+        return wait_for_limits(queue, 1, now);
     }
     const work_queue::queue_position position = position_of(queue, work, now);
     duration ahead{0};
@@ -182,7 +207,7 @@
     const duration first_end =
         busy == 0 ? duration{0} : running / busy / (slots + 1);
     return std::max(
-        first_end + ahead / slots, wait_for_starts(queue.limit, starts, now)
+        first_end + ahead / slots, wait_for_limits(queue, starts, now)
     );
 }
 
@@ -201,11 +226,13 @@
     }
     const duration wait =
         std::min(expected_wait(queue, work, now), fair_wait(queue, work, now));
-    if (queue.waiting.size() >= queue.policy.max_waiting ||
+    const bool is_held_back =
+        work.can_go_elsewhere &&
+        wait_for_tokens(queue.cold, queue.waiting.size() + 1, now) >
+            duration{0};
+    if (queue.waiting.size() >= queue.policy.max_waiting || is_held_back ||
         !may_wait(queue, work, wait, now)) {
-        actions.push_back(
-            {work.id, work_decision::refuse_busy, retry_delay(queue, wait, now)}
-        );
+        refuse_busy(queue, work, wait, now, actions);
         return actions;
     }
     const work_queue::queue_position position = position_of(queue, work, now);
@@ -242,7 +269,7 @@
         !has_slot(queue, queue.waiting.begin()->second.work)) {
         return std::nullopt;
     }
-    const duration wait = wait_for_starts(queue.limit, 1, now);
+    const duration wait = wait_for_limits(queue, 1, now);
     // Without a wait, the work waits for something else.
     return wait > duration{0} ? std::optional{now + wait} : std::nullopt;
 }
@@ -253,6 +280,39 @@
     return actions;
 }
 
+std::vector<work_action> apply_cold_limit(work_queue& queue, instant now) {
+    std::vector<work_action> actions;
+    start_waiting(queue, now, actions);
+    std::size_t starts = 0;
+    for (auto next = queue.waiting.begin(); next != queue.waiting.end();) {
+        const offered_work& work = next->second.work;
+        const duration wait = wait_for_tokens(queue.cold, ++starts, now);
+        if (!work.can_go_elsewhere || wait == duration{0}) {
+            ++next;
+            continue;
+        }
+        --starts;
+        refuse_busy(queue, work, wait, now, actions);
+        queue.positions.erase(work.id);
+        next = queue.waiting.erase(next);
+    }
+    return actions;
+}
+
+double
+usable_slots_while_cold(const work_queue& queue, duration mean, instant now) {
+    const double slots = usable_slots(queue, mean);
+    if (!is_cold(queue.cold, now)) {
+        return slots;
+    }
+    const double seconds = std::chrono::duration<double>(mean).count();
+    return std::min(
+        {slots,
+         queue.cold.policy->per_second * seconds,
+         static_cast<double>(queue.policy.slots) - 1}
+    );
+}
+
 double usable_slots(const work_queue& queue, duration mean) {
     const double slots = queue.policy.slots;
     if (!queue.limit.per_second) {
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -11,6 +11,7 @@
 
 #include <apricotstile/core/strong_id.hpp>
 #include <apricotstile/core/time.hpp>
+#include <apricotstile/serving/cold_limit.hpp>
 #include <apricotstile/serving/start_limit.hpp>
 
 #include <cstdint>
@@ -43,6 +44,9 @@
     /// nested work: if it is refused in vain, the request that waits for it
     /// fails.
     bool may_be_nested{false};
+    /// Whether another instance may serve it. Such work doesn't wait because
+    /// this instance is cold.
+    bool can_go_elsewhere{false};
 };
 
 struct work_queue_policy {
@@ -64,7 +68,7 @@
     /// One in this many starts goes to the least urgent waiting work, so that
     /// it is served too while urgent work alone would fill the instance.
     std::uint64_t fair_start_interval{8};
-    /// Work refused because of the start limit is asked to return within this
+    /// Work refused because of a limit on starts is asked to return within this
     /// time after its turn would come, each at another moment.
     duration retry_spread{std::chrono::milliseconds{500}};
 };
@@ -94,7 +98,8 @@
     /// Starts of work that had waited.
     std::uint64_t starts{0};
     start_limit limit;
-    /// Refusals because of the start limit.
+    cold_limit cold;
+    /// Refusals because of either limit.
     std::uint64_t limited{0};
 };
 
@@ -133,14 +138,20 @@
 );
 
 /// When `start_due` is to be called, if waiting work waits for nothing but the
-/// start limit.
+/// limits on starts.
 [[nodiscard]] std::optional<instant>
 next_start(const work_queue& queue, instant now);
 
-/// Starts the waiting work that the start limit allows by now.
+/// Starts the waiting work that the limits on starts allow by now.
 [[nodiscard]] std::vector<work_action>
 start_due(work_queue& queue, instant now);
 
+/// To be called after a change of `cold`: starts the waiting work that may
+/// start now, and refuses what the limit holds back and another instance may
+/// serve.
+[[nodiscard]] std::vector<work_action>
+apply_cold_limit(work_queue& queue, instant now);
+
 /// Removes waiting work. Returns whether it was waiting.
 bool withdraw(work_queue& queue, work_id id);
 
@@ -154,6 +165,11 @@
 /// all of them if there is none.
 [[nodiscard]] double usable_slots(const work_queue& queue, duration mean);
 
+/// The same, with the limit of a cold instance as well. While it is cold, at
+/// least one slot counts as unused, by which others can tell.
+[[nodiscard]] double
+usable_slots_while_cold(const work_queue& queue, duration mean, instant now);
+
 /// How long `work` would wait if it arrived now.
 [[nodiscard]] duration
 expected_wait(const work_queue& queue, const offered_work& work, instant now);
--- a/src/apricotstile/settings/json_fields.cpp
+++ b/src/apricotstile/settings/json_fields.cpp
@@ -142,6 +142,15 @@
     return fallback;
 }
 
+std::optional<double>
+json_fields::optional_number(const std::string& key, double most) {
+    const nlohmann::json* const found = this->find(key);
+    if (found == nullptr || found->is_null()) {
+        return std::nullopt;
+    }
+    return this->number(key, 0, most);
+}
+
 std::string json_fields::word(
     const std::string& key, const std::vector<std::string>& words
 ) {
--- a/src/apricotstile/settings/json_fields.hpp
+++ b/src/apricotstile/settings/json_fields.hpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -44,6 +45,9 @@
     /// A number of at least zero and at most `most`.
     [[nodiscard]] double
     number(const std::string& key, double fallback, double most);
+    /// The same, or nothing if the key is absent or its value is null.
+    [[nodiscard]] std::optional<double>
+    optional_number(const std::string& key, double most);
     /// One of `words`; the first when the key is absent.
     [[nodiscard]] std::string
     word(const std::string& key, const std::vector<std::string>& words);
--- a/tests/adapter/config_decoder.tests.cpp
+++ b/tests/adapter/config_decoder.tests.cpp
@@ -87,3 +87,29 @@
         decode_config(with_routes(plain_route + ",7")), config_error
     );
 }
+
+TEST_CASE("limits for cold instances are decoded", "[adapter][cold]") {
+    const auto service_with = [](const std::string& fields) {
+        return decode_config(
+                   R"({"version":"02","routes":{"columns":[],"rows":[]},)"
+                   R"("services":{"columns":["name","coldStartS","coldPerS"],)"
+                   R"("rows":[["s",)" +
+                   fields + "]]}}"
+        )
+            .services.at({"s"});
+    };
+    CHECK(service_with("8.5,4.6").cold_start_time == 8500ms);
+    CHECK(service_with("8.5,4.6").cold_per_second == 4.6);
+    CHECK(service_with("null,null").cold_start_time == 0s);
+    CHECK(service_with("null,0").cold_per_second == 0);
+    // A malformed value makes no configuration unusable.
+    for (const std::string& malformed :
+         {std::string{R"("fast","9")"},
+          std::string{"-1,-1"},
+          std::string{"1e99,1e99"},
+          std::string{"[],{}"}}) {
+        INFO(malformed);
+        CHECK(service_with(malformed).cold_start_time == 0s);
+        CHECK(service_with(malformed).cold_per_second == 0);
+    }
+}
--- a/tests/adapter/heartbeat_codec.tests.cpp
+++ b/tests/adapter/heartbeat_codec.tests.cpp
@@ -56,6 +56,27 @@
     }
 }
 
+TEST_CASE("the cold time of a heartbeat is decoded", "[adapter][cold]") {
+    const auto cold_time = [](const std::string& field) {
+        return decode_heartbeat(
+                   "i-1",
+                   R"({"service":"a","slots":1,"state":"ready","sequence":1,)"
+                   R"("born":1)" +
+                       field + "}"
+        )
+            .cold_remaining;
+    };
+    CHECK(cold_time("") == duration{0});
+    CHECK(cold_time(R"(,"coldRemainingMs":null)") == duration{0});
+    CHECK(cold_time(R"(,"coldRemainingMs":0)") == duration{0});
+    CHECK(cold_time(R"(,"coldRemainingMs":1500)") == duration{1500ms});
+    CHECK(cold_time(R"(,"coldRemainingMs":12.5)") == duration{12500us});
+    // The heartbeat itself counts all the same.
+    CHECK_FALSE(cold_time(R"(,"coldRemainingMs":-1)"));
+    CHECK_FALSE(cold_time(R"(,"coldRemainingMs":"long")"));
+    CHECK_FALSE(cold_time(R"(,"coldRemainingMs":[1])"));
+}
+
 TEST_CASE("corrupted heartbeats are decoded or rejected", "[adapter][fuzz]") {
     rc::prop("any bytes changed", [] {
         std::string body = example;
--- a/tests/keys/load_rebalancing.tests.cpp
+++ b/tests/keys/load_rebalancing.tests.cpp
@@ -109,3 +109,19 @@
     CHECK(parts[0].member_slots == Approx(5));
     CHECK(parts[1].owner_slots == Approx(2.5));
 }
+
+TEST_CASE(
+    "a cold instance neither gives keys away nor receives any",
+    "[keys][relief][cold]"
+) {
+    instance_load overloaded = make_load(30, 60);
+    overloaded.cold = true;
+    CHECK(excess_load({}, overloaded) == 0);
+    instance_load idle = make_load(0, 0);
+    idle.cold = true;
+    capacity_reservations reservations;
+    CHECK(
+        reserve_capacity(reservations, {}, idle, {host_id{1}, 1}, 3, start) == 0
+    );
+    CHECK(reservations.reserved.empty());
+}
--- a/tests/keys/takeover.tests.cpp
+++ b/tests/keys/takeover.tests.cpp
@@ -163,3 +163,23 @@
     view.members[3].limited = false;
     CHECK(plan_newcomer_move(state, {}, view));
 }
+
+TEST_CASE(
+    "a cold instance gets no keys from a leaving one while another is warm",
+    "[keys][takeover][cold]"
+) {
+    key_owner state = first_of_owners(3);
+    membership_view view = view_of(3);
+    view.members[1].cold = true;
+    for (const key_move& one : plan_departure(state, view)) {
+        CHECK(one.target == host_id{3});
+    }
+    state.releases.push_back({});
+    state.releases.back().keys = {0, 9};
+    state.releases.back().target = host_id{4};
+    retarget_releases(state, view);
+    CHECK(state.releases.back().target == host_id{3});
+    view.members[2].cold = true;
+    // Somebody has to serve them.
+    CHECK_FALSE(plan_departure(state, view).empty());
+}
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -25,8 +25,9 @@
 
 routing::routing_config config_for(
     const std::vector<std::string>& services,
-    const std::vector<std::string>& keyed
+    const daemon_group_options& options
 ) {
+    const std::vector<std::string>& keyed = options.keyed;
     routing::routing_config config;
     config.version = {1};
     for (const std::string& service : services) {
@@ -46,6 +47,8 @@
         config.services[{service}].max_connections = 64;
         config.services[{service}].keyed =
             std::find(keyed.begin(), keyed.end(), service) != keyed.end();
+        config.services[{service}].cold_per_second = options.cold_per_second;
+        config.services[{service}].cold_start_time = 60s;
     }
     return config;
 }
@@ -138,6 +141,7 @@
     std::uint64_t sequence{0};
     bool sends_heartbeats{true};
     directory::instance_state state{directory::instance_state::ready};
+    duration cold_time{0};
     /// What the last answer to a heartbeat granted.
     std::vector<keys::held_range> holds;
     /// Released since the last answer.
@@ -172,7 +176,11 @@
         added->settings.names.expected_instance = "Expected-Instance";
         added->settings.names.server_limit = "Server-Limit";
         added->settings.names.server_leaving = "Server-Leaving";
-        added->config = config_for(services, options.keyed);
+        added->settings.names.cold_remaining = "Cold-Remaining";
+        if (options.cold_per_second > 0) {
+            added->settings.cold_bounds = serving::cold_bounds{1, 4};
+        }
+        added->config = config_for(services, options);
         this->hosts.push_back(std::move(added));
     }
     for (const auto& one : this->hosts) {
@@ -231,6 +239,7 @@
     heartbeat.sequence = ++one.sequence;
     heartbeat.state = one.state;
     heartbeat.slots = 4;
+    heartbeat.cold_remaining = one.cold_time;
     heartbeat.holds = one.holds;
     heartbeat.released = one.released;
     keys::heartbeat_answer answer;
@@ -277,6 +286,10 @@
     this->hosts.at(index)->state = state;
 }
 
+void daemon_group::set_cold_time(std::size_t index, duration remaining) {
+    this->hosts.at(index)->cold_time = remaining;
+}
+
 void daemon_group::deregister(std::size_t index) {
     REQUIRE(this->try_to_deregister(index));
 }
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -48,6 +48,9 @@
     std::vector<std::string> keyed;
     /// How long a leaving upstream may still get requests.
     duration drain_timeout{std::chrono::milliseconds{600}};
+    /// Requests a second that a cold upstream tolerates; zero if it has no
+    /// limit.
+    double cold_per_second{0};
 };
 
 class daemon_group {
@@ -70,6 +73,8 @@
     void send_heartbeats_of(std::size_t index, bool sends);
     /// What the later heartbeats of upstream `index` say.
     void set_state(std::size_t index, directory::instance_state state);
+    /// How long the later heartbeats of upstream `index` say that it is cold.
+    void set_cold_time(std::size_t index, duration remaining);
     /// Deregisters upstream `index`; returns when that is acknowledged.
     void deregister(std::size_t index);
     /// Deregisters upstream `index`; returns whether that is acknowledged.
--- a/tests/router/frames.tests.cpp
+++ b/tests/router/frames.tests.cpp
@@ -121,3 +121,52 @@
     CHECK(decoded.services.at({"s"}).keyed);
     CHECK(decoded.limits.idle_timeout == 15s);
 }
+
+TEST_CASE(
+    "a configuration without limits for cold instances has no bytes for them",
+    "[router][frames][cold]"
+) {
+    config_reply plain;
+    plain.config.version = {7};
+    plain.config.services[{"s"}].keyed = true;
+    config_reply cold = plain;
+    cold.config.services[{"s"}].cold_start_time = 8s;
+    cold.config.services[{"s"}].cold_per_second = 4.6;
+    header_table sender;
+    std::string plain_bytes = encode_frame(plain, sender);
+    std::string cold_bytes = encode_frame(cold, sender);
+    // Length and type, the version, no routes, one service, the limits.
+    constexpr std::size_t bytes_before_cold_limits =
+        5 + 8 + 8 + 8 + 9 + 8 + 4 + 1 + 1 + 8 + 4 + 8 + 8 + 8;
+    CHECK(plain_bytes.size() == bytes_before_cold_limits);
+    CHECK(cold_bytes.size() > plain_bytes.size());
+    // A daemon that doesn't know the additional bytes ignores them.
+    constexpr std::size_t header = 5;
+    CHECK(
+        cold_bytes.substr(header, plain_bytes.size() - header) ==
+        plain_bytes.substr(header)
+    );
+    header_table receiver;
+    const auto decoded_plain = decode_frame(plain_bytes, receiver);
+    const auto decoded_cold = decode_frame(cold_bytes, receiver);
+    REQUIRE(decoded_plain);
+    REQUIRE(decoded_cold);
+    const auto service_of = [](const frame& one) {
+        return std::get<config_reply>(one).config.services.at({"s"});
+    };
+    CHECK(service_of(*decoded_plain).cold_per_second == 0);
+    CHECK(service_of(*decoded_cold).cold_per_second == 4.6);
+    CHECK(service_of(*decoded_cold).cold_start_time == 8s);
+    CHECK(service_of(*decoded_cold).keyed);
+}
+
+TEST_CASE("a truncated configuration is malformed", "[router][frames][cold]") {
+    config_reply cold;
+    cold.config.services[{"s"}].cold_per_second = 4.6;
+    header_table sender;
+    std::string bytes = encode_frame(cold, sender);
+    bytes.pop_back();
+    --bytes[0];
+    header_table receiver;
+    CHECK_THROWS_AS(decode_frame(bytes, receiver), decode_error);
+}
