Apply the stated speed of an instance to its usual service times

Cause: a noisy neighbor on the machine makes work take three times as long for some 0.4 s. The mean of observed times followed late and kept the slowness after it had gone; by it requests were placed, and keys moved.

Change: `serving/stated_load` reads the fourth figure of the load in answers (how long work takes now, in percent of the usual), smooths it and halves its distance from 100% each 300 ms without a statement. Means are of service times divided by the factor in effect while the request ran. Services without keys report the mean times the present factor, others the mean. Where observations differ from the statements by more than a factor of four, the statements aren't used.

--- a/src/apricotstile/router/header_names.hpp
+++ b/src/apricotstile/router/header_names.hpp
@@ -29,7 +29,7 @@
     /// Id of the only instance that may execute the request.
     std::string expected_instance;
     /// In a response: the instance's running requests, waiting requests and
-    /// slots.
+    /// slots, and perhaps how long work takes now, in percent of the usual.
     std::string server_load;
     /// In a response: the requests a second that the instance accepts, as a
     /// decimal number. Without it there is no such limit.
--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -41,6 +41,8 @@
     upstream::request_identity identity;
     instant deadline;
     instant started;
+    /// `read_usual_time` when it started.
+    duration usual_start{0};
     net::timer_id timer;
     /// Carries the work while it runs; null otherwise.
     connection* conn{nullptr};
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -204,6 +204,7 @@
     }
     this->read_rate_limit(answer.headers);
     this->read_cold_time(answer.headers);
+    this->read_stated_load(answer.headers);
     if (!this->queue.has_answered) {
         this->perform_actions(
             serving::note_first_answer(this->queue, boot_clock::now())
@@ -250,9 +251,18 @@
 
 /// Records that the instance ran a request without an error.
 void local_instance::note_completed(const work& item) {
-    serving::record_service_time(
-        this->times, item.request.route_hash, this->answered_at - item.started
+    const duration usual =
+        serving::read_usual_time(this->stated, this->answered_at) -
+        item.usual_start;
+    const duration took = serving::service_time_to_record(
+        this->stated,
+        this->answered_at - item.started,
+        usual,
+        serving::expected_service_time(
+            this->times, item.request.route_hash, duration{0}
+        )
     );
+    serving::record_service_time(this->times, item.request.route_hash, took);
     auto reports = upstream::note_completed(
         this->crash_detector, item.identity, this->answered_at
     );
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -74,6 +74,7 @@
     this->handle_instance_down();
     this->perform_actions(serving::refuse_waiting(this->queue));
     this->times = {};
+    this->stated = {};
     this->leaving = false;
     this->set_rate_limit(std::nullopt);
     // Connections to an earlier run are of no use any more.
@@ -107,6 +108,10 @@
     serving::set_host_counts(this->origins, hosts);
 }
 
+void local_instance::set_keyed(bool keyed) {
+    this->reports_present_mean = !keyed;
+}
+
 void local_instance::set_max_connections(std::uint32_t connections) {
     this->max_connections = std::max<std::uint32_t>(connections, 1);
 }
@@ -160,7 +165,10 @@
     offered.priority = item.request.priority;
     offered.target = now + item.request.time_to_target;
     offered.deadline = item.deadline;
-    offered.expected = this->expected_service_time(item.request.route_hash);
+    offered.expected = scaled(
+        this->expected_service_time(item.request.route_hash),
+        this->stated_factor()
+    );
     item.timer = this->timers.at(item.deadline, [this, id] {
         this->handle_deadline(id);
     });
@@ -228,6 +236,7 @@
         return;
     }
     item.started = boot_clock::now();
+    item.usual_start = serving::read_usual_time(this->stated, item.started);
     // Reports of crashes may have arrived while the request waited.
     const upstream::quarantine_decision decision = upstream::decide(
         this->crash_detector.request_quarantine, item.identity, item.started
@@ -322,7 +331,11 @@
         static_cast<std::uint32_t>(std::lround(this->usable_slots()));
     result.running = static_cast<std::uint32_t>(this->queue.running.size());
     result.waiting = static_cast<std::uint32_t>(this->queue.waiting.size());
-    result.mean_service_time = this->times.overall_mean;
+    // Keys would move away because of a neighbor that soon leaves.
+    result.mean_service_time =
+        this->reports_present_mean
+            ? scaled(this->times.overall_mean, this->stated_factor())
+            : this->times.overall_mean;
     constexpr double thousand = 1000;
     result.failures_per_thousand = static_cast<std::uint32_t>(
         serving::failure_ratio_now(this->times, boot_clock::now()) * thousand
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -11,6 +11,7 @@
 #include <apricotstile/router/header_names.hpp>
 #include <apricotstile/serving/caller_origins.hpp>
 #include <apricotstile/serving/service_times.hpp>
+#include <apricotstile/serving/stated_load.hpp>
 #include <apricotstile/serving/work_queue.hpp>
 #include <apricotstile/upstream/crash_detector.hpp>
 
@@ -56,6 +57,9 @@
     /// Whether new requests may go to the instance.
     void set_open(bool open);
     void set_max_connections(std::uint32_t connections);
+    /// Sets whether the instance's service has keys. Its load then has the
+    /// usual mean of its service times, otherwise the present one.
+    void set_keyed(bool keyed);
     /// Sets how many hosts there are of each service.
     void set_host_counts(const std::map<service_id, std::size_t>& hosts);
 
@@ -89,7 +93,9 @@
     void withdraw(serving::work_id id);
 
     [[nodiscard]] serving::reported_load load() const;
-    /// Expected service time of a route, given the hash of its name.
+    /// How long work takes at the instance now, as a multiple of the usual.
+    [[nodiscard]] double stated_factor() const;
+    /// Usual service time of a route, given the hash of its name.
     [[nodiscard]] duration expected_service_time(std::uint32_t route) const;
     /// Requests that are waiting or running.
     [[nodiscard]] std::size_t unfinished() const;
@@ -137,6 +143,7 @@
     void read_rate_limit(const std::vector<http::header>& headers);
     void set_rate_limit(std::optional<double> per_second);
     void schedule_start();
+    void read_stated_load(const std::vector<http::header>& headers);
     void read_cold_time(const std::vector<http::header>& headers);
     void note_cold_time(std::optional<duration> remaining, const char* source);
     void update_cold(const char* source);
@@ -168,6 +175,8 @@
     std::uint32_t max_connections;
     serving::work_queue queue;
     serving::service_times times;
+    serving::stated_load stated;
+    bool reports_present_mean{false};
     serving::caller_origins origins;
     std::unordered_map<serving::work_id, std::unique_ptr<work>> work_items;
     std::vector<std::unique_ptr<connection>> connections;
@@ -190,6 +199,7 @@
     std::uint64_t cold_rejections_before{0};
     /// Limits the rate of warnings about malformed values.
     instant next_cold_warning;
+    instant next_load_warning;
 };
 
 } // namespace apricotstile::router
--- a/src/apricotstile/router/local_instance_signals.cpp
+++ b/src/apricotstile/router/local_instance_signals.cpp
@@ -19,6 +19,9 @@
 
 constexpr auto log_prefix = "instance";
 
+/// Between two warnings about malformed loads.
+constexpr duration warning_interval = std::chrono::seconds{10};
+
 /// An instance that accepts next to nothing still counts as part of a slot.
 constexpr double min_usable_slots = 0.1;
 
@@ -125,4 +128,32 @@
     this->set_rate_limit(value);
 }
 
+double local_instance::stated_factor() const {
+    return serving::factor_now(this->stated, boot_clock::now());
+}
+
+void local_instance::read_stated_load(const std::vector<http::header>& headers
+) {
+    const std::string_view text =
+        http::header_value(headers, this->names.server_load);
+    if (text.empty()) {
+        return;
+    }
+    const instant now = boot_clock::now();
+    const auto figures = serving::parse_stated_load(text);
+    if (figures) {
+        if (figures->factor) {
+            serving::note_stated_factor(this->stated, *figures->factor, now);
+        }
+    } else if (now >= this->next_load_warning) {
+        this->next_load_warning = now + warning_interval;
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Ignoring a malformed load of the instance.",
+            {{"instance", this->instance.id}, {"value", std::string{text}}}
+        );
+    }
+}
+
 } // namespace apricotstile::router
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -241,6 +241,7 @@
           {"ready", daemon.own_entry.state == directory::instance_state::ready},
           {"limited", daemon.instance.rate_limit().has_value()},
           {"limit_per_second", daemon.instance.rate_limit().value_or(0)},
+          {"stated_factor", daemon.instance.stated_factor()},
           {"cold", is_cold},
           {"cold_left_ms",
            std::chrono::ceil<std::chrono::milliseconds>(cold_left).count()},
--- a/src/apricotstile/router/router_config.cpp
+++ b/src/apricotstile/router/router_config.cpp
@@ -65,6 +65,7 @@
     const auto service = services.find(this->settings.service);
     if (service != services.end()) {
         this->instance.set_max_connections(service->second.max_connections);
+        this->instance.set_keyed(service->second.keyed);
     }
     this->instance.set_cold_policy(this->cold_policy());
     this->start_key_management();
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -26,6 +26,7 @@
 
 /// An instance that resets the connection of each request except one for
 /// "/good", and with `crashes` also stops listening. It never answers "/hang";
+/// its answers to "/loaded" and "/odd" state its load;
 /// with `errors` it answers everything else with an error of its own.
 struct crashing_instance {
     crashing_instance() {
@@ -40,6 +41,19 @@
                                   "Content-Length: 0\r\n\r\n");
                     return;
                 }
+                if (read.startsWith("GET /loaded")) {
+                    caller->write("HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                  "Server-Load: 3,1,14,9000\r\n"
+                                  "Content-Length: 0\r\n\r\n");
+                    return;
+                }
+                if (read.startsWith("GET /odd")) {
+                    caller->write("HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                  "Server-Load: 3,1,14,slow\r\n"
+                                  "Connection: close\r\n"
+                                  "Content-Length: 0\r\n\r\n");
+                    return;
+                }
                 if (read.startsWith("GET /hang")) {
                     return;
                 }
@@ -69,6 +83,7 @@
         this->names.request_id = "Request-Id";
         this->names.signature = "Signature";
         this->names.not_executed = "Not-Executed";
+        this->names.server_load = "Server-Load";
         this->instance = std::make_unique<local_instance>(
             address{loopback, this->port},
             this->names,
@@ -318,3 +333,22 @@
         CHECK(*one == serving::attempt_outcome::lost);
     }
 }
+
+TEST_CASE(
+    "a stated load counts in the reported mean, but not for keys",
+    "[router][instance][load]"
+) {
+    crashing_instance crashing;
+    local_daemon daemon{crashing};
+    CHECK(daemon.run("/odd") == serving::attempt_outcome::answered);
+    CHECK(daemon.instance->stated_factor() == 1);
+    CHECK(daemon.run("/loaded") == serving::attempt_outcome::answered);
+    CHECK(daemon.instance->stated_factor() > 1);
+    daemon.instance->set_keyed(true);
+    const duration usual = daemon.instance->load().mean_service_time;
+    daemon.instance->set_keyed(false);
+    CHECK(daemon.instance->load().mean_service_time > usual);
+    // Nothing of it is left for the next run.
+    daemon.instance->set_instance({"i", 2}, 4);
+    CHECK(daemon.instance->stated_factor() == 1);
+}
