--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -14,6 +14,7 @@
 #include <apricotstile/router/key_call_format.hpp>
 #include <apricotstile/routing/evacuations.hpp>
 #include <apricotstile/routing/routing_config.hpp>
+#include <apricotstile/serving/cold_limit.hpp>
 #include <apricotstile/serving/windowed_retry_budget.hpp>
 
 #include <nlohmann/json_fwd.hpp>
@@ -47,6 +48,8 @@
     /// requests. Nothing: evacuations are off.
     std::optional<duration> evacuation_timeout;
     serving::windowed_retry_budget_policy retry_budget;
+    /// The bound on requests to cold instances; nothing if there is none.
+    std::optional<serving::cold_bounds> cold_bounds;
     header_names names;
     key_call_format key_calls;
     /// Rate of the host's link. Zero if it isn't known; then large answers to
