Hold back requests of callers that don't read their answers

Cause: a caller may send many requests in one go. Each was handled as soon as the one before was answered, however little of the answers the caller had read, and all of them stayed in memory.

Change: while more than 256 KiB of a connection's answers are unsent, its next request waits. net::stream tells when its buffer is empty.

--- a/src/apricotstile/net/stream.cpp
+++ b/src/apricotstile/net/stream.cpp
@@ -180,6 +180,10 @@
         this->deleteLater();
         return;
     }
+    // The handler may close the stream, which drops `on_drained`.
+    if (const std::function<void()> handler = this->on_drained) {
+        handler();
+    }
 }
 
 void stream::handle_readable() {
@@ -227,6 +231,7 @@
 
 void stream::close() {
     this->on_open = nullptr;
+    this->on_drained = nullptr;
     this->on_end = nullptr;
     if (this->impl->descriptor < 0 || this->impl->closing) {
         return;
@@ -241,6 +246,7 @@
 
 void stream::abort() {
     this->on_open = nullptr;
+    this->on_drained = nullptr;
     this->on_end = nullptr;
     if (this->impl->descriptor < 0) {
         return;
--- a/src/apricotstile/net/stream.hpp
+++ b/src/apricotstile/net/stream.hpp
@@ -42,6 +42,9 @@
 
     std::function<void()> on_open;
     std::function<void(std::string_view)> on_data;
+    /// Runs when the kernel has accepted all bytes that were buffered; never
+    /// from inside `write`.
+    std::function<void()> on_drained;
     /// Runs at most once, never from inside `write` or `close`.
     std::function<void(stream_end)> on_end;
 
--- a/src/apricotstile/router/caller_connection.cpp
+++ b/src/apricotstile/router/caller_connection.cpp
@@ -12,6 +12,11 @@
 /// closes after that answer, and its caller sends the others again.
 constexpr std::size_t max_waiting_bytes = 64U << 10U;
 
+/// Of answers that the caller hasn't read. Beyond it the next request behind
+/// them has to wait: 64 KiB of waiting requests can have answers of hundreds of
+/// megabytes.
+constexpr std::size_t max_unsent_bytes = 256U << 10U;
+
 } // namespace
 
 caller_connection::caller_connection(
@@ -25,6 +30,9 @@
     this->stream->on_data = [this](std::string_view bytes) {
         this->handle_data(bytes);
     };
+    this->stream->on_drained = [this] {
+        this->handle_drained();
+    };
     this->stream->on_end = [this](net::stream_end) {
         this->stream = nullptr;
         this->events.on_closed(this->id);
@@ -46,7 +54,7 @@
         this->waiting_since = boot_clock::now();
     }
     const http::read_progress progress = this->reader.put(bytes);
-    if (this->awaiting_response) {
+    if (this->awaiting_response || this->waits_for_caller) {
         this->ignores_input = this->reader.waiting_bytes() > max_waiting_bytes;
         this->closing = this->closing || this->ignores_input;
         return;
@@ -106,6 +114,27 @@
         this->events.on_closed(this->id);
         return;
     }
+    if (this->stream->unsent_bytes() > max_unsent_bytes) {
+        this->waits_for_caller = true;
+        return;
+    }
+    this->read_next_request();
+}
+
+/// The caller has read enough of its answers.
+void caller_connection::handle_drained() {
+    if (!this->waits_for_caller || this->stream == nullptr) {
+        return;
+    }
+    this->waits_for_caller = false;
+    this->waiting_since = boot_clock::now();
+    if (this->closing) {
+        this->stream->close();
+        this->stream = nullptr;
+        this->events.on_closed(this->id);
+        return;
+    }
+    this->request_begun = this->reader.has_begun();
     this->read_next_request();
 }
 
@@ -125,7 +154,7 @@
         return;
     }
     const duration elapsed = now - this->waiting_since;
-    const bool too_slow = this->reader.has_begun() &&
+    const bool too_slow = !this->waits_for_caller && this->reader.has_begun() &&
                           elapsed > header_timeout && !this->reader.in_body();
     const bool too_idle = elapsed > idle_timeout;
     if (too_slow || too_idle) {
--- a/src/apricotstile/router/caller_connection.hpp
+++ b/src/apricotstile/router/caller_connection.hpp
@@ -60,6 +60,7 @@
     void handle_data(std::string_view bytes);
     void read_next_request();
     void refuse_malformed();
+    void handle_drained();
 
     caller_id id;
     const caller_events& events;
@@ -67,6 +68,9 @@
     http::request_reader reader;
     /// Whether a request waits for its answer.
     bool awaiting_response{false};
+    /// Whether the caller has to read its answers before its next request is
+    /// handled.
+    bool waits_for_caller{false};
     /// Whether the current request allows another one on the connection.
     bool keep_alive{true};
     bool head_only{false};
--- a/tests/router/large_answers.tests.cpp
+++ b/tests/router/large_answers.tests.cpp
@@ -111,6 +111,43 @@
     CHECK(group.describe(0)["egress"]["slices"] == 0);
 }
 
+TEST_CASE(
+    "a caller that doesn't read its answers holds few of them in memory",
+    "[router][egress]"
+) {
+    constexpr std::size_t request_count = 30;
+    daemon_group group{{"s", "t"}};
+    const std::string body = body_of(4'000'000);
+    group.upstream(0).set_large_body(body);
+    const std::unique_ptr<QTcpSocket> caller =
+        group.begin_request(0, "/s/large");
+    // Not even into the socket's own buffer.
+    caller->setReadBufferSize(1);
+    for (std::size_t i = 1; i < request_count; ++i) {
+        const std::string head =
+            "GET /s/large HTTP/1.1\r\nHost: a.example\r\nRequest-Id: p" +
+            std::to_string(i) + "\r\nTime-Left: 5000\r\n\r\n";
+        caller->write(head.c_str());
+    }
+    REQUIRE(wait_until([&] {
+        return group.runs_of("/s/large") > 0;
+    }));
+    // Time for the others to run if they did.
+    for (int i = 0; i < 500; ++i) {
+        REQUIRE(group.request(0, "/s/small") == 200);
+    }
+    // The kernel's buffers take some.
+    const std::size_t runs = group.runs_of("/s/large");
+    CHECK(runs < request_count / 2);
+    caller->setReadBufferSize(0);
+    std::size_t received = 0;
+    CHECK(wait_until([&] {
+        received += static_cast<std::size_t>(caller->readAll().size());
+        return received >= request_count * body.size();
+    }));
+    CHECK(group.runs_of("/s/large") == request_count);
+}
+
 TEST_CASE("an answer is dropped when its caller leaves", "[router][egress]") {
     daemon_group group{{"s", "t"}, with_link(ten_mbit / 10)};
     group.upstream(0).set_large_body(body_of(300'000));
