--- a/src/apricotstile/router/answer_sender.cpp
+++ b/src/apricotstile/router/answer_sender.cpp
@@ -1,4 +1,4 @@
-// Answers that wait for the link, and their slices.
+// Answers that wait for the link, and their parts.
 
 #include <apricotstile/router/answer_sender.hpp>
 
@@ -19,7 +19,7 @@
 
 constexpr auto log_prefix = "egress";
 
-/// A link to a peer with more unsent bytes in this process gets no slices: its
+/// A link to a peer with more unsent bytes in this process gets no parts: its
 /// small frames would wait behind them.
 constexpr std::size_t max_unsent_bytes = 16U << 10U;
 
@@ -148,7 +148,7 @@
             continue;
         }
         if (action.decision == serving::egress_decision::send) {
-            this->send_slice(found->second, action);
+            this->send_part(found->second, action);
         } else {
             this->give_up(found->second, action.decision);
         }
@@ -166,10 +166,10 @@
     }
 }
 
-void answer_sender::send_slice(
+void answer_sender::send_part(
     answer& item, const serving::egress_action& action
 ) {
-    ++this->sent_slices;
+    ++this->sent_parts;
     std::string& body = item.response.body;
     if (action.is_last) {
         this->respond(item.to, std::move(item.response));
@@ -247,7 +247,7 @@
              serving::backlog(this->schedule, boot_clock::now())
          )
              .count()},
-        {"slices", this->sent_slices},
+        {"parts", this->sent_parts},
         {"refused", this->schedule.refused},
         {"given_up_late", this->schedule.given_up_late},
         {"given_up_for_memory", this->schedule.given_up_for_memory}};
--- a/src/apricotstile/router/answer_sender.hpp
+++ b/src/apricotstile/router/answer_sender.hpp
@@ -72,7 +72,7 @@
 
     void respond(peer_request_id to, routed_response&& response);
     void release();
-    void send_slice(answer& item, const serving::egress_action& action);
+    void send_part(answer& item, const serving::egress_action& action);
     void give_up(answer& item, serving::egress_decision reason);
     void note_saturation();
 
@@ -86,7 +86,7 @@
     net::timer_id timer;
     /// Whether the last log line about the link said that it is saturated.
     bool is_saturated{false};
-    std::uint64_t sent_slices{0};
+    std::uint64_t sent_parts{0};
 };
 
 } // namespace apricotstile::router
--- a/src/apricotstile/serving/egress_schedule.cpp
+++ b/src/apricotstile/serving/egress_schedule.cpp
@@ -16,8 +16,8 @@
 constexpr duration min_retry_after = std::chrono::milliseconds{20};
 
 /// Backlog, weighted by the share of large answers, from which the link counts
-/// as saturated: two slices, as one is under way at a moderate load too.
-constexpr int saturated_slices = 2;
+/// as saturated: two parts, as one is under way at a moderate load too.
+constexpr int saturated_parts = 2;
 
 /// An upper limit of the waiting requests that stand for the link.
 constexpr double max_link_waiting = 10'000;
@@ -26,9 +26,9 @@
     return policy.bytes_per_second * (1 - policy.reserve);
 }
 
-std::size_t slice_bytes(const egress_policy& policy) {
+std::size_t part_bytes(const egress_policy& policy) {
     const double seconds =
-        std::chrono::duration<double>(policy.slice_time).count();
+        std::chrono::duration<double>(policy.part_time).count();
     return std::max<std::size_t>(
         1, static_cast<std::size_t>(large_rate(policy) * seconds)
     );
@@ -282,7 +282,7 @@
     const egress_policy& policy = schedule.policy;
     // A wake-up that comes late doesn't leave the link idle afterwards.
     schedule.link_free_at =
-        std::max(schedule.link_free_at, now - policy.slice_time);
+        std::max(schedule.link_free_at, now - policy.part_time);
     while (!schedule.held.empty() && schedule.link_free_at <= now) {
         const auto next = std::find_if(
             schedule.held.begin(),
@@ -292,11 +292,11 @@
             }
         );
         if (next == schedule.held.end()) {
-            schedule.link_free_at = now + policy.slice_time;
+            schedule.link_free_at = now + policy.part_time;
             break;
         }
         egress_schedule::held_answer& answer = next->second;
-        const std::size_t bytes = std::min(answer.unsent, slice_bytes(policy));
+        const std::size_t bytes = std::min(answer.unsent, part_bytes(policy));
         answer.unsent -= bytes;
         schedule.link_free_at +=
             transfer_time(policy, static_cast<double>(bytes));
@@ -336,7 +336,7 @@
 ) {
     const duration wait = scaled(backlog(schedule, now), schedule.large_share);
     if (!is_enabled(schedule) || load.mean_service_time <= duration{0} ||
-        wait < schedule.policy.slice_time * saturated_slices) {
+        wait < schedule.policy.part_time * saturated_parts) {
         return load;
     }
     // `expected_latency` adds 1.25 service times for each `slots` requests
--- a/src/apricotstile/serving/egress_schedule.hpp
+++ b/src/apricotstile/serving/egress_schedule.hpp
@@ -3,7 +3,7 @@
 // 1.4 times what the links carry, and small answers to nested requests, which
 // are due within 400 ms, were lost behind them: what a socket has accepted
 // leaves in the order of arrival. So large answers are held back in the
-// process, leave in slices by deadline, and are spaced at the link's rate less
+// process, leave in parts by deadline, and are spaced at the link's rate less
 // a reserve for small frames; and a request is refused before it runs if its
 // answer couldn't leave in time.
 
@@ -38,9 +38,9 @@
     std::size_t large_above{16U << 10U};
     /// Bytes of all answers that are held back.
     std::size_t max_held_bytes{16U << 20U};
-    /// Large answers leave in slices that take this long: a small frame waits
+    /// Large answers leave in parts that take this long: a small frame waits
     /// no longer behind one, and a longer time costs fewer wake-ups.
-    duration slice_time{std::chrono::milliseconds{20}};
+    duration part_time{std::chrono::milliseconds{20}};
     /// An answer must have left this long before its deadline, to arrive in
     /// time.
     duration delivery_margin{std::chrono::milliseconds{20}};
@@ -69,9 +69,9 @@
     /// By deadline.
     std::map<position, held_answer> held;
     std::unordered_map<egress_id, position> positions;
-    /// Sizes of all held answers: a slice that has left frees no memory yet.
+    /// Sizes of all held answers: a part that has left frees no memory yet.
     std::size_t held_bytes{0};
-    /// When the slices released so far have left at the rate of large answers.
+    /// When the parts released so far have left at the rate of large answers.
     instant link_free_at;
 
     struct expected_answer {
@@ -176,7 +176,7 @@
 /// Removes an answer that nobody waits for any more.
 void withdraw(egress_schedule& schedule, egress_id id);
 
-/// The slices that leave now, and the answers to give up. `can_send` says
+/// The parts that leave now, and the answers to give up. `can_send` says
 /// whether the answer's connection takes more bytes; the link isn't kept idle
 /// for one that doesn't.
 [[nodiscard]] std::vector<egress_action> release_due(
