Estimate the work of a request by the attribute that tells it apart

Cause: the daemon beside an instance expected the exponentially weighted mean of the route. One request in thirty that takes seven times as long raises it by 18% and by more than a third for the next ones, and where work depends on the body's size or the caller's service the mean is wrong for nearly all requests. The expected wait took running work for half done.

Change: serving/work_estimate keeps means of logarithms with limited observations, by route and by the values of four attributes, and uses the attribute that predicts best, if any.

"work is learned by route and by run" is new with the module. The estimate's effect on a whole deployment wasn't measured.

--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -5,6 +5,7 @@
 
 #include <apricotstile/http/message_reader.hpp>
 #include <apricotstile/net/stream.hpp>
+#include <apricotstile/router/internal/request_features.hpp>
 #include <apricotstile/router/local_instance.hpp>
 
 namespace apricotstile::router {
@@ -39,6 +40,7 @@
     std::string request_id;
     /// The same for every attempt of the same request.
     upstream::request_identity identity;
+    serving::work_features features{};
     instant deadline;
     instant started;
     net::timer_id timer;
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -112,7 +112,9 @@
     );
     void send_crash_reports(std::vector<upstream::crash_report>&& reports);
     void send_all_crash_reports(host_id peer);
-    void record_key_request(const routed_request& request);
+    void record_key_request(
+        const routed_request& request, const service_id& caller_service
+    );
     void start_key_management();
     bool stop_notice_passed() const;
     void finish_stop_if_done();
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -248,8 +248,14 @@
 
 /// Records that the instance ran a request without an error.
 void local_instance::note_completed(const work& item) {
-    serving::record_service_time(
-        this->times, item.request.route_hash, this->answered_at - item.started
+    const duration took = this->answered_at - item.started;
+    serving::record_service_time(this->times, took);
+    serving::observe_work(
+        this->work_model,
+        item.request.route_hash,
+        item.features,
+        took,
+        this->answered_at
     );
     auto reports = upstream::note_completed(
         this->crash_detector, item.identity, this->answered_at
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -74,6 +74,7 @@
     this->handle_instance_down();
     this->perform_actions(serving::refuse_waiting(this->queue));
     this->times = {};
+    this->work_model = {};
     this->leaving = false;
     this->set_rate_limit(std::nullopt);
     // Connections to an earlier run are of no use any more.
@@ -158,7 +159,11 @@
     offered.priority = item.request.priority;
     offered.target = now + item.request.time_to_target;
     offered.deadline = item.deadline;
-    offered.expected = this->expected_service_time(item.request.route_hash);
+    item.features = internal::work_features_of(item.request, caller_service);
+    const serving::work_estimate estimate =
+        this->estimate(item.request.route_hash, item.features);
+    offered.expected = estimate.expected;
+    offered.spread = estimate.spread;
     item.timer = this->timers.at(item.deadline, [this, id] {
         this->handle_deadline(id);
     });
@@ -328,10 +333,26 @@
     return result;
 }
 
-duration local_instance::expected_service_time(std::uint32_t route) const {
-    return serving::expected_service_time(
-        this->times, route, default_service_time
-    );
+serving::work_estimate local_instance::estimate(
+    std::uint32_t route, const serving::work_features& features
+) const {
+    const auto known =
+        serving::estimate_work(this->work_model, route, features);
+    if (known) {
+        return *known;
+    }
+    serving::work_estimate unknown;
+    unknown.expected = this->times.overall_mean == duration{0}
+                           ? default_service_time
+                           : this->times.overall_mean;
+    return unknown;
+}
+
+duration local_instance::expected_service_time(
+    const routed_request& request, const service_id& caller_service
+) const {
+    const auto features = internal::work_features_of(request, caller_service);
+    return this->estimate(request.route_hash, features).expected;
 }
 
 std::size_t local_instance::unfinished() const {
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -11,6 +11,7 @@
 #include <apricotstile/router/header_names.hpp>
 #include <apricotstile/serving/caller_origins.hpp>
 #include <apricotstile/serving/service_times.hpp>
+#include <apricotstile/serving/work_estimate.hpp>
 #include <apricotstile/serving/work_queue.hpp>
 #include <apricotstile/upstream/crash_detector.hpp>
 
@@ -80,8 +81,9 @@
     void withdraw(serving::work_id id);
 
     [[nodiscard]] serving::reported_load load() const;
-    /// Expected service time of a route, given the hash of its name.
-    [[nodiscard]] duration expected_service_time(std::uint32_t route) const;
+    [[nodiscard]] duration expected_service_time(
+        const routed_request& request, const service_id& caller_service
+    ) const;
     /// Requests that are waiting or running.
     [[nodiscard]] std::size_t unfinished() const;
     /// Slots that requests can keep busy: those of the instance, or fewer if it
@@ -106,6 +108,9 @@
     struct work;
     struct connection;
 
+    /// What is learned of such requests, else the mean of all requests.
+    [[nodiscard]] serving::work_estimate
+    estimate(std::uint32_t route, const serving::work_features& features) const;
     void perform_actions(const std::vector<serving::work_action>& actions);
     void start(work& item);
     void refuse_quarantined(
@@ -146,6 +151,7 @@
     std::uint32_t max_connections;
     serving::work_queue queue;
     serving::service_times times;
+    serving::work_model work_model;
     serving::caller_origins origins;
     std::unordered_map<serving::work_id, std::unique_ptr<work>> work_items;
     std::vector<std::unique_ptr<connection>> connections;
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -189,7 +189,7 @@
             this->links.cancel(peer, stream);
         };
     }
-    this->record_key_request(request);
+    this->record_key_request(request, this->settings.service);
     // A stale directory entry may name another service for this host.
     if (request.service_hash != name_hash(this->settings.service.value)) {
         routed_response refused;
@@ -235,11 +235,13 @@
     }
 }
 
-void router::implementation::record_key_request(const routed_request& request) {
+void router::implementation::record_key_request(
+    const routed_request& request, const service_id& caller_service
+) {
     if (request.key && this->local_keys) {
         this->local_keys->add_request_work(
             *request.key,
-            this->instance.expected_service_time(request.route_hash)
+            this->instance.expected_service_time(request, caller_service)
         );
     }
 }
@@ -261,7 +263,7 @@
         respond(std::move(refused));
         return;
     }
-    this->record_key_request(request);
+    this->record_key_request(request, caller_service);
     this->peer_work[from] = serving::work_id{};
     const serving::work_id work =
         this->instance.submit(std::move(request), caller_service, respond);
--- a/src/apricotstile/serving/service_times.cpp
+++ b/src/apricotstile/serving/service_times.cpp
@@ -41,21 +41,8 @@
     times.failure_ratio_at = now;
 }
 
-void record_service_time(
-    service_times& times, std::uint32_t route, duration took
-) {
+void record_service_time(service_times& times, duration took) {
     update_mean(times.overall_mean, took);
-    update_mean(times.route_means[route], took);
-}
-
-duration expected_service_time(
-    const service_times& times, std::uint32_t route, duration fallback
-) {
-    const auto found = times.route_means.find(route);
-    if (found != times.route_means.end()) {
-        return found->second;
-    }
-    return times.overall_mean == duration{0} ? fallback : times.overall_mean;
 }
 
 } // namespace apricotstile::serving
--- a/src/apricotstile/serving/service_times.hpp
+++ b/src/apricotstile/serving/service_times.hpp
@@ -1,4 +1,4 @@
-// Moving averages of an instance's service time for each route, and of its
+// Moving averages of an instance's service time over all requests, and of its
 // share of failed answers.
 
 #ifndef APRICOTSTILE_SERVING_SERVICE_TIMES_HPP
@@ -6,14 +6,9 @@
 
 #include <apricotstile/core/time.hpp>
 
-#include <cstdint>
-#include <unordered_map>
-
 namespace apricotstile::serving {
 
 struct service_times {
-    /// By hash of the route's name.
-    std::unordered_map<std::uint32_t, duration> route_means;
     /// Over all requests; zero before the first.
     duration overall_mean{0};
     /// Share of failed answers as of `failure_ratio_at`. It is halved after
@@ -35,14 +30,7 @@
 /// The share of failures, decayed until `now`.
 [[nodiscard]] double failure_ratio_now(const service_times& times, instant now);
 
-void record_service_time(
-    service_times& times, std::uint32_t route, duration took
-);
-
-/// Mean of `route`, else that of all requests, else `fallback`.
-[[nodiscard]] duration expected_service_time(
-    const service_times& times, std::uint32_t route, duration fallback
-);
+void record_service_time(service_times& times, duration took);
 
 } // namespace apricotstile::serving
 
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -113,6 +113,19 @@
     );
 }
 
+/// When the first of the running work is expected to end: the ends of all are
+/// taken for independent, with the inverse of the expected remainder as rate.
+duration first_end(const work_queue& queue, instant now) {
+    double rate = 0;
+    for (const auto& [id, one] : queue.running) {
+        const work_estimate estimate{one.work.expected, one.work.spread, 0};
+        const duration rest = remaining_work(estimate, now - one.started_at);
+        rate += 1 / static_cast<double>(rest.count());
+    }
+    return rate == 0 ? duration{0}
+                     : duration{static_cast<duration::rep>(1 / rate)};
+}
+
 void start(
     work_queue& queue,
     const offered_work& work,
@@ -120,7 +133,7 @@
     std::vector<work_action>& actions
 ) {
     count_start(queue.limit, now);
-    queue.running.emplace(work.id, work);
+    queue.running.emplace(work.id, work_queue::running_work{work, now});
     if (work.alone) {
         queue.alone = work.id;
     }
@@ -171,18 +184,10 @@
         ahead += one.work.expected;
         ++starts;
     }
-    duration running{0};
-    for (const auto& [id, one] : queue.running) {
-        running += one.expected;
-    }
-    // Running work is half done on average, and with several slots the first
-    // one becomes free sooner.
     const auto slots = static_cast<duration::rep>(queue.policy.slots);
-    const auto busy = static_cast<duration::rep>(queue.running.size());
-    const duration first_end =
-        busy == 0 ? duration{0} : running / busy / (slots + 1);
     return std::max(
-        first_end + ahead / slots, wait_for_starts(queue.limit, starts, now)
+        first_end(queue, now) + ahead / slots,
+        wait_for_starts(queue.limit, starts, now)
     );
 }
 
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -12,6 +12,7 @@
 #include <apricotstile/core/strong_id.hpp>
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/serving/start_limit.hpp>
+#include <apricotstile/serving/work_estimate.hpp>
 
 #include <cstdint>
 #include <map>
@@ -43,6 +44,8 @@
     /// nested work: if it is refused in vain, the request that waits for it
     /// fails.
     bool may_be_nested{false};
+    /// How far its service time may differ from `expected`.
+    work_spread spread{};
 };
 
 struct work_queue_policy {
@@ -86,8 +89,13 @@
     using queue_position = std::tuple<bool, std::uint32_t, bool, std::uint64_t>;
     std::map<queue_position, waiting_work> waiting;
     std::unordered_map<work_id, queue_position> positions;
-    /// Running work.
-    std::unordered_map<work_id, offered_work> running;
+
+    struct running_work {
+        offered_work work;
+        instant started_at;
+    };
+
+    std::unordered_map<work_id, running_work> running;
     /// Running work that must run alone; nothing else starts meanwhile.
     std::optional<work_id> alone;
     std::uint64_t arrivals{0};
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -318,3 +318,25 @@
         CHECK(*one == serving::attempt_outcome::lost);
     }
 }
+
+// Guards against estimates that aren't learned from answers, or that outlive
+// the run of the instance that they are of.
+TEST_CASE("work is learned by route and by run", "[router][instance]") {
+    crashing_instance answering;
+    local_daemon daemon{answering};
+    routed_request request;
+    request.method = "GET";
+    request.target = "/good";
+    const auto expected = [&](std::uint32_t route) {
+        request.route_hash = route;
+        return daemon.instance->expected_service_time(request, {"caller"});
+    };
+    const duration before = expected(0);
+    CHECK(daemon.run("/good") == serving::attempt_outcome::answered);
+    const duration mean = daemon.instance->load().mean_service_time;
+    CHECK(expected(1) == mean);
+    CHECK(expected(0) != mean);
+    CHECK(expected(0) != before);
+    daemon.instance->set_instance({"i", 2}, 4);
+    CHECK(expected(0) == before);
+}
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -170,6 +170,40 @@
     CHECK(only(offer(queue, lookup, start)) == work_decision::refuse_busy);
 }
 
+// Running work was taken for half done however long it had run, so work was
+// queued behind a request of the tail and ended late, or was refused although
+// the slot was about to become free.
+TEST_CASE(
+    "the expected wait follows how long work has run", "[serving][queue]"
+) {
+    work_queue queue = open_queue(1);
+    offered_work running = work(1);
+    running.spread = {0.2, 0.03, 7};
+    REQUIRE(only(offer(queue, running, start)) == work_decision::start);
+    const auto wait_after = [&](duration elapsed) {
+        offered_work next = work(2);
+        next.target = start + elapsed + 250ms;
+        next.deadline = start + elapsed + 600ms;
+        return expected_wait(queue, next, start + elapsed);
+    };
+    CHECK(wait_after(0ms) > 40ms);
+    CHECK(wait_after(45ms) < 25ms);
+    CHECK(wait_after(150ms) > 100ms);
+}
+
+TEST_CASE(
+    "the first of several slots becomes free sooner", "[serving][queue]"
+) {
+    work_queue queue = open_queue(8);
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        offered_work running = work(id);
+        running.spread = {1.0, 0, 1};
+        REQUIRE(only(offer(queue, running, start)) == work_decision::start);
+    }
+    const duration certain = 50ms;
+    CHECK(expected_wait(queue, work(9), start) < certain / 4);
+}
+
 TEST_CASE("work starts while slots are free", "[serving][queue]") {
     work_queue queue = open_queue(2);
     CHECK(only(offer(queue, work(1), start)) == work_decision::start);
