Expect the work ahead with its tail

Cause: the expected wait added up estimates that leave the tail out, so work that waited behind many others ended late.

Change: the work ahead is counted by mean_work, which includes the tail. The benchmark replays the route by body size above an instance's capacity.

--- a/benchmarks/work_estimate.cpp
+++ b/benchmarks/work_estimate.cpp
@@ -271,6 +271,127 @@
     );
 }
 
+/// Requests of the route by body size at a multiple of an instance's capacity:
+/// the share of the capacity that goes into answers within the target, and the
+/// shares of the requests that are answered in time, late, and refused.
+void measure_overload(
+    double factor,
+    const std::string& way,
+    const std::function<work_estimate(const work_features&)>& estimate,
+    const std::function<void(const work_features&, duration)>& observe
+) {
+    constexpr std::uint32_t slots = 8;
+    constexpr int total = 40000;
+    constexpr duration target = 400ms;
+    constexpr duration deadline = 1s;
+    // 52.5 ms without the tail.
+    const duration mean = scaled(52500us, 1 + tail_share * (tail_factor - 1));
+    random_source random{seed};
+    std::normal_distribution<double> normal;
+    work_queue queue;
+    queue.policy.slots = slots;
+    queue.open = true;
+    queue.has_answered = true;
+
+    struct known {
+        work_features features{};
+        duration took{0};
+        instant target;
+    };
+
+    std::map<work_id, known> offered;
+    std::multimap<instant, work_id> ends;
+    double timely = 0;
+    double late = 0;
+    double refused = 0;
+    duration useful{0};
+    const auto take = [&](const std::vector<work_action>& actions, instant at) {
+        for (const work_action& one : actions) {
+            if (one.decision == work_decision::start) {
+                ends.emplace(at + offered.at(one.id).took, one.id);
+            } else {
+                refused += 1.0 / total;
+            }
+        }
+    };
+    const auto run_until = [&](instant until) {
+        while (!ends.empty() && ends.begin()->first <= until) {
+            const auto [at, id] = *ends.begin();
+            ends.erase(ends.begin());
+            const known& one = offered.at(id);
+            const bool in_time = at <= one.target;
+            (in_time ? timely : late) += 1.0 / total;
+            useful += in_time ? one.took : duration{0};
+            observe(one.features, one.took);
+            take(finished(queue, id, at), at);
+        }
+    };
+    const duration gap = scaled(mean, 1 / (slots * factor));
+    for (int i = 0; i < total; ++i) {
+        const instant now = start + gap * i;
+        run_until(now);
+        const std::uint64_t size = random_below(random, 6);
+        const bool in_tail = random_below(random, 1000) < tail_share * 1000;
+        const double noise =
+            std::exp(deviation * normal(random) - deviation * deviation / 2);
+        known added;
+        added.features = {random_below(random, 40), 0, size, 0};
+        added.took =
+            scaled(5ms * (1 << size), noise * (in_tail ? tail_factor : 1));
+        added.target = now + target;
+        offered_work one;
+        one.id = work_id{static_cast<std::uint64_t>(i) + 1};
+        one.target = now + target;
+        one.deadline = now + deadline;
+        const work_estimate known_work = estimate(added.features);
+        one.expected = known_work.expected;
+        one.spread = known_work.spread;
+        offered.emplace(one.id, added);
+        take(offer(queue, one, now), now);
+    }
+    const instant end = start + gap * total;
+    run_until(end);
+    const auto capacity = (end - start) * slots;
+    fmt::print(
+        "{{\"benchmark\":\"work_estimate\",\"load\":{},\"way\":\"{}\","
+        "\"useful_capacity\":{:.3f},\"timely\":{:.3f},\"late\":{:.3f},"
+        "\"refused\":{:.3f}}}\n",
+        factor,
+        way,
+        static_cast<double>(useful.count()) /
+            static_cast<double>(capacity.count()),
+        timely,
+        late,
+        refused
+    );
+}
+
+void measure_overloads(double factor) {
+    duration mean{0};
+    measure_overload(
+        factor,
+        "mean by route, weight 1/16",
+        [&](const work_features&) {
+            return work_estimate{mean == duration{0} ? 50ms : mean, {}, 0};
+        },
+        [&](const work_features&, duration took) {
+            mean = mean == duration{0} ? took : mean + (took - mean) / 16;
+        }
+    );
+    work_model model;
+    measure_overload(
+        factor,
+        "work_estimate",
+        [&](const work_features& features) {
+            return estimate_work(model, 0, features)
+                .value_or(work_estimate{50ms, {}, 0});
+        },
+        [&](const work_features& features, duration took) {
+            observe_work(model, 0, features, took, start);
+        }
+    );
+}
+
 } // namespace
 
 int main() {
@@ -285,4 +406,7 @@
     for (const std::uint32_t slots : {1U, 4U, 8U, 16U, 64U}) {
         measure_waits(slots);
     }
+    for (const double factor : {0.9, 1.2, 2.0, 4.0}) {
+        measure_overloads(factor);
+    }
 }
--- a/src/apricotstile/serving/work_estimate.cpp
+++ b/src/apricotstile/serving/work_estimate.cpp
@@ -327,6 +327,13 @@
     return found == model.routes.end() ? std::nullopt : found->second.used;
 }
 
+duration mean_work(const work_estimate& estimate) {
+    const work_spread& spread = estimate.spread;
+    return scaled(
+        estimate.expected, 1 + spread.tail_share * (spread.tail_factor - 1)
+    );
+}
+
 duration remaining_work(const work_estimate& estimate, duration elapsed) {
     const double deviation =
         estimate.spread.log_deviation > 0
--- a/src/apricotstile/serving/work_estimate.hpp
+++ b/src/apricotstile/serving/work_estimate.hpp
@@ -144,6 +144,10 @@
 [[nodiscard]] double
 explained_share(const route_work& route, work_attribute attribute);
 
+/// Mean duration with the tail. Of several requests one after the other some
+/// are in the tail, so their sum is expected by this.
+[[nodiscard]] duration mean_work(const work_estimate& estimate);
+
 /// Expected remainder of a request that has run for `elapsed`: a lognormal
 /// duration or, the more likely the longer it has run, one of the tail.
 [[nodiscard]] duration
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -181,7 +181,7 @@
         if (other_position > position) {
             break;
         }
-        ahead += one.work.expected;
+        ahead += mean_work({one.work.expected, one.work.spread, 0});
         ++starts;
     }
     const auto slots = static_cast<duration::rep>(queue.policy.slots);
--- a/tests/serving/work_queue.tests.cpp
+++ b/tests/serving/work_queue.tests.cpp
@@ -191,6 +191,21 @@
     CHECK(wait_after(150ms) > 100ms);
 }
 
+// Without the tail, work that waited behind many others ended late.
+TEST_CASE("work ahead is expected with its tail", "[serving][queue]") {
+    work_queue queue = open_queue(1);
+    REQUIRE(only(offer(queue, work(1), start)) == work_decision::start);
+    for (std::uint64_t id = 2; id <= 3; ++id) {
+        offered_work waiting = work(id);
+        waiting.spread = {0.2, 0.1, 11};
+        CHECK(offer(queue, waiting, start).empty());
+    }
+    // 50 ms of the running work, twice 50 ms and as much for their tails.
+    const duration wait = expected_wait(queue, work(4), start);
+    CHECK(wait > 230ms);
+    CHECK(wait < 270ms);
+}
+
 TEST_CASE(
     "the first of several slots becomes free sooner", "[serving][queue]"
 ) {
