--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -135,12 +135,17 @@
         routed_request&& request,
         const service_id& caller_service
     );
-    [[nodiscard]] std::optional<duration>
-    admit_to_link(peer_request_id from, const routed_request& request);
+    [[nodiscard]] std::optional<duration> admit_to_link(
+        peer_request_id from,
+        const routed_request& request,
+        const service_id& caller_service
+    );
     void send_crash_reports(std::vector<upstream::crash_report>&& reports);
     void send_all_crash_reports(host_id peer);
     [[nodiscard]] serving::reported_load reported_load() const;
-    void record_key_request(const routed_request& request);
+    void record_key_request(
+        const routed_request& request, const service_id& caller_service
+    );
     void start_key_management();
     bool stop_notice_passed() const;
     void finish_stop_if_done();
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -254,15 +254,23 @@
     const duration usual =
         serving::read_usual_time(this->stated, this->answered_at) -
         item.usual_start;
+    const auto expected = serving::estimate_work(
+        this->work_model, item.request.route_hash, item.features
+    );
     const duration took = serving::service_time_to_record(
         this->stated,
         this->answered_at - item.started,
         usual,
-        serving::expected_service_time(
-            this->times, item.request.route_hash, duration{0}
-        )
+        expected ? expected->expected : duration{0}
+    );
+    serving::record_service_time(this->times, took);
+    serving::observe_work(
+        this->work_model,
+        item.request.route_hash,
+        item.features,
+        took,
+        this->answered_at
     );
-    serving::record_service_time(this->times, item.request.route_hash, took);
     auto reports = upstream::note_completed(
         this->crash_detector, item.identity, this->answered_at
     );
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -12,6 +12,7 @@
 #include <apricotstile/serving/caller_origins.hpp>
 #include <apricotstile/serving/service_times.hpp>
 #include <apricotstile/serving/stated_load.hpp>
+#include <apricotstile/serving/work_estimate.hpp>
 #include <apricotstile/serving/work_queue.hpp>
 #include <apricotstile/upstream/crash_detector.hpp>
 
@@ -95,11 +96,13 @@
     [[nodiscard]] serving::reported_load load() const;
     /// How long work takes at the instance now, as a multiple of the usual.
     [[nodiscard]] double stated_factor() const;
-    /// Usual service time of a route, given the hash of its name.
-    [[nodiscard]] duration expected_service_time(std::uint32_t route) const;
     /// Whether requests of a route may be nested: running requests may wait for
     /// them.
     [[nodiscard]] bool may_be_nested(std::uint32_t route) const;
+    /// Usual service time of a request.
+    [[nodiscard]] duration expected_service_time(
+        const routed_request& request, const service_id& caller_service
+    ) const;
     /// Requests that are waiting or running.
     [[nodiscard]] std::size_t unfinished() const;
     /// Slots that requests can keep busy: those of the instance, or fewer if it
@@ -130,6 +133,9 @@
     struct work;
     struct connection;
 
+    /// What is learned of such requests, else the mean of all requests.
+    [[nodiscard]] serving::work_estimate
+    estimate(std::uint32_t route, const serving::work_features& features) const;
     void perform_actions(const std::vector<serving::work_action>& actions);
     void start(work& item);
     void refuse_quarantined(
@@ -180,6 +186,7 @@
     serving::service_times times;
     serving::stated_load stated;
     bool reports_present_mean{false};
+    serving::work_model work_model;
     serving::caller_origins origins;
     std::unordered_map<serving::work_id, std::unique_ptr<work>> work_items;
     std::vector<std::unique_ptr<connection>> connections;
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -201,7 +201,7 @@
             this->links.cancel(peer, stream);
         };
     }
-    this->record_key_request(request);
+    this->record_key_request(request, this->settings.service);
     // A stale directory entry may name another service for this host.
     if (request.service_hash != name_hash(this->settings.service.value)) {
         routed_response refused;
@@ -247,11 +247,13 @@
     }
 }
 
-void router::implementation::record_key_request(const routed_request& request) {
+void router::implementation::record_key_request(
+    const routed_request& request, const service_id& caller_service
+) {
     if (request.key && this->local_keys) {
         this->local_keys->add_request_work(
             *request.key,
-            this->instance.expected_service_time(request.route_hash)
+            this->instance.expected_service_time(request, caller_service)
         );
     }
 }
@@ -267,7 +269,9 @@
 /// Returns when the request should be sent again if the host's link couldn't
 /// carry its answer in time.
 std::optional<duration> router::implementation::admit_to_link(
-    peer_request_id from, const routed_request& request
+    peer_request_id from,
+    const routed_request& request,
+    const service_id& caller_service
 ) {
     // The instance's refusal tells the peer to look for the key's owner.
     if (request.key &&
@@ -279,7 +283,7 @@
         from,
         {request.route_hash,
          this->instance.may_be_nested(request.route_hash),
-         this->instance.expected_service_time(request.route_hash),
+         this->instance.expected_service_time(request, caller_service),
          now + request.time_to_target,
          now + request.time_to_deadline,
          std::string{http::header_value(
@@ -303,8 +307,9 @@
         respond(std::move(refused));
         return;
     }
-    this->record_key_request(request);
-    if (const auto retry_after = this->admit_to_link(from, request)) {
+    this->record_key_request(request, caller_service);
+    if (const auto retry_after =
+            this->admit_to_link(from, request, caller_service)) {
         routed_response refused;
         refused.outcome = serving::attempt_outcome::refused_busy;
         refused.retry_after = *retry_after;
--- a/src/apricotstile/serving/work_queue.cpp
+++ b/src/apricotstile/serving/work_queue.cpp
@@ -144,6 +144,19 @@
     );
 }
 
+/// When the first of the running work is expected to end: the ends of all are
+/// taken for independent, with the inverse of the expected remainder as rate.
+duration first_end(const work_queue& queue, instant now) {
+    double rate = 0;
+    for (const auto& [id, one] : queue.running) {
+        const work_estimate estimate{one.work.expected, one.work.spread, 0};
+        const duration rest = remaining_work(estimate, now - one.started_at);
+        rate += 1 / static_cast<double>(rest.count());
+    }
+    return rate == 0 ? duration{0}
+                     : duration{static_cast<duration::rep>(1 / rate)};
+}
+
 void start(
     work_queue& queue,
     const offered_work& work,
@@ -152,7 +165,7 @@
 ) {
     count_start(queue.limit, now);
     count_token(queue.cold, now);
-    queue.running.emplace(work.id, work);
+    queue.running.emplace(work.id, work_queue::running_work{work, now});
     if (work.alone) {
         queue.alone = work.id;
     }
@@ -200,21 +213,13 @@
         if (other_position > position) {
             break;
         }
-        ahead += one.work.expected;
+        ahead += mean_work({one.work.expected, one.work.spread, 0});
         ++starts;
     }
-    duration running{0};
-    for (const auto& [id, one] : queue.running) {
-        running += one.expected;
-    }
-    // Running work is half done on average, and with several slots the first
-    // one becomes free sooner.
     const auto slots = static_cast<duration::rep>(queue.policy.slots);
-    const auto busy = static_cast<duration::rep>(queue.running.size());
-    const duration first_end =
-        busy == 0 ? duration{0} : running / busy / (slots + 1);
     return std::max(
-        first_end + ahead / slots, wait_for_limits(queue, starts, now)
+        first_end(queue, now) + ahead / slots,
+        wait_for_limits(queue, starts, now)
     );
 }
 
--- a/src/apricotstile/serving/work_queue.hpp
+++ b/src/apricotstile/serving/work_queue.hpp
@@ -13,6 +13,7 @@
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/serving/cold_limit.hpp>
 #include <apricotstile/serving/start_limit.hpp>
+#include <apricotstile/serving/work_estimate.hpp>
 
 #include <cstdint>
 #include <map>
@@ -47,6 +48,8 @@
     /// Whether another instance may serve it. Such work doesn't wait because
     /// this instance is cold.
     bool can_go_elsewhere{false};
+    /// How far its service time may differ from `expected`.
+    work_spread spread{};
 };
 
 struct work_queue_policy {
@@ -92,8 +95,13 @@
     using queue_position = std::tuple<bool, std::uint32_t, bool, std::uint64_t>;
     std::map<queue_position, waiting_work> waiting;
     std::unordered_map<work_id, queue_position> positions;
-    /// Running work.
-    std::unordered_map<work_id, offered_work> running;
+
+    struct running_work {
+        offered_work work;
+        instant started_at;
+    };
+
+    std::unordered_map<work_id, running_work> running;
     /// Running work that must run alone; nothing else starts meanwhile.
     std::optional<work_id> alone;
     std::uint64_t arrivals{0};
--- a/tests/serving/stated_load.tests.cpp
+++ b/tests/serving/stated_load.tests.cpp
@@ -77,7 +77,7 @@
                 times.overall_mean
             );
         }
-        record_service_time(times, 1, recorded);
+        record_service_time(times, recorded);
         if (++requests > 100) {
             const double error = static_cast<double>(times.overall_mean.count()
                                  ) / static_cast<double>(usual.count()) -
@@ -233,7 +233,6 @@
             const duration usual = read_usual_time(load, now) - before;
             record_service_time(
                 times,
-                1,
                 service_time_to_record(
                     load, usual_service_time, usual, times.overall_mean
                 )
