--- a/tests/adapter/config_decoder.tests.cpp
+++ b/tests/adapter/config_decoder.tests.cpp
@@ -54,6 +54,13 @@
     CHECK(config.limits.idle_timeout == 15s);
 }
 
+TEST_CASE("requests of a download may be repeated", "[adapter]") {
+    const routing::routing_config config = decode_config(with_routes(
+        R"(["r-1","a.example","/x/","download",600,250,2,"s",2,null])"
+    ));
+    CHECK(config.routes.at(0).idempotent);
+}
+
 TEST_CASE("columns may have any order and unknown names", "[adapter]") {
     const routing::routing_config config = decode_config(
         R"({"version":"02","routes":{"columns":["odd","prefix","kind","host",)"
