Leave members out of key assignment that may not own keys

Cause: a service's keys must stay in the regions that its routes allow, while members elsewhere go on acting on leases and releases.

Change: key_member::may_own. The first assignment, takeovers, departures, moves to new and to faster members and new targets of releases choose only members that may own keys, and an even share counts only these. The default changes nothing.

--- a/src/apricotstile/keys/takeover.cpp
+++ b/src/apricotstile/keys/takeover.cpp
@@ -9,11 +9,34 @@
 
 namespace {
 
+/// The members that may own keys, except for the hosts in `excluded`.
+std::vector<key_member> receivers_in(
+    const membership_view& view, const std::vector<host_id>& excluded
+) {
+    std::vector<key_member> result;
+    for (const key_member& one : view.members) {
+        if (one.may_own &&
+            std::find(excluded.begin(), excluded.end(), one.host) ==
+                excluded.end()) {
+            result.push_back(one);
+        }
+    }
+    return result;
+}
+
+std::size_t count_possible_owners(const membership_view& view) {
+    return receivers_in(view, {}).size();
+}
+
 std::vector<transfer> initial_assignment(const membership_view& view) {
     std::vector<transfer> result;
-    const std::vector<key_range> ranges = even_split(view.members.size());
+    const std::vector<key_member> owners = receivers_in(view, {});
+    if (owners.empty()) {
+        return result;
+    }
+    const std::vector<key_range> ranges = even_split(owners.size());
     for (std::size_t index = 0; index < ranges.size(); ++index) {
-        const key_member& one = view.members[index];
+        const key_member& one = owners[index];
         result.push_back({ranges[index], one.host, one.instance, {}});
     }
     return result;
@@ -100,18 +123,6 @@
     std::map<host_id, std::uint64_t> keys;
 };
 
-std::vector<key_member>
-others(const membership_view& view, const std::vector<host_id>& excluded) {
-    std::vector<key_member> result;
-    for (const key_member& one : view.members) {
-        if (std::find(excluded.begin(), excluded.end(), one.host) ==
-            excluded.end()) {
-            result.push_back(one);
-        }
-    }
-    return result;
-}
-
 /// A healthy member with less than half of an even share of the keys, or null.
 /// An instance that limits its requests has few keys because of that.
 const key_member* find_new_member(
@@ -119,9 +130,10 @@
     const takeover_policy& policy,
     const membership_view& view
 ) {
-    const std::uint64_t even = key_count / view.members.size();
+    const std::uint64_t even =
+        key_count / std::max<std::size_t>(count_possible_owners(view), 1);
     for (const key_member& one : view.members) {
-        if (one.host != state.self && !one.limited &&
+        if (one.host != state.self && one.may_own && !one.limited &&
             one.failure_ratio <= policy.healthy_threshold &&
             owned_key_count(state.map, one.host) < even / 2) {
             return &one;
@@ -141,7 +153,7 @@
     const auto precedes_self = [&](const key_member& one) {
         const auto own =
             std::pair{owned_key_count(state.map, state.self), state.self};
-        return one.host != joined &&
+        return one.host != joined && one.may_own &&
                std::pair{owned_key_count(state.map, one.host), one.host} > own;
     };
     const auto before =
@@ -181,6 +193,16 @@
 
 } // namespace
 
+bool may_own_keys(const membership_view& view, host_id host) {
+    return std::none_of(
+        view.members.begin(),
+        view.members.end(),
+        [&](const key_member& one) {
+            return one.host == host && !one.may_own;
+        }
+    );
+}
+
 ownership_changes plan_takeover(
     const key_owner& state,
     const takeover_policy& policy,
@@ -203,7 +225,7 @@
     }
     const std::vector<host_id> expired =
         expired_owners(state, policy, view, now);
-    receiver_balancer receivers{state, others(view, expired)};
+    receiver_balancer receivers{state, receivers_in(view, expired)};
     if (receivers.empty()) {
         return result;
     }
@@ -255,14 +277,16 @@
     const takeover_policy& policy,
     const membership_view& view
 ) {
-    if (!state.releases.empty() || view.members.size() < 2) {
+    if (!state.releases.empty() || count_possible_owners(view) < 2 ||
+        !may_own_keys(view, state.self)) {
         return std::nullopt;
     }
     const key_member* const joined = find_new_member(state, policy, view);
     if (joined == nullptr || !is_donor(state, policy, view, joined->host)) {
         return std::nullopt;
     }
-    const auto part = range_for_new_member(state, policy, view.members.size());
+    const auto part =
+        range_for_new_member(state, policy, count_possible_owners(view));
     return part ? std::optional{key_move{*part, joined->host}} : std::nullopt;
 }
 
@@ -283,7 +307,9 @@
     }
     const auto min_keys = static_cast<std::uint64_t>(
         policy.min_slow_share * key_count /
-        static_cast<double>(view.members.size())
+        static_cast<double>(
+            std::max<std::size_t>(count_possible_owners(view), 1)
+        )
     );
     if (owned_key_count(state.map, state.self) <= min_keys) {
         return std::nullopt;
@@ -294,7 +320,7 @@
             one.mean_service_time > duration{0} &&
             scaled(one.mean_service_time, policy.slow_factor) <
                 self->mean_service_time;
-        if (is_faster &&
+        if (is_faster && one.may_own &&
             one.requests_per_slot < policy.max_receiver_requests_per_slot &&
             (best == nullptr || one.requests_per_slot < best->requests_per_slot
             )) {
@@ -332,7 +358,7 @@
 std::vector<key_move>
 plan_departure(const key_owner& state, const membership_view& view) {
     std::vector<key_move> result;
-    receiver_balancer receivers{state, others(view, {state.self})};
+    receiver_balancer receivers{state, receivers_in(view, {state.self})};
     if (receivers.empty()) {
         return result;
     }
@@ -345,7 +371,7 @@
 }
 
 void retarget_releases(key_owner& state, const membership_view& view) {
-    receiver_balancer receivers{state, others(view, {state.self})};
+    receiver_balancer receivers{state, receivers_in(view, {state.self})};
     if (receivers.empty()) {
         return;
     }
@@ -354,7 +380,7 @@
             view.members.begin(),
             view.members.end(),
             [&](const key_member& other) {
-                return other.host == one.target;
+                return other.host == one.target && other.may_own;
             }
         );
         if (!target_is_member) {
--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -23,6 +23,9 @@
     duration mean_service_time{0};
     /// Failure ratio of its instance's answers, from 0 to 1.
     double failure_ratio{0};
+    /// Whether it may own keys. Members in regions that the service's routes
+    /// don't allow receive none and move those that they own away.
+    bool may_own{true};
 };
 
 struct takeover_policy {
@@ -71,6 +74,10 @@
     instant now
 );
 
+/// Whether the member on `host` may own keys. True for a host that isn't a
+/// member.
+[[nodiscard]] bool may_own_keys(const membership_view& view, host_id host);
+
 struct key_move {
     key_range keys;
     host_id target;
@@ -108,11 +115,13 @@
 /// The load in slots of the keys that this daemon owns and isn't releasing.
 [[nodiscard]] double kept_load(const key_owner& state, const key_load& load);
 
-/// Moves for all keys of this daemon, as its instance leaves.
+/// Moves for all keys of this daemon, as its instance leaves or it may no
+/// longer own them.
 [[nodiscard]] std::vector<key_move>
 plan_departure(const key_owner& state, const membership_view& view);
 
-/// Assigns another target to each release whose target is no longer a member.
+/// Assigns another target to each release whose target is no longer a member or
+/// may no longer own keys.
 void retarget_releases(key_owner& state, const membership_view& view);
 
 } // namespace apricotstile::keys
--- a/tests/keys/takeover.tests.cpp
+++ b/tests/keys/takeover.tests.cpp
@@ -163,3 +163,104 @@
     view.members[3].limited = false;
     CHECK(plan_newcomer_move(state, {}, view));
 }
+
+namespace {
+
+/// Members 1 to `count`, of which those in `excluded` may not own keys.
+membership_view
+view_without(std::size_t count, const std::vector<std::size_t>& excluded) {
+    membership_view view = view_of(count);
+    for (const std::size_t number : excluded) {
+        view.members.at(number - 1).may_own = false;
+    }
+    return view;
+}
+
+} // namespace
+
+TEST_CASE(
+    "keys are first assigned to members that may own them",
+    "[keys][takeover][regions]"
+) {
+    key_owner state =
+        make_key_owner({}, host_id{1}, incarnation{1}, {"registry"});
+    state.rows_known = true;
+    const auto assigned =
+        plan_takeover(state, {}, view_without(3, {1}), start + 1s).transfers;
+    REQUIRE(assigned.size() == 2);
+    CHECK(assigned[0].owner == host_id{2});
+    CHECK(assigned[1].owner == host_id{3});
+    const auto none =
+        plan_takeover(state, {}, view_without(3, {1, 2, 3}), start + 1s);
+    CHECK(none.transfers.empty());
+}
+
+TEST_CASE(
+    "keys of a lost owner go to members that may own them",
+    "[keys][takeover][regions]"
+) {
+    key_owner state = first_of_owners(4);
+    state.watched_leases[host_id{2}] = {
+        {7}, start, {{{1}, {1}}, {{3}, {1}}, {{4}, {1}}}, {}};
+    handle_consent(state, host_id{3}, host_id{2}, {7});
+    handle_consent(state, host_id{4}, host_id{2}, {7});
+    const auto taken =
+        plan_takeover(state, {}, view_without(4, {1, 3}), start + 1s);
+    REQUIRE(taken.revoked_owners == std::vector<host_id>{host_id{2}});
+    for (const transfer& one : taken.transfers) {
+        CHECK(one.owner == host_id{4});
+    }
+    // Without any such member the owner keeps its lease and its keys.
+    const auto none =
+        plan_takeover(state, {}, view_without(4, {1, 3, 4}), start + 1s);
+    CHECK(none.revoked_owners.empty());
+    CHECK(none.transfers.empty());
+}
+
+TEST_CASE(
+    "an owner that may not own keys moves all of them to members that may",
+    "[keys][takeover][regions]"
+) {
+    const key_owner state = first_of_owners(4);
+    const membership_view view = view_without(4, {1, 3});
+    CHECK_FALSE(may_own_keys(view, host_id{1}));
+    CHECK(may_own_keys(view, host_id{2}));
+    std::uint64_t moved = 0;
+    for (const key_move& one : plan_departure(state, view)) {
+        CHECK((one.target == host_id{2} || one.target == host_id{4}));
+        moved += size_of(one.keys);
+    }
+    CHECK(moved == owned_key_count(state.map, host_id{1}));
+    CHECK(plan_departure(state, view_without(4, {2, 3, 4})).empty());
+}
+
+TEST_CASE(
+    "a release whose target may not own keys any more gets another",
+    "[keys][takeover][regions]"
+) {
+    key_owner state = first_of_owners(3);
+    const key_range keys = kept_ranges(state).at(0).keys;
+    start_release(state, keys, host_id{2});
+    retarget_releases(state, view_of(3));
+    CHECK(state.releases.at(0).target == host_id{2});
+    retarget_releases(state, view_without(3, {2}));
+    CHECK(state.releases.at(0).target == host_id{3});
+}
+
+TEST_CASE(
+    "a member that may not own keys is no new and no faster member",
+    "[keys][takeover][regions]"
+) {
+    const key_owner state = first_of_owners(3);
+    CHECK(plan_newcomer_move(state, {}, view_of(4)));
+    CHECK_FALSE(plan_newcomer_move(state, {}, view_without(4, {4})));
+    // All of its keys move, not a part of them.
+    CHECK_FALSE(plan_newcomer_move(state, {}, view_without(4, {1, 2, 3})));
+    membership_view view = view_of(3);
+    view.members[0].mean_service_time = 300ms;
+    view.members[1].mean_service_time = 250ms;
+    view.members[2].mean_service_time = 100ms;
+    CHECK(find_much_faster_member(state, {}, view) == host_id{3});
+    view.members[2].may_own = false;
+    CHECK_FALSE(find_much_faster_member(state, {}, view));
+}
