Serve restricted routes in their allowed regions only

Cause: operators need requests of some routes, and the keys that belong to them, to stay in the regions that they name.

Change: routes have allowed_regions, decoded from "allowedRegions". The request router chooses hosts for every attempt by the configuration that the request arrived under and by the present one; the daemon beside the instance checks by its own, when a request arrives and when it starts, and refuses with refused_region, which is certainly not run. Owners in other regions move their keys away and no keys go there. A list that can't be understood makes the configuration invalid. Restrictions follow the other fields in config_reply, only where there are some. A configuration that leaves a route or a service without a region is logged; the page of metrics has the number of restricted routes.

The range of outcomes in the property of request_progress now includes timed_out and refused_region; it had left out the former.

Measured: the encoding of a configuration without restrictions equals that of the code before (298 bytes, its hash is in the test).

--- a/src/apricotstile/core/hashing.cpp
+++ b/src/apricotstile/core/hashing.cpp
@@ -19,6 +19,10 @@
     return hash;
 }
 
+std::uint32_t name_hash(std::string_view name) {
+    return static_cast<std::uint32_t>(stable_hash(name));
+}
+
 slice_id slice_of(std::string_view key, std::uint32_t slice_count) {
     return slice_id{static_cast<std::uint32_t>(stable_hash(key) % slice_count)};
 }
--- a/src/apricotstile/core/hashing.hpp
+++ b/src/apricotstile/core/hashing.hpp
@@ -18,6 +18,9 @@
 [[nodiscard]] std::uint64_t
 combined_hash(std::initializer_list<std::string_view> texts);
 
+/// Hash of the name of a service or route, by which daemons refer to it.
+[[nodiscard]] std::uint32_t name_hash(std::string_view name);
+
 /// The slice of `key` among `slice_count` slices (not zero).
 [[nodiscard]] slice_id
 slice_of(std::string_view key, std::uint32_t slice_count);
--- a/src/apricotstile/router/compact_codec.hpp
+++ b/src/apricotstile/router/compact_codec.hpp
@@ -94,7 +94,9 @@
 }
 
 /// Encodes `value`. `context` is passed to the `serialize` functions, which get
-/// it by `cereal::get_user_data`.
+/// it by `cereal::get_user_data`. A type with `has_optional_tail` has fields
+/// that follow the others only where they are needed: without them the bytes
+/// are those of daemons that don't know these fields.
 template <class Value, class Context>
 [[nodiscard]] std::string encode_compact(Value value, Context& context) {
     std::ostringstream stream{std::ios::binary};
@@ -102,6 +104,11 @@
         cereal::UserDataAdapter<Context, cereal::BinaryOutputArchive> archive{
             context, stream};
         archive(value);
+        if constexpr (requires { has_optional_tail(value); }) {
+            if (has_optional_tail(value)) {
+                serialize_optional_tail(archive, value);
+            }
+        }
     }
     return std::move(stream).str();
 }
@@ -116,6 +123,11 @@
         cereal::UserDataAdapter<Context, cereal::BinaryInputArchive> archive{
             context, stream};
         archive(value);
+        if constexpr (requires { has_optional_tail(value); }) {
+            if (stream.peek() != std::istringstream::traits_type::eof()) {
+                serialize_optional_tail(archive, value);
+            }
+        }
     } catch (const std::exception& error) {
         throw decode_error{error.what()};
     }
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -4,8 +4,6 @@
 
 #include <apricotstile/router/frames.hpp>
 
-#include <apricotstile/core/hashing.hpp>
-
 #include <algorithm>
 
 namespace apricotstile::router {
@@ -180,6 +178,15 @@
     archive(value.config);
 }
 
+bool has_optional_tail(const config_reply& value) {
+    return routing::has_restricted_routes(value.config);
+}
+
+template <class Archive>
+void serialize_optional_tail(Archive& archive, config_reply& value) {
+    routing::serialize_allowed_regions(archive, value.config);
+}
+
 template <class Archive>
 void serialize(Archive& archive, release_request& value) {
     keys::relayed_release& release = value.release;
@@ -293,8 +300,4 @@
     return decode_payload(type, payload, headers);
 }
 
-std::uint32_t name_hash(const std::string& name) {
-    return static_cast<std::uint32_t>(stable_hash(name));
-}
-
 } // namespace apricotstile::router
--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -231,9 +231,6 @@
 [[nodiscard]] std::optional<frame>
 decode_frame(std::string& received, header_table& headers);
 
-/// Hash of the name of a service or route; the same on all daemons.
-[[nodiscard]] std::uint32_t name_hash(const std::string& name);
-
 } // namespace apricotstile::router
 
 #endif
--- a/src/apricotstile/router/internal/pending_request.hpp
+++ b/src/apricotstile/router/internal/pending_request.hpp
@@ -31,6 +31,8 @@
     instant first_attempt;
     instant caller_deadline;
     serving::request_progress progress;
+    /// Whether the last choice of a host left out one for its region.
+    bool region_excluded{false};
     std::uint64_t last_attempt{0};
     std::optional<attempt_in_progress> attempt;
     /// An earlier one, whose host became unresponsive. The request may be
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -57,6 +57,8 @@
     void
     merge_entry(const directory::member_entry& received, const char* source);
     void apply_config(routing::routing_config config, const char* source);
+    [[nodiscard]] bool is_region_allowed(const routed_request& request) const;
+    void report_unserved_parts();
     void request_config_from_peer();
     void handle_newer_config(host_id peer, routing::config_version version);
     [[nodiscard]] bool has_config(routing::config_version version) const;
@@ -140,6 +142,9 @@
     std::map<service_id, cached_key_map> key_maps;
     table_view members_view;
     std::shared_ptr<const routing::route_table> routes;
+    /// Whether the restrictions in `routes` haven't been checked yet against
+    /// the hosts that there are.
+    bool regions_unchecked{false};
     bool members_loaded{false};
     instant started;
     instant config_requested_at;
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -111,6 +111,22 @@
     this->max_connections = std::max<std::uint32_t>(connections, 1);
 }
 
+void local_instance::set_region_check(region_check check) {
+    this->allows_region = std::move(check);
+}
+
+/// Why the request must not reach the instance; nothing if it may.
+std::optional<serving::attempt_outcome>
+local_instance::refusal_of(const routed_request& request) const {
+    if (this->allows_region && !this->allows_region(request)) {
+        return serving::attempt_outcome::refused_region;
+    }
+    if (request.key && !this->holds_key(*request.key)) {
+        return serving::attempt_outcome::refused_not_owner;
+    }
+    return std::nullopt;
+}
+
 serving::work_id local_instance::submit(
     routed_request&& request,
     const service_id& caller_service,
@@ -128,16 +144,12 @@
         http::header_value(item.request.headers, this->names.request_id)};
     item.deadline = now + item.request.time_to_deadline;
     this->work_items.emplace(item.id, std::move(added));
-    if (item.request.key && !this->holds_key(*item.request.key)) {
-        const serving::work_id id = item.id;
-        this->finish(
-            item,
-            unanswered_response(serving::attempt_outcome::refused_not_owner)
-        );
+    const serving::work_id id = item.id;
+    if (const auto refusal = this->refusal_of(item.request)) {
+        this->finish(item, unanswered_response(*refusal));
         return id;
     }
     item.identity = identity_of(item.request, caller_service);
-    const serving::work_id id = item.id;
     const upstream::quarantine_decision decision = upstream::decide(
         this->crash_detector.request_quarantine, item.identity, now
     );
@@ -217,12 +229,10 @@
 }
 
 void local_instance::start(work& item) {
-    // The key may have moved while the request waited.
-    if (item.request.key && !this->holds_key(*item.request.key)) {
-        this->finish(
-            item,
-            unanswered_response(serving::attempt_outcome::refused_not_owner)
-        );
+    // The key may have moved while the request waited, or its route may have
+    // been restricted.
+    if (const auto refusal = this->refusal_of(item.request)) {
+        this->finish(item, unanswered_response(*refusal));
         return;
     }
     item.started = boot_clock::now();
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -28,6 +28,8 @@
     using response_handler = std::function<void(routed_response&&)>;
     /// Whether the instance holds `key` now.
     using key_check = std::function<bool(keys::key_number)>;
+    /// Whether the request's route allows this region.
+    using region_check = std::function<bool(const routed_request&)>;
     /// Reports to the other daemons which requests are suspected of crashing
     /// the instance.
     using crash_report_handler =
@@ -56,6 +58,9 @@
     /// Whether new requests may go to the instance.
     void set_open(bool open);
     void set_max_connections(std::uint32_t connections);
+    /// Requests are served only if `check` returns true, both when they arrive
+    /// and when they start. Without a check, all are.
+    void set_region_check(region_check check);
     /// Sets how many hosts there are of each service.
     void set_host_counts(const std::map<service_id, std::size_t>& hosts);
 
@@ -108,6 +113,8 @@
 
     void perform_actions(const std::vector<serving::work_action>& actions);
     void start(work& item);
+    [[nodiscard]] std::optional<serving::attempt_outcome>
+    refusal_of(const routed_request& request) const;
     void refuse_quarantined(
         work& item, const upstream::quarantine_decision& decision
     );
@@ -139,6 +146,7 @@
     const header_names& names;
     net::timer_queue& timers;
     key_check holds_key;
+    region_check allows_region;
     crash_report_handler on_crash_reports;
     leaving_handler on_leaving;
     upstream::crash_detector crash_detector;
--- a/src/apricotstile/router/local_key_manager.cpp
+++ b/src/apricotstile/router/local_key_manager.cpp
@@ -206,9 +206,11 @@
     const keys::membership_view view = this->dependencies.view();
     // There may have been no other member to take the keys when the departure
     // started.
-    if (this->departing && this->key_owner.releases.empty()) {
+    const bool may_own = keys::may_own_keys(view, this->key_owner.self);
+    if ((this->departing || !may_own) && this->key_owner.releases.empty()) {
         this->release(
-            keys::plan_departure(this->key_owner, view), "instance leaves"
+            keys::plan_departure(this->key_owner, view),
+            this->departing ? "instance leaves" : "region not allowed"
         );
     }
     keys::retarget_releases(this->key_owner, view);
--- a/src/apricotstile/router/local_key_manager_rebalancing.cpp
+++ b/src/apricotstile/router/local_key_manager_rebalancing.cpp
@@ -53,7 +53,9 @@
         return;
     }
     const keys::membership_view view = this->dependencies.view();
-    if (this->release_if_failing(view)) {
+    // If this daemon may not own keys, `advance` moves all of them.
+    if (!keys::may_own_keys(view, this->key_owner.self) ||
+        this->release_if_failing(view)) {
         return;
     }
     if (const auto next = keys::plan_newcomer_move(
@@ -68,7 +70,7 @@
     if (wanted > 0) {
         std::vector<host_id> members;
         for (const keys::key_member& one : view.members) {
-            if (one.host != this->key_owner.self) {
+            if (one.host != this->key_owner.self && one.may_own) {
                 members.push_back(one.host);
             }
         }
@@ -191,9 +193,10 @@
     host_id owner, const capacity_request& request
 ) {
     const keys::instance_load current = this->current_load();
-    const bool can_hold = !this->departing && !this->failing &&
-                          this->key_owner.instance &&
-                          keys::has_lease(this->key_owner, boot_clock::now());
+    const bool can_hold =
+        !this->departing && !this->failing && this->key_owner.instance &&
+        keys::has_lease(this->key_owner, boot_clock::now()) &&
+        keys::may_own_keys(this->dependencies.view(), this->key_owner.self);
     const double offered =
         can_hold ? keys::reserve_capacity(
                        this->reserved_capacity,
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -110,6 +110,9 @@
     void start_attempt(pending_request& request);
     void try_another_instance(pending_request& request);
     std::optional<host_id> choose_host(pending_request& request);
+    [[nodiscard]] bool is_region_allowed(
+        const pending_request& request, const region_id& region
+    ) const;
     void note_leaving(host_id host, const routed_response& response);
     [[nodiscard]] bool has_left(host_id host) const;
     serving::locality_tier locality_of(const location& where) const;
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -3,6 +3,8 @@
 #include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/pending_request.hpp>
 
+#include <apricotstile/core/hashing.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -38,11 +40,43 @@
                : serving::locality_tier::other_region;
 }
 
+/// Whether the route allows the region, by the configuration that the request
+/// arrived under and by the present one.
+bool request_router::is_region_allowed(
+    const pending_request& request, const region_id& region
+) const {
+    if (request.table->restrictions.restricted_routes == 0 &&
+        this->table->restrictions.restricted_routes == 0) {
+        return true;
+    }
+    const routing::restricted_request restricted{
+        name_hash(request.route->name),
+        request.service,
+        request.key.has_value()};
+    return routing::may_serve(
+               request.table->restrictions, restricted, region
+           ) &&
+           (request.table == this->table ||
+            routing::may_serve(this->table->restrictions, restricted, region));
+}
+
 std::optional<host_id> request_router::choose_host(pending_request& request) {
+    request.region_excluded = false;
     if (request.key) {
         const auto owner =
             this->dependencies.owner_of(request.service, *request.key);
-        const bool is_usable = owner &&
+        const auto entry =
+            this->dependencies.known->entries.find(owner.value_or(host_id{}));
+        // An owner whose region isn't known is in none that a restriction
+        // names.
+        request.region_excluded =
+            owner && !this->is_region_allowed(
+                         request,
+                         entry == this->dependencies.known->entries.end()
+                             ? region_id{}
+                             : entry->second.where.region
+                     );
+        const bool is_usable = owner && !request.region_excluded &&
                                this->dependencies.is_reachable(*owner) &&
                                !this->has_left(*owner);
         return is_usable ? owner : std::nullopt;
@@ -59,6 +93,12 @@
             this->has_left(one->host)) {
             continue;
         }
+        if (!this->is_region_allowed(request, one->where.region)) {
+            // If instances in allowed regions have refused the request, that is
+            // the reason for its rejection.
+            request.region_excluded = tried_hosts.empty();
+            continue;
+        }
         candidates.push_back(
             {one->host, this->locality_of(one->where), &this->views[one->host]}
         );
@@ -143,6 +183,9 @@
         routed_response none;
         none.outcome = request.key ? serving::attempt_outcome::refused_not_owner
                                    : serving::attempt_outcome::refused_closed;
+        if (request.region_excluded) {
+            none.outcome = serving::attempt_outcome::refused_region;
+        }
         request.progress.refusals = this->retry_policy.max_refusals;
         this->handle_attempt_end(caller, number, host_id{}, std::move(none));
         return;
@@ -191,6 +234,7 @@
         break;
     case serving::attempt_outcome::refused_not_owner:
     case serving::attempt_outcome::refused_quarantined:
+    case serving::attempt_outcome::refused_region:
         break;
     }
 }
@@ -305,7 +349,12 @@
         break;
     case serving::next_step::refuse:
         this->answer_locally(
-            request, status_unavailable, "not_run", request.progress.retry_after
+            request,
+            status_unavailable,
+            response.outcome == serving::attempt_outcome::refused_region
+                ? "region_not_allowed"
+                : "not_run",
+            request.progress.retry_after
         );
         break;
     case serving::next_step::fail:
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -79,6 +79,9 @@
     this->own_entry.run = make_incarnation();
     this->lease_guardian.run = this->own_entry.run;
     this->instance.set_self({this->own_host, this->own_entry.run});
+    this->instance.set_region_check([this](const routed_request& request) {
+        return this->is_region_allowed(request);
+    });
     directory::merge_entry(this->known_daemons, this->own_entry);
     this->table.set_era_handler([this](const platform::era_change& change) {
         this->handle_new_era(change);
@@ -94,6 +97,7 @@
 
 void router::implementation::run_periodic_tasks() {
     this->poll_table();
+    this->report_unserved_parts();
     this->update_config_readers();
     this->request_config_from_peer();
     this->write_entry();
@@ -241,8 +245,10 @@
         {"links", {{"open", daemon.links.open_links()}}},
         {"directory", {{"members", daemon.known_daemons.entries.size()}}},
         {"config",
-         {{"version",
-           daemon.routes ? daemon.routes->config.version.value : 0}}}};
+         {{"version", daemon.routes ? daemon.routes->config.version.value : 0},
+          {"restricted_routes",
+           daemon.routes ? daemon.routes->restrictions.restricted_routes
+                         : 0}}}};
 }
 
 } // namespace apricotstile::router
--- a/src/apricotstile/router/router_config.cpp
+++ b/src/apricotstile/router/router_config.cpp
@@ -54,6 +54,7 @@
     this->routes = std::make_shared<const routing::route_table>(
         routing::make_route_table(std::move(config))
     );
+    this->regions_unchecked = this->routes->restrictions.restricted_routes > 0;
     this->callers.set_config(this->routes);
     this->links.set_config_version(this->routes->config.version);
     this->answer_config_requests();
@@ -66,6 +67,55 @@
     this->start_key_management();
 }
 
+/// Whether this daemon's configuration allows its region for a request to the
+/// instance beside it. A route that it doesn't have may be newer; its sender's
+/// configuration has been applied then.
+bool router::implementation::is_region_allowed(const routed_request& request
+) const {
+    return !this->routes || routing::may_serve(
+                                this->routes->restrictions,
+                                {request.route_hash,
+                                 this->settings.service,
+                                 request.key.has_value()},
+                                this->own_entry.where.region
+                            );
+}
+
+/// Warns once of each part of a configuration whose restrictions leave it no
+/// host. Delayed until the members are known.
+void router::implementation::report_unserved_parts() {
+    if (!this->regions_unchecked || !this->members_loaded) {
+        return;
+    }
+    this->regions_unchecked = false;
+    std::map<service_id, std::set<region_id>> service_regions;
+    for (const auto& [peer, entry] : this->known_daemons.entries) {
+        service_regions[entry.service].insert(entry.where.region);
+    }
+    const routing::unserved_parts unserved =
+        routing::find_unserved_parts(this->routes->config, service_regions);
+    const std::string version =
+        std::to_string(this->routes->config.version.value);
+    for (const auto& [route, service] : unserved.routes) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "No host is in a region that the route allows; its requests are "
+            "rejected.",
+            {{"route", route}, {"service", service.value}, {"version", version}}
+        );
+    }
+    for (const service_id& service : unserved.services) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "No host is in a region that all restricted routes to the service "
+            "allow; its keys don't move there.",
+            {{"service", service.value}, {"version", version}}
+        );
+    }
+}
+
 /// A daemon that starts while the store is unavailable gets its configuration
 /// from a peer. The store's is applied as soon as it answers.
 void router::implementation::request_config_from_peer() {
--- a/src/apricotstile/router/router_keys.cpp
+++ b/src/apricotstile/router/router_keys.cpp
@@ -149,6 +149,11 @@
             member.failure_ratio =
                 serving::failure_ratio_now(*seen, boot_clock::now());
         }
+        member.may_own = !this->routes || routing::may_own_keys(
+                                              this->routes->restrictions,
+                                              this->settings.service,
+                                              one->where.region
+                                          );
         view.rank += one->host < this->own_host ? 1 : 0;
         view.members.push_back(member);
         hosts.push_back(one->host);
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -4,6 +4,7 @@
 #include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/router_implementation.hpp>
 
+#include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
 
 namespace apricotstile::router {
--- a/src/apricotstile/routing/route_table.cpp
+++ b/src/apricotstile/routing/route_table.cpp
@@ -33,6 +33,7 @@
             }
         );
     }
+    table.restrictions = find_restrictions(config);
     table.config = std::move(config);
     return table;
 }
--- a/src/apricotstile/routing/route_table.hpp
+++ b/src/apricotstile/routing/route_table.hpp
@@ -4,6 +4,7 @@
 #ifndef APRICOTSTILE_ROUTING_ROUTE_TABLE_HPP
 #define APRICOTSTILE_ROUTING_ROUTE_TABLE_HPP
 
+#include <apricotstile/routing/allowed_regions.hpp>
 #include <apricotstile/routing/routing_config.hpp>
 
 #include <string_view>
@@ -15,6 +16,7 @@
     routing_config config;
     /// Indices into `config.routes` for each host, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> by_host;
+    region_restrictions restrictions;
 };
 
 [[nodiscard]] route_table make_route_table(routing_config config);
--- a/src/apricotstile/routing/routing_config.hpp
+++ b/src/apricotstile/routing/routing_config.hpp
@@ -8,7 +8,9 @@
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/routing/grant_method.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -42,6 +44,9 @@
     std::uint32_t max_instances{1};
     /// At least one.
     std::vector<weighted_service> services;
+    /// The regions whose instances may serve the route's requests; all if it is
+    /// empty.
+    std::vector<region_id> allowed_regions;
 };
 
 struct service_config {
@@ -101,6 +106,54 @@
     archive(value.version, value.routes, value.services, value.limits);
 }
 
+/// The allowed regions of the route with this index in its configuration.
+struct indexed_regions {
+    std::uint32_t route_index{0};
+    std::vector<region_id> regions;
+};
+
+template <class Archive>
+void serialize(Archive& archive, indexed_regions& value) {
+    archive(value.route_index, value.regions);
+}
+
+[[nodiscard]] inline bool has_restricted_routes(const routing_config& config) {
+    return std::any_of(
+        config.routes.begin(),
+        config.routes.end(),
+        [](const route& one) {
+            return !one.allowed_regions.empty();
+        }
+    );
+}
+
+/// Encodes or decodes the routes' allowed regions, which `serialize` leaves
+/// out. They follow it only in a configuration that has some.
+template <class Archive>
+void serialize_allowed_regions(Archive& archive, routing_config& config) {
+    std::vector<indexed_regions> restricted;
+    if constexpr (Archive::is_saving::value) {
+        for (std::size_t index = 0; index < config.routes.size(); ++index) {
+            const route& one = config.routes[index];
+            if (!one.allowed_regions.empty()) {
+                restricted.push_back(
+                    {static_cast<std::uint32_t>(index), one.allowed_regions}
+                );
+            }
+        }
+    }
+    archive(restricted);
+    if constexpr (Archive::is_loading::value) {
+        for (indexed_regions& one : restricted) {
+            if (one.route_index >= config.routes.size()) {
+                throw std::out_of_range{"restricted route doesn't exist"};
+            }
+            config.routes[one.route_index].allowed_regions =
+                std::move(one.regions);
+        }
+    }
+}
+
 } // namespace apricotstile::routing
 
 #endif
--- a/src/apricotstile/serving/request_progress.cpp
+++ b/src/apricotstile/serving/request_progress.cpp
@@ -24,6 +24,8 @@
         return "lost";
     case attempt_outcome::timed_out:
         return "timed_out";
+    case attempt_outcome::refused_region:
+        return "refused_region";
     }
     return "unknown";
 }
@@ -90,6 +92,10 @@
 ) {
     ++request.refusals;
     request.retry_after = std::max(request.retry_after, end.retry_after);
+    if (end.outcome == attempt_outcome::refused_region) {
+        request.retry_after =
+            std::max(request.retry_after, policy.region_retry_after);
+    }
     if (!has_time(request, policy, now)) {
         return {give_up(request)};
     }
@@ -150,6 +156,7 @@
     case attempt_outcome::refused_busy:
     case attempt_outcome::refused_closed:
     case attempt_outcome::refused_not_owner:
+    case attempt_outcome::refused_region:
         return after_refusal(request, end, policy, now);
     case attempt_outcome::refused_quarantined:
         request.retry_after = std::max(request.retry_after, end.retry_after);
--- a/src/apricotstile/serving/request_progress.hpp
+++ b/src/apricotstile/serving/request_progress.hpp
@@ -33,7 +33,10 @@
     /// It reached the instance, or may have, and no complete answer came.
     lost,
     /// As `lost`, because the deadline passed.
-    timed_out
+    timed_out,
+    /// Refused because the instance, or all that there are, is in a region that
+    /// the request's route doesn't allow.
+    refused_region
 };
 
 /// The outcome's name in logs and metrics.
@@ -89,6 +92,8 @@
     double key_wait_fraction{0.5};
     /// When a caller may retry whose key had no owner.
     duration key_move_retry_after{std::chrono::milliseconds{300}};
+    /// When a caller may retry if no allowed region can serve its request.
+    duration region_retry_after{std::chrono::milliseconds{300}};
     /// An attempt needs at least this much time before the deadline.
     duration min_time_left{std::chrono::milliseconds{20}};
 };
--- a/tests/adapter/config_decoder.tests.cpp
+++ b/tests/adapter/config_decoder.tests.cpp
@@ -61,6 +61,45 @@
     CHECK(config.routes.at(0).idempotent);
 }
 
+namespace {
+
+/// The regions that a route's field of this text allows.
+std::vector<region_id> regions_of(const std::string& field) {
+    return decode_config(
+               R"({"version":"02","routes":{"columns":["name","host","prefix",)"
+               R"("kind","timeoutMs","targetLatencyMs","service",)"
+               R"("allowedRegions"],"rows":[["r","a","/x/","idempotent",600,)"
+               R"(250,"s")" +
+               field + R"(]]},"services":{"columns":["name"],"rows":[["s"]]}})"
+    )
+        .routes.at(0)
+        .allowed_regions;
+}
+
+} // namespace
+
+TEST_CASE("a route's allowed regions are decoded", "[adapter][regions]") {
+    CHECK(
+        regions_of(R"(,["south","north","south"])") ==
+        std::vector<region_id>{{"north"}, {"south"}}
+    );
+    // No restriction.
+    CHECK(regions_of("").empty());
+    CHECK(regions_of(",null").empty());
+    CHECK(regions_of(",[]").empty());
+}
+
+TEST_CASE(
+    "a restriction that can't be understood makes a configuration invalid",
+    "[adapter][regions]"
+) {
+    for (const std::string field :
+         {R"(,"north")", ",7", R"(,["north",7])", R"(,[""])", ",{}"}) {
+        CAPTURE(field);
+        CHECK_THROWS_AS(regions_of(field), config_error);
+    }
+}
+
 TEST_CASE("columns may have any order and unknown names", "[adapter]") {
     const routing::routing_config config = decode_config(
         R"({"version":"02","routes":{"columns":["odd","prefix","kind","host",)"
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -156,7 +156,10 @@
         added->upstream = std::make_unique<fake_upstream>(
             "i" + std::to_string(this->hosts.size())
         );
-        added->settings.where = {{"region"}, {"domain"}};
+        const std::string region = options.regions.empty()
+                                       ? "region"
+                                       : options.regions.at(this->hosts.size());
+        added->settings.where = {{region}, {region + "-domain"}};
         added->settings.caller_address = unused_address();
         added->settings.peer_address = unused_address();
         added->settings.instance_address = added->upstream->where();
@@ -361,6 +364,23 @@
     one.daemon->apply_config(std::move(config));
 }
 
+void daemon_group::restrict_route(
+    std::size_t index,
+    std::uint64_t version,
+    const std::string& service,
+    const std::vector<region_id>& regions
+) {
+    host& one = *this->hosts.at(index);
+    routing::routing_config config = one.config;
+    config.version = {version};
+    for (routing::route& route : config.routes) {
+        if (route.name == service) {
+            route.allowed_regions = regions;
+        }
+    }
+    one.daemon->apply_config(std::move(config));
+}
+
 int daemon_group::request(std::size_t index, const std::string& target) {
     QTcpSocket caller;
     caller.connectToHost(
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -46,6 +46,8 @@
 struct daemon_group_options {
     /// Services that are divided by key.
     std::vector<std::string> keyed;
+    /// The region of each daemon; all are in the same one if it is empty.
+    std::vector<std::string> regions;
     /// How long a leaving upstream may still get requests.
     duration drain_timeout{std::chrono::milliseconds{600}};
 };
@@ -84,6 +86,14 @@
     /// Applies a configuration of this version, with the same routes, to one
     /// daemon.
     void apply_config(std::size_t index, std::uint64_t version);
+    /// Applies a configuration of this version to one daemon, in which the
+    /// route to `service` allows only `regions`.
+    void restrict_route(
+        std::size_t index,
+        std::uint64_t version,
+        const std::string& service,
+        const std::vector<region_id>& regions
+    );
     /// Sends a request to daemon `index` and returns its answer's status. All
     /// requests have the same key.
     int request(std::size_t index, const std::string& target);
--- a/tests/router/frames.tests.cpp
+++ b/tests/router/frames.tests.cpp
@@ -2,6 +2,7 @@
 // they arrive in pieces of any size, and against malformed bytes that make the
 // decoder fail in another way than by `decode_error`.
 
+#include <apricotstile/core/hashing.hpp>
 #include <apricotstile/core/random.hpp>
 #include <apricotstile/router/frames.hpp>
 
@@ -94,6 +95,97 @@
     });
 }
 
+namespace {
+
+config_reply reply_with_routes(std::size_t count) {
+    config_reply result;
+    result.config.version = {7};
+    for (std::size_t index = 0; index < count; ++index) {
+        routing::route route;
+        route.name = "r" + std::to_string(index);
+        route.host = "a.example";
+        route.prefix = "/x/";
+        route.timeout = 600ms;
+        route.services = {{{"s"}, 90}, {{"t"}, 10}};
+        result.config.routes.push_back(route);
+    }
+    result.config.services[{"s"}].keyed = true;
+    return result;
+}
+
+std::string encoded(const config_reply& reply) {
+    header_table headers;
+    return encode_frame(reply, headers);
+}
+
+routing::routing_config decoded_config(std::string bytes) {
+    header_table headers;
+    return std::get<config_reply>(decode_frame(bytes, headers).value()).config;
+}
+
+} // namespace
+
+TEST_CASE(
+    "restrictions are sent with the configuration", "[router][frames][regions]"
+) {
+    config_reply sent = reply_with_routes(3);
+    sent.config.routes[1].allowed_regions = {{"north"}, {"south"}};
+    const routing::routing_config received = decoded_config(encoded(sent));
+    CHECK(received.routes.at(0).allowed_regions.empty());
+    CHECK(
+        received.routes.at(1).allowed_regions ==
+        sent.config.routes[1].allowed_regions
+    );
+    CHECK(received.routes.at(2).allowed_regions.empty());
+}
+
+TEST_CASE(
+    "a configuration without restrictions is encoded as by daemons that know "
+    "none",
+    "[router][frames][regions]"
+) {
+    // Of the encoding before there were restrictions.
+    constexpr std::uint64_t earlier_hash = 6150090686847808301ULL;
+    constexpr std::size_t earlier_size = 298;
+    config_reply reply = reply_with_routes(2);
+    const std::string bytes = encoded(reply);
+    CHECK(bytes.size() == earlier_size);
+    CHECK(stable_hash(bytes) == earlier_hash);
+    // Such daemons read the first part of a restricted one.
+    reply.config.routes[0].allowed_regions = {{"north"}};
+    constexpr std::size_t length_bytes = 4;
+    const std::string restricted = encoded(reply);
+    CHECK(
+        restricted.substr(length_bytes, bytes.size() - length_bytes) ==
+        bytes.substr(length_bytes)
+    );
+}
+
+TEST_CASE(
+    "malformed restrictions make a configuration's frame malformed",
+    "[router][frames][regions]"
+) {
+    config_reply reply = reply_with_routes(2);
+    const std::size_t unrestricted_size = encoded(reply).size();
+    reply.config.routes[1].allowed_regions = {{"north"}};
+    const std::string bytes = encoded(reply);
+    // A shorter payload with a length prefix that fits.
+    for (std::size_t size = unrestricted_size + 1; size < bytes.size();
+         ++size) {
+        std::string cut = bytes.substr(0, size);
+        constexpr std::size_t length_bytes = 4;
+        constexpr std::size_t byte_values = 256;
+        cut[0] = static_cast<char>((size - length_bytes) % byte_values);
+        cut[1] = static_cast<char>((size - length_bytes) / byte_values);
+        CHECK_THROWS_AS(decoded_config(cut), decode_error);
+    }
+    // The index of a route that doesn't exist follows the number of routes.
+    std::string other = bytes;
+    constexpr std::size_t count_bytes = 8;
+    other[unrestricted_size + count_bytes] = 2;
+    CHECK_THROWS_AS(decoded_config(other), decode_error);
+}
+
 TEST_CASE("a decoded configuration equals the sent one", "[router][frames]") {
     config_reply sent;
     sent.config.version = {7};
--- a/tests/serving/request_progress.tests.cpp
+++ b/tests/serving/request_progress.tests.cpp
@@ -44,6 +44,20 @@
     CHECK(step(state, attempt_outcome::answered) == next_step::deliver);
 }
 
+TEST_CASE(
+    "a request that a region isn't allowed to serve goes elsewhere or is "
+    "rejected at once",
+    "[serving][regions]"
+) {
+    request_progress state = request(false);
+    CHECK(step(state, attempt_outcome::refused_region) == next_step::retry_now);
+    CHECK_FALSE(state.may_have_run);
+    // The key's owner is the only instance.
+    state = request(true, true);
+    CHECK(step(state, attempt_outcome::refused_region) == next_step::refuse);
+    CHECK(state.retry_after >= retry_policy{}.region_retry_after);
+}
+
 TEST_CASE(
     "a request that isn't idempotent isn't sent again once it may have run",
     "[serving]"
@@ -95,7 +109,7 @@
         int sent = 0;
         for (int i = 0; i < 8; ++i) {
             const auto outcome =
-                static_cast<attempt_outcome>(*rc::gen::inRange(0, 7));
+                static_cast<attempt_outcome>(*rc::gen::inRange(0, 9));
             const bool was_sent = outcome == attempt_outcome::answered ||
                                   outcome == attempt_outcome::lost ||
                                   outcome == attempt_outcome::timed_out;
