--- a/src/apricotstile/keys/takeover.hpp
+++ b/src/apricotstile/keys/takeover.hpp
@@ -26,6 +26,9 @@
     duration mean_service_time{0};
     /// Failure ratio of its instance's answers, from 0 to 1.
     double failure_ratio{0};
+    /// Whether it may own keys. Members in regions that the service's routes
+    /// don't allow receive none and move those that they own away.
+    bool may_own{true};
 };
 
 struct takeover_policy {
@@ -78,6 +81,10 @@
     instant now
 );
 
+/// Whether the member on `host` may own keys. True for a host that isn't a
+/// member.
+[[nodiscard]] bool may_own_keys(const membership_view& view, host_id host);
+
 struct key_move {
     key_range keys;
     host_id target;
@@ -115,13 +122,15 @@
 /// The load in slots of the keys that this daemon owns and isn't releasing.
 [[nodiscard]] double kept_load(const key_owner& state, const key_load& load);
 
-/// Moves for all keys of this daemon, as its instance leaves. Members with a
-/// cold instance receive none if there are others.
+/// Moves for all keys of this daemon, as its instance leaves or it may no
+/// longer own them. Members with a cold instance receive none if there are
+/// others.
 [[nodiscard]] std::vector<key_move>
 plan_departure(const key_owner& state, const membership_view& view);
 
-/// Assigns another target to each release whose target is no longer a member;
-/// one with a cold instance only if there are no others.
+/// Assigns another target to each release whose target is no longer a member or
+/// may no longer own keys; one with a cold instance only if there are no
+/// others.
 void retarget_releases(key_owner& state, const membership_view& view);
 
 } // namespace apricotstile::keys
--- a/src/apricotstile/router/frames.cpp
+++ b/src/apricotstile/router/frames.cpp
@@ -4,8 +4,6 @@
 
 #include <apricotstile/router/frames.hpp>
 
-#include <apricotstile/core/hashing.hpp>
-
 #include <algorithm>
 #include <limits>
 
@@ -326,8 +324,4 @@
     return decode_payload(type, payload, headers);
 }
 
-std::uint32_t name_hash(const std::string& name) {
-    return static_cast<std::uint32_t>(stable_hash(name));
-}
-
 } // namespace apricotstile::router
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -30,6 +30,8 @@
     using response_handler = std::function<void(routed_response&&)>;
     /// Whether the instance holds `key` now.
     using key_check = std::function<bool(keys::key_number)>;
+    /// Whether the request's route allows this region.
+    using region_check = std::function<bool(const routed_request&)>;
     /// Reports to the other daemons which requests are suspected of crashing
     /// the instance.
     using crash_report_handler =
@@ -61,6 +63,9 @@
     /// Sets whether the instance's service has keys. Its load then has the
     /// usual mean of its service times, otherwise the present one.
     void set_keyed(bool keyed);
+    /// Requests are served only if `check` returns true, both when they arrive
+    /// and when they start. Without a check, all are.
+    void set_region_check(region_check check);
     /// Sets how many hosts there are of each service.
     void set_host_counts(const std::map<service_id, std::size_t>& hosts);
 
@@ -138,6 +143,8 @@
     estimate(std::uint32_t route, const serving::work_features& features) const;
     void perform_actions(const std::vector<serving::work_action>& actions);
     void start(work& item);
+    [[nodiscard]] std::optional<serving::attempt_outcome>
+    refusal_of(const routed_request& request) const;
     void refuse_quarantined(
         work& item, const upstream::quarantine_decision& decision
     );
@@ -177,6 +184,7 @@
     const header_names& names;
     net::timer_queue& timers;
     key_check holds_key;
+    region_check allows_region;
     crash_report_handler on_crash_reports;
     leaving_handler on_leaving;
     upstream::crash_detector crash_detector;
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -118,6 +118,9 @@
     std::optional<host_id> choose_host(pending_request& request);
     [[nodiscard]] bool has_evacuated_owner(host_id owner) const;
     [[nodiscard]] bool is_evacuated_everywhere(const service_id& service) const;
+    [[nodiscard]] bool is_region_allowed(
+        const pending_request& request, const region_id& region
+    ) const;
     void note_leaving(host_id host, const routed_response& response);
     [[nodiscard]] bool has_left(host_id host) const;
     serving::locality_tier locality_of(const location& where) const;
--- a/src/apricotstile/router/request_router_answers.cpp
+++ b/src/apricotstile/router/request_router_answers.cpp
@@ -3,6 +3,7 @@
 #include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/pending_request.hpp>
 
+#include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
 
 #include <fmt/format.h>
--- a/src/apricotstile/routing/routing_config.hpp
+++ b/src/apricotstile/routing/routing_config.hpp
@@ -9,9 +9,11 @@
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/routing/grant_method.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +47,9 @@
     std::uint32_t max_instances{1};
     /// At least one.
     std::vector<weighted_service> services;
+    /// The regions whose instances may serve the route's requests; all if it is
+    /// empty.
+    std::vector<region_id> allowed_regions;
 };
 
 struct service_config {
@@ -107,7 +112,10 @@
 /// Fields that only some deployments have follow the others, each kind of them
 /// as a number and its bytes. So a configuration without such fields has no
 /// more bytes than before there were any, and unknown kinds are skipped.
-enum class config_extension : std::uint8_t { cold_services = 1 };
+enum class config_extension : std::uint8_t {
+    cold_services = 1,
+    restricted_routes
+};
 
 /// The fields of a service that has a limit for cold instances.
 struct cold_service {
@@ -120,6 +128,29 @@
     archive(value.start_time, value.per_second);
 }
 
+/// Allowed regions by the index of the route in its configuration.
+using restricted_routes = std::map<std::uint32_t, std::vector<region_id>>;
+
+[[nodiscard]] inline restricted_routes
+find_restricted_routes(const routing_config& config) {
+    restricted_routes result;
+    for (std::uint32_t index = 0; index < config.routes.size(); ++index) {
+        const route& one = config.routes[index];
+        if (!one.allowed_regions.empty()) {
+            result[index] = one.allowed_regions;
+        }
+    }
+    return result;
+}
+
+/// Throws `std::out_of_range` if there is no such route.
+inline void
+restrict_routes(routing_config& config, const restricted_routes& restricted) {
+    for (const auto& [index, regions] : restricted) {
+        config.routes.at(index).allowed_regions = regions;
+    }
+}
+
 template <class Archive>
 void save_extensions(Archive& archive, const routing_config& value) {
     std::map<service_id, cold_service> cold;
@@ -131,6 +162,10 @@
     if (!cold.empty()) {
         archive(config_extension::cold_services, encode(cold));
     }
+    const restricted_routes restricted = find_restricted_routes(value);
+    if (!restricted.empty()) {
+        archive(config_extension::restricted_routes, encode(restricted));
+    }
 }
 
 /// The kind of the next extension; nothing at the end of the bytes.
@@ -150,6 +185,9 @@
     while (const auto kind = next_extension(archive)) {
         std::string bytes;
         archive(bytes);
+        if (*kind == config_extension::restricted_routes) {
+            restrict_routes(value, decode<restricted_routes>(bytes));
+        }
         if (*kind != config_extension::cold_services) {
             continue;
         }
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -164,10 +164,12 @@
             "i" + std::to_string(this->hosts.size())
         );
         const std::size_t index = this->hosts.size();
-        added->settings.where = {
-            {"region"},
-            {index < options.domains.size() ? options.domains[index]
-                                            : "domain"}};
+        const std::string region =
+            options.regions.empty() ? "region" : options.regions.at(index);
+        const std::string domain = index < options.domains.size()
+                                       ? options.domains[index]
+                                       : region + "-domain";
+        added->settings.where = {{region}, {domain}};
         added->settings.evacuation_timeout = options.evacuation_timeout;
         added->settings.caller_address = unused_address();
         added->settings.peer_address = unused_address();
@@ -425,6 +427,23 @@
     one.daemon->apply_config(std::move(config));
 }
 
+void daemon_group::restrict_route(
+    std::size_t index,
+    std::uint64_t version,
+    const std::string& service,
+    const std::vector<region_id>& regions
+) {
+    host& one = *this->hosts.at(index);
+    routing::routing_config config = one.config;
+    config.version = {version};
+    for (routing::route& route : config.routes) {
+        if (route.name == service) {
+            route.allowed_regions = regions;
+        }
+    }
+    one.daemon->apply_config(std::move(config));
+}
+
 std::unique_ptr<QTcpSocket>
 daemon_group::begin_request(std::size_t index, const std::string& target) {
     auto caller = std::make_unique<QTcpSocket>();
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -54,13 +54,16 @@
     duration drain_timeout{std::chrono::milliseconds{600}};
     /// Rate of each host's link as the daemons know it; zero if they don't.
     double link_bytes_per_second{0};
-    /// Failure domains of the hosts, in order; "domain" for the rest.
+    /// Failure domains of the hosts, in order; one in each region for the
+    /// rest.
     std::vector<std::string> domains{};
     /// Nothing: evacuations are off.
     std::optional<duration> evacuation_timeout{};
     /// Requests a second that a cold upstream tolerates; zero if it has no
     /// limit.
     double cold_per_second{0};
+    /// The region of each daemon; all are in the same one if it is empty.
+    std::vector<std::string> regions{};
 };
 
 class daemon_group {
@@ -105,6 +108,14 @@
     /// Applies a configuration of this version, with the same routes, to one
     /// daemon.
     void apply_config(std::size_t index, std::uint64_t version);
+    /// Applies a configuration of this version to one daemon, in which the
+    /// route to `service` allows only `regions`.
+    void restrict_route(
+        std::size_t index,
+        std::uint64_t version,
+        const std::string& service,
+        const std::vector<region_id>& regions
+    );
     /// Sends a request to daemon `index` and returns its answer's status. All
     /// requests have the same key.
     int request(std::size_t index, const std::string& target);
