Notice crashes of idle instances that have a limit while cold

Cause: a crash was noticed by a refused connection only. An instance that crashes while it is idle and listens again before its next heartbeat got requests without its limit.

Change: where the service has a limit for cold instances, an idle connection that ends long before its timeout is followed by a check that the instance still listens, as a lost answer is. The rule for requests that waited for their connection is a function of `serving/cold_limit` now, with a test.

Measured: the test of an idle crash fails without the change (the instance counts as cold only by its silence, 15 s later).

--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -16,6 +16,9 @@
 /// Used if an instance doesn't state its idle timeout.
 inline constexpr duration default_idle_timeout = std::chrono::seconds{4};
 
+/// An idle connection is closed this long before the instance closes it.
+inline constexpr duration idle_margin = std::chrono::milliseconds{1500};
+
 /// Service time that is assumed before the first answer.
 inline constexpr duration default_service_time = std::chrono::milliseconds{50};
 
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using internal::idle_margin;
 using internal::unanswered_response;
 
 constexpr duration open_timeout = 1s;
@@ -21,9 +22,6 @@
 /// Time for all resets of a crash to arrive before the check for one.
 constexpr duration listening_check_delay = 20ms;
 
-/// An idle connection is closed this long before the instance closes it.
-constexpr duration idle_margin = 1500ms;
-
 constexpr std::uint16_t status_misdirected = 421;
 
 constexpr std::uint16_t first_redirect = 300;
@@ -287,6 +285,9 @@
         this->note_possible_restart();
         this->handle_instance_down();
     }
+    if (item == nullptr && was_open) {
+        this->check_after_idle_end(conn);
+    }
     if (item == nullptr || item->conn != &conn) {
         return;
     }
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -150,6 +150,7 @@
     void schedule_cold_check();
     void note_possible_restart();
     void handle_connected(connection& conn);
+    void check_after_idle_end(const connection& conn);
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
     void note_unanswered(const work& item);
--- a/src/apricotstile/router/local_instance_cold.cpp
+++ b/src/apricotstile/router/local_instance_cold.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using internal::idle_margin;
 using internal::millis_text;
 using internal::unanswered_response;
 
@@ -77,6 +78,15 @@
     this->update_cold("down");
 }
 
+/// An idle connection has ended. If that was long before its timeout, the
+/// instance may have crashed, which no request shows if there are none.
+void local_instance::check_after_idle_end(const connection& conn) {
+    const duration idle = boot_clock::now() - conn.idle_since;
+    if (this->queue.cold.policy && idle + idle_margin < conn.idle_timeout) {
+        this->check_still_listening();
+    }
+}
+
 /// `remaining` is nothing if the instance's value is malformed, which changes
 /// nothing.
 void local_instance::note_cold_time(
@@ -157,22 +167,19 @@
     });
 }
 
-/// A request that had to wait long for its connection arrives in another second
-/// than it was counted in. It is counted again, or refused: nothing of it has
-/// been sent.
+/// A request that had to wait long for its connection may exceed the limit by
+/// now. It is refused then: nothing of it has been sent.
 void local_instance::handle_connected(connection& conn) {
     work* const item = conn.current;
-    const instant now = boot_clock::now();
-    if (item == nullptr || now - item->started <= serving::max_send_delay ||
-        !serving::is_cold(this->queue.cold, now)) {
+    if (item == nullptr) {
         return;
     }
-    const duration wait = serving::wait_for_tokens(this->queue.cold, 1, now);
+    const duration wait = serving::count_late_send(
+        this->queue.cold, item->started, boot_clock::now()
+    );
     if (wait == duration{0}) {
-        serving::count_token(this->queue.cold, now);
         return;
     }
-    ++this->queue.cold.rejections;
     conn.current = nullptr;
     item->conn = nullptr;
     this->close_connection(conn);
--- a/src/apricotstile/serving/cold_limit.cpp
+++ b/src/apricotstile/serving/cold_limit.cpp
@@ -144,4 +144,17 @@
     limit.counted_at = now;
 }
 
+duration count_late_send(cold_limit& limit, instant counted, instant now) {
+    if (now - counted <= max_send_delay) {
+        return duration{0};
+    }
+    const duration wait = wait_for_tokens(limit, 1, now);
+    if (wait > duration{0}) {
+        ++limit.rejections;
+    } else {
+        count_token(limit, now);
+    }
+    return wait;
+}
+
 } // namespace apricotstile::serving
--- a/src/apricotstile/serving/cold_limit.hpp
+++ b/src/apricotstile/serving/cold_limit.hpp
@@ -100,6 +100,13 @@
 /// Records a start, warm or cold.
 void count_token(cold_limit& limit, instant now);
 
+/// A request that was counted at `counted` is sent only now. If that is over
+/// `max_send_delay` later, it arrives in another second than it was counted in,
+/// and is counted again. Returns zero if it may be sent, or else how long until
+/// a token is due; it isn't counted then.
+[[nodiscard]] duration
+count_late_send(cold_limit& limit, instant counted, instant now);
+
 } // namespace apricotstile::serving
 
 #endif
--- a/tests/router/cold_upstream.tests.cpp
+++ b/tests/router/cold_upstream.tests.cpp
@@ -102,6 +102,25 @@
     CHECK(group.request(0, "/s/3") == 200);
 }
 
+TEST_CASE(
+    "a crash of an idle upstream is noticed before a request finds its next "
+    "run",
+    "[router][cold]"
+) {
+    daemon_group group{{"s"}, cold_options()};
+    CHECK(group.request(0, "/s/1") == 200);
+    group.send_heartbeats_of(0, false);
+    group.upstream(0).crash();
+    wait_for_cold(group, 0, true);
+    // Its silence alone would be noticed later.
+    REQUIRE(group.describe(0)["instance"]["ready"] == true);
+    group.upstream(0).restart();
+    for (int i = 0; i < 30; ++i) {
+        static_cast<void>(group.request(0, "/s/2"));
+    }
+    CHECK(group.runs_of("/s/2") <= 4);
+}
+
 TEST_CASE(
     "a daemon that has just started sends nothing to a cold upstream",
     "[router][cold]"
--- a/tests/serving/cold_limit.tests.cpp
+++ b/tests/serving/cold_limit.tests.cpp
@@ -409,6 +409,27 @@
     }
 }
 
+TEST_CASE(
+    "requests that wait for connections don't arrive together unlimited",
+    "[serving][cold]"
+) {
+    cold_limit limit;
+    set_cold_policy(limit, usual.policy(), start);
+    const instant late = start + 1s;
+    // Sent soon after they were counted, warm or cold.
+    note_cold_time(limit, 10s, late);
+    CHECK(count_late_send(limit, late - max_send_delay, late) == duration{0});
+    std::size_t sent = 0;
+    for (int i = 0; i < 50; ++i) {
+        sent += count_late_send(limit, start, late) == duration{0} ? 1 : 0;
+    }
+    CHECK(sent == 6);
+    CHECK(limit.rejections == 44);
+    CHECK(count_late_send(limit, start, late) > 0ms);
+    // Those of a warm instance are sent in any case.
+    CHECK(count_late_send(limit, start, late + 10s) == duration{0});
+}
+
 TEST_CASE("an instance stays cold as long as it ever said", "[serving][cold]") {
     cold_limit limit;
     set_cold_policy(limit, usual.policy(), start);
