--- a/tests/router/evacuation.tests.cpp
+++ b/tests/router/evacuation.tests.cpp
@@ -153,7 +153,10 @@
     "twice at once",
     "[router][evacuation]"
 ) {
-    daemon_group group{{"s", "t"}, options_for({"z0", "z1"}, true)};
+    daemon_group_options options = options_for({"z0", "z1"}, true);
+    // Longer than each evacuation lasts.
+    options.drain_timeout = 2s;
+    daemon_group group{{"s", "t"}, options};
     REQUIRE(wait_until([&] {
         return group.request(1, "/s/1") == status_ok;
     }));
