--- a/tests/daemon/link_duty.tests.cpp
+++ b/tests/daemon/link_duty.tests.cpp
@@ -17,20 +17,16 @@
 using namespace apricotstile;
 using namespace apricotstile::daemon;
 using apricotstile::tests::need_application;
+using apricotstile::tests::unused_address;
 using apricotstile::tests::wait_until;
 
 namespace {
 
 constexpr auto key = "a key of the tests";
 
-/// A port that was free a moment ago.
-address free_address() {
+address address_of_tests() {
     need_application();
-    QTcpServer probe;
-    REQUIRE(probe.listen(QHostAddress::LocalHost));
-    return {
-        QHostAddress{QHostAddress::LocalHost}.toIPv4Address(),
-        probe.serverPort()};
+    return unused_address();
 }
 
 /// A running link duty; what it tells the other duties is kept.
@@ -42,7 +38,7 @@
     inbox<control_message> control{100};
     std::vector<ingress_message> told;
     std::size_t work{0};
-    address where{free_address()};
+    address where{address_of_tests()};
     link_duty tested{
         {this->where,
          key,
@@ -102,7 +98,7 @@
 /// after a partition that forgot the connection.
 struct silent_peer {
     QTcpServer listener;
-    address where{free_address()};
+    address where{address_of_tests()};
     std::vector<request_id> requests;
     std::vector<std::unique_ptr<link::session>> sessions;
 
