Let the tests of the HTTP server probe no ports

Cause: as in the tests of the router, an outgoing connection could take the port between the probe and the server's listening. The tests use addresses that outgoing connections never have.

--- a/tests/http/server.tests.cpp
+++ b/tests/http/server.tests.cpp
@@ -8,7 +8,6 @@
 #include <catch2/catch.hpp>
 
 #include <QHostAddress>
-#include <QTcpServer>
 #include <QTcpSocket>
 
 #include <string>
@@ -17,21 +16,13 @@
 using namespace apricotstile;
 using namespace apricotstile::http;
 using apricotstile::tests::need_application;
+using apricotstile::tests::unused_address;
 using apricotstile::tests::wait_until;
 
 namespace {
 
 constexpr std::size_t max_request_bytes = 600'000;
 
-/// A loopback address whose port was unused when probed.
-address free_address() {
-    QTcpServer probe;
-    REQUIRE(probe.listen(QHostAddress::LocalHost));
-    return {
-        QHostAddress{QHostAddress::LocalHost}.toIPv4Address(),
-        probe.serverPort()};
-}
-
 struct test_server {
     std::vector<std::pair<exchange_id, http_request>> requests;
     std::vector<exchange_id> cancelled;
@@ -47,7 +38,7 @@
 
     test_server() {
         need_application();
-        this->listen_address = free_address();
+        this->listen_address = unused_address();
         this->http_server.listen_on(this->listen_address);
     }
 
