--- a/tests/router/restricted_requests.tests.cpp
+++ b/tests/router/restricted_requests.tests.cpp
@@ -60,6 +60,9 @@
         dependencies.is_evacuated = [](const location&) {
             return false;
         };
+        dependencies.may_serve_keys = [](const location&) {
+            return true;
+        };
         dependencies.is_reachable = [this](host_id host) {
             return host != this->unresponsive;
         };
