Check restrictions against hosts 5 s after a configuration

Cause: while the whole system starts, few hosts are known, so the check warned of routes whose hosts became known within seconds.

Measured: the 4 cases of router_regions_tests pass. No test sees the log line itself; what it names is tested in allowed_regions.tests.cpp.

--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -142,9 +142,9 @@
     std::map<service_id, cached_key_map> key_maps;
     table_view members_view;
     std::shared_ptr<const routing::route_table> routes;
-    /// Whether the restrictions in `routes` haven't been checked yet against
-    /// the hosts that there are.
-    bool regions_unchecked{false};
+    /// When the restrictions in `routes` are checked against the hosts that
+    /// there are; nothing if they have been.
+    std::optional<instant> regions_checked_at;
     bool members_loaded{false};
     instant started;
     instant config_requested_at;
--- a/src/apricotstile/router/router_config.cpp
+++ b/src/apricotstile/router/router_config.cpp
@@ -29,6 +29,10 @@
 
 constexpr duration max_era_read_delay = 1s;
 
+/// Between a configuration and the check that its restrictions leave hosts.
+/// When the whole system starts, hosts become known within seconds.
+constexpr duration region_check_delay = 5s;
+
 /// Between announcements of a reader that can't read.
 constexpr duration failing_notice_interval = 1s;
 
@@ -54,7 +58,10 @@
     this->routes = std::make_shared<const routing::route_table>(
         routing::make_route_table(std::move(config))
     );
-    this->regions_unchecked = this->routes->restrictions.restricted_routes > 0;
+    this->regions_checked_at.reset();
+    if (this->routes->restrictions.restricted_routes > 0) {
+        this->regions_checked_at = boot_clock::now() + region_check_delay;
+    }
     this->callers.set_config(this->routes);
     this->links.set_config_version(this->routes->config.version);
     this->answer_config_requests();
@@ -84,10 +91,11 @@
 /// Warns once of each part of a configuration whose restrictions leave it no
 /// host. Delayed until the members are known.
 void router::implementation::report_unserved_parts() {
-    if (!this->regions_unchecked || !this->members_loaded) {
+    if (!this->regions_checked_at || !this->members_loaded ||
+        boot_clock::now() < *this->regions_checked_at) {
         return;
     }
-    this->regions_unchecked = false;
+    this->regions_checked_at.reset();
     std::map<service_id, std::set<region_id>> service_regions;
     for (const auto& [peer, entry] : this->known_daemons.entries) {
         service_regions[entry.service].insert(entry.where.region);
