Ask farther instances only where they are worth their price

Cause: the choice of whom to ask left out those that had been asked, so a request that a near instance would have delayed by some milliseconds was asked in another region, which is billed.

Change: choose_instance_to_try decides with all candidates.

--- a/benchmarks/choice_of_100.cpp
+++ b/benchmarks/choice_of_100.cpp
@@ -1,5 +1,5 @@
 // Processor time of one choice of an instance among 100 candidates, and of one
-// choice among instances that were asked. Prints one JSON line each.
+// choice of whom to ask among as many. Prints one JSON line each.
 
 #include <apricotstile/serving/ask_first.hpp>
 
@@ -66,10 +66,11 @@
     print_cost("choose_among_100", [&] {
         return choose_instance(candidates, {}, 250ms, now, random)->value;
     });
-    const std::vector<asked_instance> asked{
-        {host_id{1}, views[1].load}, {host_id{2}, views[2].load}};
-    print_cost("best_of_two_asked", [&] {
-        return best_asked(asked)->value;
+    print_cost("choose_to_ask_among_100", [&] {
+        return choose_instance_to_try(
+                   candidates, {host_id{1}}, {}, {}, 250ms, now, random
+        )
+            ->host.value;
     });
     return 0;
 }
--- a/src/apricotstile/serving/ask_first.cpp
+++ b/src/apricotstile/serving/ask_first.cpp
@@ -1,4 +1,4 @@
-// Compares the expected wait with another try, and the instances asked.
+// Compares the expected wait with another try, and chooses whom to ask.
 
 #include <apricotstile/serving/ask_first.hpp>
 
@@ -6,43 +6,60 @@
 
 namespace apricotstile::serving {
 
-namespace {
-
-/// Used if an instance hasn't reported a service time.
-constexpr duration default_service_time = std::chrono::milliseconds{50};
-
-duration latency_of(const asked_instance& asked) {
-    instance_view view;
-    view.load = asked.load;
-    return expected_latency(
-        view,
-        asked.load.mean_service_time > duration{0}
-            ? asked.load.mean_service_time
-            : default_service_time
-    );
-}
-
-} // namespace
-
 bool prefers_another(const ask_first_policy& policy, duration expected_wait) {
     return expected_wait > policy.retry_cost;
 }
 
-bool may_queue(
-    const ask_first_policy& policy, const std::vector<asked_instance>& asked
+std::optional<instance_to_try> choose_instance_to_try(
+    const std::vector<candidate>& candidates,
+    const std::vector<host_id>& asked,
+    const ask_first_policy& ask_policy,
+    const choice_policy& policy,
+    duration target_latency,
+    instant now,
+    random_source& random
 ) {
-    return asked.size() >= policy.max_rejections;
-}
-
-std::optional<host_id> best_asked(const std::vector<asked_instance>& asked) {
-    const auto best = std::min_element(
-        asked.begin(),
-        asked.end(),
-        [](const asked_instance& left, const asked_instance& right) {
-            return latency_of(left) < latency_of(right);
+    const auto was_asked = [&](host_id host) {
+        return std::find(asked.begin(), asked.end(), host) != asked.end();
+    };
+    const auto choose = [&](const std::vector<candidate>& among) {
+        return choose_instance(among, policy, target_latency, now, random);
+    };
+    if (asked.size() >= ask_policy.max_rejections) {
+        std::vector<candidate> heard_from;
+        for (const candidate& one : candidates) {
+            if (was_asked(one.host)) {
+                heard_from.push_back(one);
+            }
+        }
+        const auto chosen =
+            choose(heard_from.empty() ? candidates : heard_from);
+        return chosen ? std::optional{instance_to_try{*chosen, true}}
+                      : std::nullopt;
+    }
+    const auto chosen = choose(candidates);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    if (!was_asked(*chosen)) {
+        return instance_to_try{*chosen, candidates.size() == 1};
+    }
+    const auto asked_one = std::find_if(
+        candidates.begin(),
+        candidates.end(),
+        [&](const candidate& one) {
+            return one.host == *chosen;
         }
     );
-    return best == asked.end() ? std::nullopt : std::optional{best->host};
+    std::vector<candidate> others;
+    for (const candidate& one : candidates) {
+        if (!was_asked(one.host) && one.locality <= asked_one->locality) {
+            others.push_back(one);
+        }
+    }
+    const auto other = choose(others);
+    return other ? instance_to_try{*other, false}
+                 : instance_to_try{*chosen, true};
 }
 
 } // namespace apricotstile::serving
--- a/src/apricotstile/serving/ask_first.hpp
+++ b/src/apricotstile/serving/ask_first.hpp
@@ -30,22 +30,28 @@
 [[nodiscard]] bool
 prefers_another(const ask_first_policy& policy, duration expected_wait);
 
-/// An instance that has rejected a request, with the load that it returned.
-struct asked_instance {
+struct instance_to_try {
     host_id host;
-    reported_load load;
+    /// Otherwise it is asked to start the request at once.
+    bool may_queue{false};
 };
 
-/// Whether the next attempt may queue.
-[[nodiscard]] bool may_queue(
-    const ask_first_policy& policy, const std::vector<asked_instance>& asked
+/// The instance for the next attempt of a request that the hosts in `asked`
+/// have rejected; their candidates have the load that they returned. The only
+/// candidate isn't asked. If one that was asked is still the best, others that
+/// are no farther are asked; without any, it may queue the request, since
+/// asking farther ones isn't worth their price. Nothing if there are no
+/// candidates.
+[[nodiscard]] std::optional<instance_to_try> choose_instance_to_try(
+    const std::vector<candidate>& candidates,
+    const std::vector<host_id>& asked,
+    const ask_first_policy& ask_policy,
+    const choice_policy& policy,
+    duration target_latency,
+    instant now,
+    random_source& random
 );
 
-/// The instance of those asked that is expected to answer first; nothing if
-/// none was.
-[[nodiscard]] std::optional<host_id>
-best_asked(const std::vector<asked_instance>& asked);
-
 } // namespace apricotstile::serving
 
 #endif
