--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -30,88 +30,6 @@
 
 } // namespace
 
-serving::locality_tier request_router::locality_of(const location& where
-) const {
-    if (where.failure_domain == this->dependencies.where.failure_domain) {
-        return serving::locality_tier::failure_domain;
-    }
-    return where.region == this->dependencies.where.region
-               ? serving::locality_tier::region
-               : serving::locality_tier::other_region;
-}
-
-/// Whether the route allows the region, by the configuration that the request
-/// arrived under and by the present one.
-bool request_router::is_region_allowed(
-    const pending_request& request, const region_id& region
-) const {
-    if (request.table->restrictions.restricted_routes == 0 &&
-        this->table->restrictions.restricted_routes == 0) {
-        return true;
-    }
-    const routing::restricted_request restricted{
-        name_hash(request.route->name),
-        request.service,
-        request.key.has_value()};
-    return routing::may_serve(
-               request.table->restrictions, restricted, region
-           ) &&
-           (request.table == this->table ||
-            routing::may_serve(this->table->restrictions, restricted, region));
-}
-
-std::optional<host_id> request_router::choose_host(pending_request& request) {
-    request.region_excluded = false;
-    if (request.key) {
-        const auto owner =
-            this->dependencies.owner_of(request.service, *request.key);
-        const auto entry =
-            this->dependencies.known->entries.find(owner.value_or(host_id{}));
-        // An owner whose region isn't known is in none that a restriction
-        // names.
-        request.region_excluded =
-            owner && !this->is_region_allowed(
-                         request,
-                         entry == this->dependencies.known->entries.end()
-                             ? region_id{}
-                             : entry->second.where.region
-                     );
-        const bool is_usable = owner && !request.region_excluded &&
-                               this->dependencies.is_reachable(*owner) &&
-                               !this->has_left(*owner);
-        return is_usable ? owner : std::nullopt;
-    }
-    std::vector<serving::candidate> candidates;
-    for (const directory::member_entry* const one : directory::ready_instances(
-             *this->dependencies.known, request.service
-         )) {
-        const auto& tried_hosts = request.progress.tried_hosts;
-        if (std::find(tried_hosts.begin(), tried_hosts.end(), one->host) !=
-                tried_hosts.end() ||
-            (one->stopping && one->host != this->dependencies.self) ||
-            !this->dependencies.is_reachable(one->host) ||
-            this->has_left(one->host)) {
-            continue;
-        }
-        if (!this->is_region_allowed(request, one->where.region)) {
-            // If instances in allowed regions have refused the request, that is
-            // the reason for its rejection.
-            request.region_excluded = tried_hosts.empty();
-            continue;
-        }
-        candidates.push_back(
-            {one->host, this->locality_of(one->where), &this->views[one->host]}
-        );
-    }
-    return serving::choose_instance(
-        candidates,
-        this->choice_policy,
-        request.route->target_latency,
-        boot_clock::now(),
-        this->random
-    );
-}
-
 routed_request
 request_router::make_routed_request(const pending_request& request) const {
     const instant now = boot_clock::now();
@@ -144,36 +62,6 @@
     return result;
 }
 
-void request_router::note_leaving(
-    host_id host, const routed_response& response
-) {
-    const auto entry = this->dependencies.known->entries.find(host);
-    if (entry == this->dependencies.known->entries.end() ||
-        !says_leaving(response.headers, this->dependencies.names)) {
-        return;
-    }
-    const auto found = this->leaving_instances.find(host);
-    if (found != this->leaving_instances.end() &&
-        found->second.instance == entry->second.instance) {
-        return;
-    }
-    this->leaving_instances[host] = {
-        entry->second.instance,
-        boot_clock::now() + this->dependencies.leaving_grace};
-}
-
-/// Whether the instance beside `host` is leaving and must get no more requests.
-bool request_router::has_left(host_id host) const {
-    const auto found = this->leaving_instances.find(host);
-    if (found == this->leaving_instances.end() ||
-        boot_clock::now() < found->second.last_request_at) {
-        return false;
-    }
-    const auto entry = this->dependencies.known->entries.find(host);
-    return entry != this->dependencies.known->entries.end() &&
-           entry->second.instance == found->second.instance;
-}
-
 void request_router::start_attempt(pending_request& request) {
     const std::optional<host_id> host = this->choose_host(request);
     const caller_id caller = request.caller;
