Repair the tests that set a drain timeout

Cause: daemon_group_options had got its regions before the drain timeout, which three files of tests set by position, so they no longer compiled.

--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -46,10 +46,10 @@
 struct daemon_group_options {
     /// Services that are divided by key.
     std::vector<std::string> keyed;
-    /// The region of each daemon; all are in the same one if it is empty.
-    std::vector<std::string> regions;
     /// How long a leaving upstream may still get requests.
     duration drain_timeout{std::chrono::milliseconds{600}};
+    /// The region of each daemon; all are in the same one if it is empty.
+    std::vector<std::string> regions;
 };
 
 class daemon_group {
