Keep large answers timely when refused callers come back

Cause: a caller that was refused comes back with an early deadline, so its answer left before those of new requests, whose delay was measured by their deadline only.

Change: an answer that would be late is admitted only if the link's backlog is short, and one that delays timely answers beyond their target is refused.

--- a/src/apricotstile/router/answer_sender.cpp
+++ b/src/apricotstile/router/answer_sender.cpp
@@ -112,7 +112,13 @@
     item.size = response.body.size();
     item.response = std::move(response);
     item.held_at = boot_clock::now();
-    serving::hold(this->schedule, id, item.size, item.request.deadline);
+    serving::hold(
+        this->schedule,
+        id,
+        item.size,
+        item.request.deadline,
+        item.request.target
+    );
     this->release();
 }
 
--- a/src/apricotstile/serving/egress_schedule.cpp
+++ b/src/apricotstile/serving/egress_schedule.cpp
@@ -105,6 +105,7 @@
     instant now
 ) {
     struct entry {
+        instant target;
         instant deadline;
         double bytes{0};
     };
@@ -112,18 +113,18 @@
     const egress_policy& policy = schedule.policy;
     double ahead = bytes;
     std::vector<entry> behind;
-    const auto add = [&](instant deadline, double unsent) {
-        if (deadline <= request.deadline) {
-            ahead += unsent;
+    const auto add = [&](const entry& one) {
+        if (one.deadline <= request.deadline) {
+            ahead += one.bytes;
         } else {
-            behind.push_back({deadline, unsent});
+            behind.push_back(one);
         }
     };
     for (const auto& [position, one] : schedule.held) {
-        add(position.first, static_cast<double>(one.unsent));
+        add({one.target, position.first, static_cast<double>(one.unsent)});
     }
     for (const auto& [id, one] : schedule.expected) {
-        add(one.deadline, one.bytes);
+        add({one.target, one.deadline, one.bytes});
     }
     const instant ready = now + request.service_time;
     const instant in_turn =
@@ -133,6 +134,14 @@
     const instant aim =
         is_late ? request.deadline : std::min(request.target, request.deadline);
     duration worst = end - (now + scaled(aim - now, policy.target_fraction));
+    if (is_late) {
+        // Its deadline comes early, so that it would leave before others.
+        worst = std::max(
+            worst,
+            backlog(schedule, now) -
+                scaled(aim - now, policy.late_wait_fraction)
+        );
+    }
     std::sort(
         behind.begin(),
         behind.end(),
@@ -143,7 +152,15 @@
     instant behind_end = in_turn;
     for (const entry& one : behind) {
         behind_end += transfer_time(policy, one.bytes);
-        worst = std::max(worst, behind_end - latest_end(policy, one.deadline));
+        const instant timely_end =
+            now + scaled(one.target - now, policy.target_fraction);
+        const bool is_timely =
+            behind_end - transfer_time(policy, bytes) <= timely_end;
+        const instant latest = latest_end(policy, one.deadline);
+        worst = std::max(
+            worst,
+            behind_end - (is_timely ? std::min(timely_end, latest) : latest)
+        );
     }
     return worst;
 }
@@ -201,7 +218,7 @@
                 std::max(min_retry_after, lateness) + next_spread(schedule)};
         }
     }
-    schedule.expected[request.id] = {bytes, request.deadline};
+    schedule.expected[request.id] = {bytes, request.target, request.deadline};
     return std::nullopt;
 }
 
@@ -257,10 +274,14 @@
 }
 
 void hold(
-    egress_schedule& schedule, egress_id id, std::size_t bytes, instant deadline
+    egress_schedule& schedule,
+    egress_id id,
+    std::size_t bytes,
+    instant deadline,
+    instant target
 ) {
     const egress_schedule::position place{deadline, id};
-    schedule.held[place] = {bytes, bytes};
+    schedule.held[place] = {bytes, bytes, target};
     schedule.positions[id] = place;
     schedule.held_bytes += bytes;
 }
--- a/src/apricotstile/serving/egress_schedule.hpp
+++ b/src/apricotstile/serving/egress_schedule.hpp
@@ -47,6 +47,11 @@
     /// A request is admitted if its answer is expected to have left within this
     /// fraction of the time to its target, as in `work_queue_policy`.
     double target_fraction{0.85};
+    /// A request that misses its target anyway is admitted if its answer waits
+    /// for less than this fraction of the time to its deadline, as in
+    /// `work_queue_policy`: callers that were refused before come back late,
+    /// and would make the answers of all others late.
+    double late_wait_fraction{0.15};
     /// A refused request is asked to return within this time after its answer
     /// could leave, each at another moment.
     duration retry_spread{std::chrono::milliseconds{500}};
@@ -63,6 +68,8 @@
         std::size_t size{0};
         /// Bytes that haven't left yet.
         std::size_t unsent{0};
+        /// An answer after this time is late and of less use.
+        instant target;
     };
 
     using position = std::pair<instant, egress_id>;
@@ -76,6 +83,7 @@
 
     struct expected_answer {
         double bytes{0};
+        instant target;
         instant deadline;
     };
 
@@ -170,7 +178,11 @@
 
 /// Adds a large answer. `release_due` is to be called next.
 void hold(
-    egress_schedule& schedule, egress_id id, std::size_t bytes, instant deadline
+    egress_schedule& schedule,
+    egress_id id,
+    std::size_t bytes,
+    instant deadline,
+    instant target = instant::max()
 );
 
 /// Removes an answer that nobody waits for any more.
--- a/tests/serving/egress_replay.tests.cpp
+++ b/tests/serving/egress_replay.tests.cpp
@@ -78,19 +78,23 @@
 };
 
 struct replay {
-    explicit replay(bool scheduled) : scheduled(scheduled) {
+    /// With `retries`, each refused caller asks once more, as it is told.
+    explicit replay(bool scheduled, bool retries = false)
+        : scheduled(scheduled), retries(retries) {
         for (host& one : this->hosts) {
             one.schedule.policy.bytes_per_second = scheduled ? link_rate : 0;
         }
     }
 
-    enum class event_kind { large, small, ready, release };
+    enum class event_kind { large, retry, small, ready, release };
 
     struct event {
         event_kind kind{event_kind::large};
         std::size_t host{0};
         egress_id id;
         std::size_t bytes{0};
+        /// Of a retry: when its caller first asked.
+        instant arrived;
     };
 
     replay_result run() {
@@ -119,7 +123,7 @@
             if (at >= end) {
                 return;
             }
-            event added{kind, any_host(this->random), {}, small_bytes};
+            event added{kind, any_host(this->random), {}, small_bytes, {}};
             if (kind == event_kind::large) {
                 added.bytes = std::min(
                     max_large_bytes,
@@ -140,7 +144,11 @@
                 there.link.put(now, next.bytes) - now <= small_goal ? 1 : 0;
             break;
         case event_kind::large:
-            this->admit_large(now, next);
+            ++this->result.large;
+            this->admit_large(now, next, now);
+            break;
+        case event_kind::retry:
+            this->admit_large(now, next, next.arrived);
             break;
         case event_kind::ready:
             note_end(there.schedule, next.id);
@@ -153,7 +161,8 @@
                 there.schedule,
                 next.id,
                 next.bytes,
-                there.requests.at(next.id).arrived + large_deadline
+                there.requests.at(next.id).arrived + large_deadline,
+                there.requests.at(next.id).arrived + large_target
             );
             this->release(now, next.host);
             break;
@@ -163,8 +172,8 @@
         }
     }
 
-    void admit_large(instant now, const event& next) {
-        ++this->result.large;
+    void admit_large(instant now, const event& next, instant arrived) {
+        duration retry_after = duration::max();
         const egress_id id{++this->last_id};
         for (std::size_t tried = 0; tried < max_hosts_tried; ++tried) {
             const std::size_t index = (next.host + tried) % host_count;
@@ -173,18 +182,27 @@
             request.id = id;
             request.route = large_route;
             request.service_time = service_time;
-            request.target = now + large_target;
-            request.deadline = now + large_deadline;
-            if (!serving::admit(there.schedule, request, now)) {
-                there.requests[id] = {now, next.bytes};
+            request.target = arrived + large_target;
+            request.deadline = arrived + large_deadline;
+            const auto refusal = serving::admit(there.schedule, request, now);
+            if (!refusal) {
+                there.requests[id] = {arrived, next.bytes};
                 this->events.emplace(
                     now + service_time,
-                    event{event_kind::ready, index, id, next.bytes}
+                    event{event_kind::ready, index, id, next.bytes, {}}
                 );
                 return;
             }
+            retry_after = std::min(retry_after, refusal->retry_after);
+        }
+        if (!this->retries || next.kind == event_kind::retry) {
+            ++this->result.refused;
+            return;
         }
-        ++this->result.refused;
+        this->events.emplace(
+            now + retry_after,
+            event{event_kind::retry, next.host, {}, next.bytes, arrived}
+        );
     }
 
     void release(instant now, std::size_t index) {
@@ -205,7 +223,8 @@
         const auto due = next_release(there.schedule);
         if (due) {
             this->events.emplace(
-                std::max(now, *due), event{event_kind::release, index, {}, 0}
+                std::max(now, *due),
+                event{event_kind::release, index, {}, 0, {}}
             );
         }
     }
@@ -223,6 +242,7 @@
     }
 
     bool scheduled;
+    bool retries;
     std::array<host, host_count> hosts;
     std::multimap<instant, event> events;
     std::mt19937_64 random{7}; // NOLINT: the same arrivals in each run
@@ -262,3 +282,17 @@
     CHECK(after.share(after.large_by_target, after.large) > 0.55);
     CHECK(after.share(after.wasted, after.large) < 0.02);
 }
+
+TEST_CASE(
+    "refused callers that come back don't make all large answers late",
+    "[serving][egress]"
+) {
+    const replay_result once = replay{true}.run();
+    const replay_result again = replay{true, true}.run();
+    report("refused callers come back once", again);
+    CHECK(
+        again.share(again.large_by_target, again.large) >
+        0.9 * once.share(once.large_by_target, once.large)
+    );
+    CHECK(again.share(again.wasted, again.large) < 0.02);
+}
--- a/tests/serving/egress_schedule.tests.cpp
+++ b/tests/serving/egress_schedule.tests.cpp
@@ -283,6 +283,14 @@
     egress_request request = request_for(1, 2500ms);
     request.target = start - 100ms;
     CHECK_FALSE(admit(schedule, request, start));
+    // It doesn't wait for others: 9 answers take 0.76 s.
+    for (std::uint64_t id = 2; id <= 10; ++id) {
+        hold(schedule, {id}, 90'000, start + 2s);
+    }
+    request.id = {11};
+    CHECK(admit(schedule, request, start));
+    request.target = start + 1500ms;
+    CHECK_FALSE(admit(schedule, request, start));
 }
 
 TEST_CASE(
