--- a/src/apricotstile/daemon/dispatch_upstreams.cpp
+++ b/src/apricotstile/daemon/dispatch_upstreams.cpp
@@ -306,6 +306,16 @@
     if (!what.range.key.empty()) {
         return;
     }
+    if (what.token == fencing_token{}) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Slice memory not handed over: the next owner's token is unknown.",
+            {{"service", what.range.service.value},
+             {"slice", std::to_string(what.range.slice.value)}}
+        );
+        return;
+    }
     for (auto& [where, upstream] : this->upstreams) {
         auto memory = request::hand_over(
             upstream.dispatcher.memory,
--- a/src/apricotstile/net/stream.cpp
+++ b/src/apricotstile/net/stream.cpp
@@ -149,8 +149,9 @@
             return;
         }
         this->handle_opened();
-        if (this->on_open) {
-            this->on_open();
+        // The handler may abort the stream, which discards it.
+        if (const auto handler = this->on_open) {
+            handler();
         }
         if (this->impl->descriptor < 0) {
             return;
--- a/src/apricotstile/router/answer_sender.cpp
+++ b/src/apricotstile/router/answer_sender.cpp
@@ -74,6 +74,9 @@
         );
         return refusal->retry_after;
     }
+    // A peer never reuses a stream, but must not leave an entry behind if it
+    // does.
+    this->cancel(from);
     answer added;
     added.to = from;
     added.request = request;
@@ -178,13 +181,14 @@
     ++this->sent_parts;
     std::string& body = item.response.body;
     if (action.is_last) {
+        body.erase(0, item.sent_bytes);
         this->respond(item.to, std::move(item.response));
         return;
     }
     this->links.respond_part(
-        item.to, {item.to.stream, body.substr(0, action.bytes)}
+        item.to, {item.to.stream, body.substr(item.sent_bytes, action.bytes)}
     );
-    body.erase(0, action.bytes);
+    item.sent_bytes += action.bytes;
 }
 
 /// The request has run, so the peer must not be told otherwise. It may try
@@ -199,7 +203,7 @@
                 : "Answer given up: too many bytes are held back.",
         {{"request", item.request.request_id},
          {"bytes", std::to_string(item.size)},
-         {"unsent", std::to_string(item.response.body.size())},
+         {"unsent", std::to_string(item.size - item.sent_bytes)},
          {"held_ms", millis_text(now - item.held_at)},
          {"left_ms", millis_text(item.request.deadline - now)},
          {"backlog_ms", millis_text(serving::backlog(this->schedule, now))}}
--- a/src/apricotstile/router/answer_sender.hpp
+++ b/src/apricotstile/router/answer_sender.hpp
@@ -67,6 +67,8 @@
         request_properties request;
         routed_response response;
         std::size_t size{0};
+        /// Bytes of the body that have been sent in parts.
+        std::size_t sent_bytes{0};
         instant held_at;
     };
 
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -343,7 +343,8 @@
         static_cast<std::uint32_t>(std::lround(this->usable_slots()));
     result.running = static_cast<std::uint32_t>(this->queue.running.size());
     result.waiting = static_cast<std::uint32_t>(this->queue.waiting.size());
-    // Keys would move away because of a neighbor that soon leaves.
+    // For keyed services the factor is left out: a noisy neighbor lasts for
+    // less than a second, and a higher mean would move keys away.
     result.mean_service_time =
         this->reports_present_mean
             ? scaled(this->times.overall_mean, this->stated_factor())
--- a/src/apricotstile/router/router_config.cpp
+++ b/src/apricotstile/router/router_config.cpp
@@ -109,7 +109,7 @@
     this->timers.at(this->next_cold_publication, [this] {
         this->cold_publication_due = false;
         this->next_cold_publication += cold_publication_interval;
-        this->links.publish_entry({this->own_entry, this->instance.load()});
+        this->links.publish_entry({this->own_entry, this->reported_load()});
     });
 }
 
--- a/src/apricotstile/serving/ask_first.hpp
+++ b/src/apricotstile/serving/ask_first.hpp
@@ -1,8 +1,9 @@
-// Where a request without a key starts or waits if load reports are stale: with
-// 60 to 90 daemons that choose, each hears from an instance only every few
-// seconds, so several send to the one that last looked idle.
+// Decides where a request without a key starts or waits if load reports are
+// stale; the router doesn't use it yet. With 60 to 90 daemons that choose, each
+// hears from an instance only every few seconds, so several send to the one
+// that last looked idle.
 //
-// So a first attempt asks the instance's daemon to start the request at once. A
+// A first attempt asks the instance's daemon to start the request at once. A
 // daemon whose instance would make it wait longer than another try takes
 // rejects it and returns its load, and after a few such rejections the best of
 // the instances asked gets the request with permission to queue.
--- a/src/apricotstile/serving/cold_limit.hpp
+++ b/src/apricotstile/serving/cold_limit.hpp
@@ -1,6 +1,6 @@
 // Bounds the requests that an instance receives while it is cold: for some
-// seconds after its start, or whenever it says so. A cold instance crashes at a
-// rate that it takes when it is warm. All instances of a failure domain that
+// seconds after its start, or whenever it says so. A cold instance can crash
+// under a load that a warm one handles. All instances of a failure domain that
 // comes back are cold together, and each has no work, so that every host sends
 // its requests there.
 //
--- a/src/apricotstile/serving/egress_schedule.hpp
+++ b/src/apricotstile/serving/egress_schedule.hpp
@@ -1,11 +1,9 @@
-// Schedules large answers to peers on the host's link. Observed: six hosts with
-// links of 10 Mbit/s answered 116 large requests a second (90 KB on average),
-// 1.4 times what the links carry, and small answers to nested requests, which
-// are due within 400 ms, were lost behind them: what a socket has accepted
-// leaves in the order of arrival. So large answers are held back in the
-// process, leave in parts by deadline, and are spaced at the link's rate less
-// a reserve for small frames; and a request is refused before it runs if its
-// answer couldn't leave in time.
+// Schedules large answers to peers by deadline, in parts, at the rate of the
+// host's link less a reserve for small frames, and refuses a request before it
+// runs if its answer couldn't leave in time. Without it, on a link that is
+// offered more than it carries, small answers wait behind large ones beyond
+// their deadlines, since what a socket has accepted leaves in the order of
+// arrival.
 
 #ifndef APRICOTSTILE_SERVING_EGRESS_SCHEDULE_HPP
 #define APRICOTSTILE_SERVING_EGRESS_SCHEDULE_HPP
