Log callers that leave, withdrawn requests and blocked event loops

The hypotheses on GONE differ in where a request is when its caller leaves: in the caller's socket, on a link or at the instance. Nothing logged that, nor how long a daemon reads nothing. A refused request is logged with its fingerprint, so that crashes at daemons of several services can be matched.

--- a/src/apricotstile/net/timer_queue.cpp
+++ b/src/apricotstile/net/timer_queue.cpp
@@ -3,6 +3,7 @@
 #include <apricotstile/net/timer_queue.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace apricotstile::net {
 
@@ -49,6 +50,10 @@
 void timer_queue::run_due() {
     this->next_wake_up = instant::max();
     const instant now = boot_clock::now();
+    if (!this->entries.empty()) {
+        this->longest_delay =
+            std::max(this->longest_delay, now - this->entries.begin()->first);
+    }
     while (!this->entries.empty() && this->entries.begin()->first <= now) {
         const auto first = this->entries.begin();
         const std::function<void()> action = std::move(first->second.action);
@@ -59,6 +64,10 @@
     this->schedule_wake_up();
 }
 
+duration timer_queue::take_longest_delay() {
+    return std::exchange(this->longest_delay, duration{0});
+}
+
 void timer_queue::schedule_wake_up() {
     if (this->entries.empty() ||
         this->entries.begin()->first >= this->next_wake_up) {
--- a/src/apricotstile/net/timer_queue.hpp
+++ b/src/apricotstile/net/timer_queue.hpp
@@ -35,6 +35,10 @@
     /// Has no effect on a timer that has run.
     void cancel(timer_id timer);
 
+    /// The longest time by which a timer ran late since the last call: how long
+    /// other work kept the event loop from its timers and sockets.
+    [[nodiscard]] duration take_longest_delay();
+
 private:
     struct entry {
         timer_id id;
@@ -50,6 +54,7 @@
     QTimer timer;
     /// When `timer` fires next; `instant::max()` while it is stopped.
     instant next_wake_up{instant::max()};
+    duration longest_delay{0};
 };
 
 } // namespace apricotstile::net
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -111,6 +111,7 @@
     void apply_map_change(const keys::key_map_change& change);
     void poll_table();
     void report_stale_map(const service_id& service);
+    void check_loop_delay();
     void run_periodic_tasks();
     void check_instance_liveness();
     keys::membership_view membership_view();
@@ -256,6 +257,10 @@
     bool cold_publication_due{false};
     instant next_cold_publication;
 
+    /// Of the event loop, since the start.
+    duration longest_loop_delay{0};
+    std::uint64_t long_loop_delays{0};
+
     std::vector<host_id> last_member_hosts;
     instant members_unchanged_since;
 
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -289,6 +289,7 @@
         {{"request", item.request_id},
          {"outcome", std::string{serving::name_of(outcome)}},
          {"instance", this->instance.id},
+         {"fingerprint", std::to_string(item.identity.content.value)},
          {"key", item.request.key ? std::to_string(*item.request.key) : "none"},
          {"left_ms", millis_text(item.deadline - now)},
          {"running", std::to_string(current_load.running)},
@@ -326,6 +327,14 @@
         return;
     }
     work& item = *found->second;
+    log::write(
+        log::level::info,
+        log_prefix,
+        "Request withdrawn.",
+        {{"request", item.request_id},
+         {"sent", item.conn != nullptr ? "yes" : "no"},
+         {"left_ms", millis_text(item.deadline - boot_clock::now())}}
+    );
     if (item.conn != nullptr) {
         this->note_unanswered(item);
         connection& conn = *item.conn;
--- a/src/apricotstile/router/request_router.cpp
+++ b/src/apricotstile/router/request_router.cpp
@@ -1,5 +1,6 @@
 // Callers' connections and the requests that arrive on them.
 
+#include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/pending_request.hpp>
 
 #include <apricotstile/core/hashing.hpp>
@@ -248,12 +249,28 @@
     this->callers.at(caller)->respond(status, headers, {}, this->closing);
 }
 
+/// Logs a caller that left, with where its request was.
+void request_router::log_disconnect(const pending_request& request) {
+    log::write(
+        log::level::info,
+        log_prefix,
+        "Caller left before its answer.",
+        {{"request", request.id},
+         {"after_ms",
+          internal::millis_text(boot_clock::now() - request.progress.arrived)},
+         {"host",
+          request.attempt ? internal::format_for_log(request.attempt->host)
+                          : "none"},
+         {"attempts", request.attempt_trace}}
+    );
+}
+
 void request_router::handle_disconnect(caller_id caller) {
     const auto found = this->requests.find(caller);
     if (found != this->requests.end()) {
         ++this->counted.disconnected;
-        pending_request& request = *found->second;
-        this->cancel_attempts(request);
+        this->log_disconnect(*found->second);
+        this->cancel_attempts(*found->second);
         this->forget_request(caller);
     }
     const auto connection = this->callers.find(caller);
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -113,6 +113,7 @@
     void handle_accept(int descriptor);
     void handle_request(caller_id caller, http::received_request&& request);
     void handle_disconnect(caller_id caller);
+    static void log_disconnect(const pending_request& request);
     void start_attempt(pending_request& request);
     void try_another_instance(pending_request& request);
     std::optional<host_id> choose_host(pending_request& request);
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -28,6 +28,9 @@
 /// Requests are answered this long before connections are closed.
 constexpr duration last_answers_margin = 200ms;
 
+/// A longer delay of the event loop is logged: callers and peers notice it.
+constexpr duration reported_loop_delay = 200ms;
+
 constexpr auto log_prefix = "router";
 
 /// Increases with each start unless the clock was set back; in that case the
@@ -111,7 +114,24 @@
     this->publish_entry();
 }
 
+/// Reports how long the event loop was kept from its sockets and timers.
+void router::implementation::check_loop_delay() {
+    const duration delay = this->timers.take_longest_delay();
+    this->longest_loop_delay = std::max(this->longest_loop_delay, delay);
+    if (delay < reported_loop_delay) {
+        return;
+    }
+    ++this->long_loop_delays;
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "The event loop was blocked.",
+        {{"delay_ms", internal::millis_text(delay)}}
+    );
+}
+
 void router::implementation::run_periodic_tasks() {
+    this->check_loop_delay();
     this->poll_table();
     this->report_unserved_parts();
     this->update_config_readers();
@@ -273,6 +293,13 @@
         {"views", daemon.describe_views()},
         {"egress", daemon.answers.describe()},
         {"links", {{"open", daemon.links.open_links()}}},
+        {"event_loop",
+         {{"long_delays", daemon.long_loop_delays},
+          {"longest_delay_ms",
+           std::chrono::ceil<std::chrono::milliseconds>(
+               daemon.longest_loop_delay
+           )
+               .count()}}},
         {"directory", {{"members", daemon.known_daemons.entries.size()}}},
         {"config",
          {{"version", daemon.routes ? daemon.routes->config.version.value : 0},
