--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -411,6 +411,30 @@
     this->wait_until_ready();
 }
 
+void daemon_group::restart_all_daemons() {
+    for (const auto& one : this->hosts) {
+        one->daemon.reset();
+    }
+    for (const auto& one : this->hosts) {
+        this->start(*one);
+    }
+    this->wait_until_ready();
+}
+
+void daemon_group::move_route(
+    std::uint64_t version, const std::string& from, const std::string& to
+) {
+    for (const auto& one : this->hosts) {
+        one->config.version = {version};
+        for (routing::route& route : one->config.routes) {
+            if (route.name == from) {
+                route.services = {{{to}, 1}};
+            }
+        }
+        one->daemon->apply_config(one->config);
+    }
+}
+
 void daemon_group::restart_crashed_upstreams() {
     for (const auto& one : this->hosts) {
         if (!one->upstream->is_up()) {
@@ -473,6 +497,14 @@
     return *this->hosts.at(index)->upstream;
 }
 
+const address& daemon_group::caller_address(std::size_t index) const {
+    return this->hosts.at(index)->settings.caller_address;
+}
+
+const address& daemon_group::peer_address(std::size_t index) const {
+    return this->hosts.at(index)->settings.peer_address;
+}
+
 nlohmann::json daemon_group::describe(std::size_t index) const {
     return this->hosts.at(index)->daemon->describe();
 }
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -82,6 +82,9 @@
     void restart_daemon(std::size_t index);
     /// Starts daemon `index` after it was killed; returns at once.
     void start_daemon(std::size_t index);
+    /// Kills all daemons at the same moment and starts them again; returns when
+    /// they are ready and linked.
+    void restart_all_daemons();
     /// Kills daemon `index`.
     void stop_daemon(std::size_t index);
     /// Whether upstream `index` sends heartbeats.
@@ -116,6 +119,11 @@
         const std::string& service,
         const std::vector<region_id>& regions
     );
+    /// Applies a configuration of this version to all daemons, in which the
+    /// route to `from` leads to `to`.
+    void move_route(
+        std::uint64_t version, const std::string& from, const std::string& to
+    );
     /// Sends a request to daemon `index` and returns its answer's status. All
     /// requests have the same key.
     int request(std::size_t index, const std::string& target);
@@ -124,6 +132,9 @@
     std::unique_ptr<QTcpSocket>
     begin_request(std::size_t index, const std::string& target);
     [[nodiscard]] fake_upstream& upstream(std::size_t index);
+    /// Where daemon `index` listens for callers, and for peers.
+    [[nodiscard]] const address& caller_address(std::size_t index) const;
+    [[nodiscard]] const address& peer_address(std::size_t index) const;
     [[nodiscard]] nlohmann::json describe(std::size_t index) const;
     [[nodiscard]] duration drain_timeout() const;
     /// How often upstreams began to run `target`.
--- a/tests/router/fake_upstream.cpp
+++ b/tests/router/fake_upstream.cpp
@@ -105,6 +105,9 @@
         this->crash();
         return;
     }
+    if (target.find("hang") != std::string::npos) {
+        return;
+    }
     const bool is_large = target.find("large") != std::string::npos;
     const std::string body = is_large ? this->large_body : std::string{};
     std::string answer = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
--- a/tests/router/fake_upstream.hpp
+++ b/tests/router/fake_upstream.hpp
@@ -1,5 +1,6 @@
-// An upstream instance on a loopback port. It answers each request at once and
-// crashes on requests whose target contains "crash".
+// An upstream instance on a loopback port. It answers each request at once. It
+// crashes on requests whose target contains "crash", and never answers those
+// whose target contains "hang".
 
 #ifndef APRICOTSTILE_TESTS_ROUTER_FAKE_UPSTREAM_HPP
 #define APRICOTSTILE_TESTS_ROUTER_FAKE_UPSTREAM_HPP
