Look for a caller's close before its request is sent on

Cause: after a daemon's event loop was blocked, a request and the close behind it are in the same socket. The request was sent on after the first read; the end showed only the next time that the socket was reported as readable, after the requests of all other sockets. The same on links: a request was dispatched before the cancellation or the end behind it was read.

A stream now tells when all that has arrived was passed on and the connection goes on; callers' requests and peers' frames are handled then. Frames other than requests are still handled when a link ends.

--- a/src/apricotstile/net/stream.cpp
+++ b/src/apricotstile/net/stream.cpp
@@ -109,7 +109,7 @@
         &QSocketNotifier::activated,
         this,
         [this] {
-            this->handle_readable();
+            this->read_pending();
         }
     );
 }
@@ -187,32 +187,50 @@
     }
 }
 
-void stream::handle_readable() {
+stream::read_result stream::read_chunk() {
     std::array<char, read_chunk_bytes> chunk; // NOLINT: filled by recv
-    for (int chunk_count = 0; chunk_count < max_chunks_per_wake_up;
-         ++chunk_count) {
-        const ssize_t received =
-            recv(this->impl->descriptor, chunk.data(), chunk.size(), 0);
-        if (received < 0) {
-            if (!would_block()) {
-                this->end(stream_end::broken);
-            }
-            return;
-        }
-        if (received == 0) {
-            this->end(stream_end::orderly);
-            return;
-        }
-        if (this->on_data && !this->impl->closing) {
-            this->on_data({chunk.data(), static_cast<std::size_t>(received)});
-        }
-        const bool stopped = this->impl->descriptor < 0 ||
-                             !this->impl->read_notifier ||
-                             !this->impl->read_notifier->isEnabled();
-        // A short read means that the receive buffer is empty.
-        if (stopped || static_cast<std::size_t>(received) < chunk.size()) {
-            return;
+    const ssize_t received =
+        recv(this->impl->descriptor, chunk.data(), chunk.size(), 0);
+    if (received < 0) {
+        if (would_block()) {
+            return read_result::drained;
         }
+        this->end(stream_end::broken);
+        return read_result::stopped;
+    }
+    if (received == 0) {
+        this->end(stream_end::orderly);
+        return read_result::stopped;
+    }
+    if (this->on_data && !this->impl->closing) {
+        this->on_data({chunk.data(), static_cast<std::size_t>(received)});
+    }
+    const bool stopped = this->impl->descriptor < 0 ||
+                         !this->impl->read_notifier ||
+                         !this->impl->read_notifier->isEnabled();
+    if (stopped) {
+        return read_result::stopped;
+    }
+    // A short read means that the receive buffer is empty, but not whether the
+    // connection has ended.
+    const bool is_short = static_cast<std::size_t>(received) < chunk.size();
+    return is_short && !this->on_read_all ? read_result::drained
+                                          : read_result::read;
+}
+
+void stream::read_pending() {
+    read_result result = read_result::read;
+    for (int chunks = 0;
+         chunks < max_chunks_per_wake_up && result == read_result::read;
+         ++chunks) {
+        result = this->read_chunk();
+    }
+    if (result == read_result::stopped || this->impl->closing) {
+        return;
+    }
+    // The handler may close the stream, which drops `on_read_all`.
+    if (const std::function<void()> handler = this->on_read_all) {
+        handler();
     }
 }
 
@@ -232,6 +250,7 @@
 
 void stream::close() {
     this->on_open = nullptr;
+    this->on_read_all = nullptr;
     this->on_drained = nullptr;
     this->on_end = nullptr;
     if (this->impl->descriptor < 0 || this->impl->closing) {
@@ -247,6 +266,7 @@
 
 void stream::abort() {
     this->on_open = nullptr;
+    this->on_read_all = nullptr;
     this->on_drained = nullptr;
     this->on_end = nullptr;
     if (this->impl->descriptor < 0) {
--- a/src/apricotstile/net/stream.hpp
+++ b/src/apricotstile/net/stream.hpp
@@ -11,6 +11,7 @@
 #include <QObject>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -42,6 +43,10 @@
 
     std::function<void()> on_open;
     std::function<void(std::string_view)> on_data;
+    /// Runs after `on_data` when all bytes that have arrived were passed on and
+    /// the connection hasn't ended behind them. Only if it is set, such an end
+    /// is sure to be noticed at the same time as the bytes before it.
+    std::function<void()> on_read_all;
     /// Runs when the kernel has accepted all bytes that were buffered; never
     /// from inside `write`.
     std::function<void()> on_drained;
@@ -50,6 +55,8 @@
 
     /// Sends `bytes`; buffers what the kernel doesn't accept yet.
     void write(std::string_view bytes);
+    /// Reads what has arrived, without waiting for the event loop.
+    void read_pending();
     /// Closes the connection after sending the buffered bytes; no handler runs
     /// afterwards.
     void close();
@@ -65,7 +72,16 @@
 
     void watch_writable();
     void handle_opened();
-    void handle_readable();
+    enum class read_result : std::uint8_t {
+        /// There may be more bytes.
+        read,
+        /// All bytes that have arrived were passed on.
+        drained,
+        /// The connection has ended or was closed.
+        stopped
+    };
+
+    [[nodiscard]] read_result read_chunk();
     void handle_writable();
     void end(stream_end reason);
     void close_socket();
--- a/src/apricotstile/router/caller_connection.cpp
+++ b/src/apricotstile/router/caller_connection.cpp
@@ -30,6 +30,9 @@
     this->stream->on_data = [this](std::string_view bytes) {
         this->handle_data(bytes);
     };
+    this->stream->on_read_all = [this] {
+        this->handle_read_all();
+    };
     this->stream->on_drained = [this] {
         this->handle_drained();
     };
@@ -59,14 +62,26 @@
         this->closing = this->closing || this->ignores_input;
         return;
     }
-    if (progress == http::read_progress::incomplete) {
-        if (!this->sent_continue && this->reader.expects_continue()) {
-            this->sent_continue = true;
-            this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
-        }
-        return;
+    if (progress == http::read_progress::incomplete && !this->sent_continue &&
+        this->reader.expects_continue()) {
+        this->sent_continue = true;
+        this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+/// A request is handled only now: its caller may have left right after it.
+void caller_connection::handle_read_all() {
+    if (!this->awaiting_response && !this->waits_for_caller) {
+        this->read_next_request();
+    }
+}
+
+/// Handles a request that was received behind an earlier one, unless its
+/// caller has left since.
+void caller_connection::read_request_behind() {
+    if (this->reader.progress() != http::read_progress::incomplete) {
+        this->stream->read_pending();
     }
-    this->read_next_request();
 }
 
 /// Handles the next request if it is complete.
@@ -118,7 +133,7 @@
         this->waits_for_caller = true;
         return;
     }
-    this->read_next_request();
+    this->read_request_behind();
 }
 
 /// The caller has read enough of its answers.
@@ -135,7 +150,7 @@
         return;
     }
     this->request_begun = this->reader.has_begun();
-    this->read_next_request();
+    this->read_request_behind();
 }
 
 void caller_connection::close_when_idle() {
--- a/src/apricotstile/router/caller_connection.hpp
+++ b/src/apricotstile/router/caller_connection.hpp
@@ -58,7 +58,9 @@
 
 private:
     void handle_data(std::string_view bytes);
+    void handle_read_all();
     void read_next_request();
+    void read_request_behind();
     void refuse_malformed();
     void handle_drained();
 
--- a/src/apricotstile/router/peer_links.hpp
+++ b/src/apricotstile/router/peer_links.hpp
@@ -111,7 +111,8 @@
     void check_liveness();
     void compare_config(host_id peer, routing::config_version version);
     void handle_accept(int descriptor);
-    void handle_incoming_data(incoming_link& link, std::string_view bytes);
+    void handle_incoming_frames(incoming_link& link, bool is_ending);
+    void handle_incoming_frame(incoming_link& link, frame&& received);
     void handle_incoming_end(peer_connection_id connection);
 
     net::timer_queue& timers;
