Recognise a crash of a lone request beside callers that leave

Cause: a request is refused only once nothing else was in flight at one of its crashes. Requests that had been given up up to 15 s before, by their deadline or their caller, counted as in flight until an answer to a later request.

Now the requests whose connections broke were running at the crash; if none broke, as the instance fell silent, the first one without an answer and those beside it. The others count as in flight, but not beside a lone request.

--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -301,7 +301,7 @@
     }
     item->conn = nullptr;
     if (was_open) {
-        this->note_unanswered(*item);
+        this->note_unanswered(*item, upstream::request_loss::connection_broke);
         this->check_still_listening();
     }
     this->finish(
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -311,7 +311,7 @@
         );
         return;
     }
-    this->note_unanswered(item);
+    this->note_unanswered(item, upstream::request_loss::given_up);
     connection& conn = *item.conn;
     item.conn = nullptr;
     conn.current = nullptr;
@@ -336,7 +336,7 @@
          {"left_ms", millis_text(item.deadline - boot_clock::now())}}
     );
     if (item.conn != nullptr) {
-        this->note_unanswered(item);
+        this->note_unanswered(item, upstream::request_loss::given_up);
         connection& conn = *item.conn;
         conn.current = nullptr;
         item.conn = nullptr;
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -169,7 +169,7 @@
     void check_after_idle_end(const connection& conn);
     void close_connection(connection& conn);
     void finish(work& item, routed_response&& response);
-    void note_unanswered(const work& item);
+    void note_unanswered(const work& item, upstream::request_loss loss);
     void note_completed(const work& item);
     void check_still_listening();
     void handle_instance_down();
--- a/src/apricotstile/router/local_instance_crashes.cpp
+++ b/src/apricotstile/router/local_instance_crashes.cpp
@@ -52,9 +52,15 @@
 
 /// Records that the instance had a request and didn't answer it. If it turns
 /// out to have crashed, the request may be the cause.
-void local_instance::note_unanswered(const work& item) {
+void local_instance::note_unanswered(
+    const work& item, upstream::request_loss loss
+) {
     upstream::note_lost_request(
-        this->crash_detector, {item.identity, {}}, boot_clock::now()
+        this->crash_detector,
+        {item.identity, {}},
+        loss,
+        item.started,
+        boot_clock::now()
     );
 }
 
--- a/src/apricotstile/upstream/crash_detector.cpp
+++ b/src/apricotstile/upstream/crash_detector.cpp
@@ -2,10 +2,56 @@
 
 #include <apricotstile/upstream/crash_detector.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace apricotstile::upstream {
 
+namespace {
+
+using lost_requests = std::vector<crash_detector::lost_request>;
+
+bool any_connection_broke(const lost_requests& lost) {
+    return std::any_of(lost.begin(), lost.end(), [](const auto& one) {
+        return one.loss == request_loss::connection_broke;
+    });
+}
+
+/// When the request that was sent first was given up.
+instant first_given_up(const lost_requests& lost) {
+    return std::min_element(
+               lost.begin(),
+               lost.end(),
+               [](const auto& left, const auto& right) {
+                   return left.sent_at < right.sent_at;
+               }
+    )->lost_at;
+}
+
+/// Sets which requests were running at the crash: those whose connections broke
+/// at it. If it broke none, the upstream fell silent while the first request
+/// without an answer was running.
+void mark_running(lost_requests& lost) {
+    if (lost.empty()) {
+        return;
+    }
+    const bool any_broke = any_connection_broke(lost);
+    const instant first_end = first_given_up(lost);
+    for (crash_detector::lost_request& one : lost) {
+        one.request.running = any_broke
+                                  ? one.loss == request_loss::connection_broke
+                                  : one.sent_at < first_end;
+    }
+}
+
+} // namespace
+
 void note_lost_request(
-    crash_detector& detector, const in_flight_request& request, instant now
+    crash_detector& detector,
+    const in_flight_request& request,
+    request_loss loss,
+    instant sent,
+    instant now
 ) {
     std::erase_if(
         detector.lost_requests,
@@ -13,7 +59,7 @@
             return now - one.lost_at > detector.loss_window;
         }
     );
-    detector.lost_requests.push_back({request, now});
+    detector.lost_requests.push_back({request, loss, sent, now});
 }
 
 void note_answered(crash_detector& detector, instant sent) {
@@ -32,13 +78,16 @@
 }
 
 std::vector<crash_report> note_crash(crash_detector& detector, instant now) {
+    lost_requests lost = std::move(detector.lost_requests);
+    detector.lost_requests.clear();
+    std::erase_if(lost, [&](const crash_detector::lost_request& one) {
+        return now - one.lost_at > detector.loss_window;
+    });
+    mark_running(lost);
     std::vector<in_flight_request> in_flight;
-    for (const crash_detector::lost_request& one : detector.lost_requests) {
-        if (now - one.lost_at <= detector.loss_window) {
-            in_flight.push_back(one.request);
-        }
+    for (const crash_detector::lost_request& one : lost) {
+        in_flight.push_back(one.request);
     }
-    detector.lost_requests.clear();
     if (in_flight.empty()) {
         return {};
     }
--- a/src/apricotstile/upstream/crash_detector.hpp
+++ b/src/apricotstile/upstream/crash_detector.hpp
@@ -12,11 +12,21 @@
 
 namespace apricotstile::upstream {
 
+/// Why a request has no answer.
+enum class request_loss : std::uint8_t {
+    /// Its connection broke: it was running at the crash, if there was one.
+    connection_broke,
+    /// Its deadline passed or its caller left, and its connection was closed.
+    given_up
+};
+
 struct crash_detector {
     quarantine request_quarantine;
 
     struct lost_request {
         in_flight_request request;
+        request_loss loss{request_loss::connection_broke};
+        instant sent_at;
         instant lost_at;
     };
 
@@ -28,10 +38,14 @@
     duration loss_window{std::chrono::seconds{15}};
 };
 
-/// Records that the upstream was sent the request and didn't answer it: the
-/// connection broke, the deadline passed or the caller left.
+/// Records that the upstream was sent the request at `sent` and didn't answer
+/// it.
 void note_lost_request(
-    crash_detector& detector, const in_flight_request& request, instant now
+    crash_detector& detector,
+    const in_flight_request& request,
+    request_loss loss,
+    instant sent,
+    instant now
 );
 
 /// Records that the upstream answered a request that was sent at `sent`. So it
--- a/src/apricotstile/upstream/quarantine.cpp
+++ b/src/apricotstile/upstream/quarantine.cpp
@@ -104,6 +104,7 @@
 struct counted_fingerprint {
     request_label label;
     std::set<fingerprint> senders;
+    bool running{false};
 };
 
 /// Copies of the same request count once.
@@ -112,7 +113,9 @@
 void add_sender(
     counted_fingerprints& counted, const in_flight_request& request
 ) {
-    counted[request.id.from_sender].label = request.label;
+    counted_fingerprint& one = counted[request.id.from_sender];
+    one.label = request.label;
+    one.running = one.running || request.running;
 }
 
 void add_content(
@@ -120,6 +123,7 @@
 ) {
     counted_fingerprint& one = counted[request.id.content];
     one.label = request.label;
+    one.running = one.running || request.running;
     one.senders.insert(request.id.from_sender);
 }
 
@@ -127,7 +131,10 @@
 std::vector<crash_report> count_crash(
     quarantine& state, const counted_fingerprints& counted, instant now
 ) {
-    const bool alone = counted.size() == 1;
+    const auto running =
+        std::count_if(counted.begin(), counted.end(), [&](const auto& one) {
+            return one.second.running || state.policy.faults.counts_given_up;
+        });
     std::vector<crash_report> reports;
     reports.reserve(counted.size());
     for (const auto& [id, one] : counted) {
@@ -141,7 +148,7 @@
         record.last_crash = now;
         crash_count& own = record.crashes_by_member[state.self];
         ++own.crashes;
-        own.alone += alone ? 1 : 0;
+        own.alone += one.running && running == 1 ? 1 : 0;
         reports.push_back(make_report(id, record, now));
     }
     return reports;
@@ -249,6 +256,18 @@
     return reports;
 }
 
+std::vector<crash_report>
+report_suspects(const quarantine& state, instant now) {
+    std::vector<crash_report> reports;
+    for (const auto& [id, record] : state.crash_records) {
+        if (!has_expired(state, record, now) &&
+            action_for(state, record) != quarantine_action::run) {
+            reports.push_back(make_report(id, record, now));
+        }
+    }
+    return reports;
+}
+
 std::vector<crash_report>
 clear(quarantine& state, fingerprint id, instant now) {
     std::set<fingerprint> related{id};
--- a/src/apricotstile/upstream/quarantine.hpp
+++ b/src/apricotstile/upstream/quarantine.hpp
@@ -41,6 +41,9 @@
 struct in_flight_request {
     request_identity id;
     request_label label;
+    /// Whether it was running at the moment of the crash. False for one that
+    /// was given up before, which the upstream may have dropped by then.
+    bool running{true};
 };
 
 /// Decides whether and how request `id` may run.
@@ -69,6 +72,10 @@
 [[nodiscard]] std::vector<crash_report>
 report_all(const quarantine& state, instant now);
 
+/// Returns reports of the entries that no longer run like any other request.
+[[nodiscard]] std::vector<crash_report>
+report_suspects(const quarantine& state, instant now);
+
 /// Releases the listed entry `id` from quarantine on behalf of an operator,
 /// with the entries of the same content. Returns the reports for the other
 /// daemons.
--- a/src/apricotstile/upstream/quarantine_policy.hpp
+++ b/src/apricotstile/upstream/quarantine_policy.hpp
@@ -16,6 +16,8 @@
     bool refuses_all_in_flight{false};
     bool runs_suspects_together{false};
     bool ignores_reports{false};
+    /// Requests that were given up before a crash count as running.
+    bool counts_given_up{false};
 };
 
 struct quarantine_policy {
--- a/tests/upstream/crash_detector.tests.cpp
+++ b/tests/upstream/crash_detector.tests.cpp
@@ -19,8 +19,31 @@
     return {fingerprint{id}, fingerprint{id + content_offset}};
 }
 
-in_flight_request request_of(std::uint64_t id) {
-    return {identity(id), {}};
+/// The connection of request `id` breaks, 10 ms after it was sent.
+void note_broken(crash_detector& detector, std::uint64_t id, instant now) {
+    note_lost_request(
+        detector,
+        {identity(id), {}},
+        request_loss::connection_broke,
+        now - 10ms,
+        now
+    );
+}
+
+/// Request `id`, sent at `sent`, is given up.
+void note_given_up(
+    crash_detector& detector, std::uint64_t id, instant sent, instant now
+) {
+    note_lost_request(
+        detector, {identity(id), {}}, request_loss::given_up, sent, now
+    );
+}
+
+/// How many crashes count as ones at which request `id` ran alone.
+std::uint32_t
+alone_count(const crash_detector& detector, std::uint64_t id, instant now) {
+    return describe(detector.request_quarantine, identity(id).from_sender, now)
+        .alone;
 }
 
 crash_detector detector_of(std::uint64_t host) {
@@ -36,15 +59,15 @@
     "[upstream]"
 ) {
     crash_detector detector = detector_of(1);
-    note_lost_request(detector, request_of(7), start);
+    note_broken(detector, 7, start);
     note_answered(detector, start + 1ms);
     CHECK(note_crash(detector, start + 1s).empty());
 }
 
 TEST_CASE("a crash counts once against each request in flight", "[upstream]") {
     crash_detector detector = detector_of(1);
-    note_lost_request(detector, request_of(7), start);
-    note_lost_request(detector, request_of(8), start);
+    note_broken(detector, 7, start);
+    note_broken(detector, 8, start);
     // Once by content and sender, and once by content alone.
     CHECK(note_crash(detector, start + 5ms).size() == 4);
     CHECK(note_crash(detector, start + 6ms).empty());
@@ -67,9 +90,9 @@
         const bool alone =
             decide(host.request_quarantine, poison, now).action ==
             quarantine_action::run_alone;
-        note_lost_request(host, request_of(7), now);
+        note_broken(host, 7, now);
         for (int i = 0; !alone && i < 5; ++i) {
-            note_lost_request(host, request_of(++innocent), now);
+            note_broken(host, ++innocent, now);
         }
         for (const crash_report& report : note_crash(host, now)) {
             for (crash_detector& other : hosts) {
@@ -97,7 +120,7 @@
 ) {
     crash_detector detector = detector_of(1);
     for (int i = 0; i < 2; ++i) {
-        note_lost_request(detector, request_of(7), start);
+        note_broken(detector, 7, start);
         static_cast<void>(note_crash(detector, start));
     }
     CHECK(
@@ -116,7 +139,47 @@
     "[upstream]"
 ) {
     crash_detector detector = detector_of(1);
-    note_lost_request(detector, request_of(7), start);
+    note_broken(detector, 7, start);
     note_answered(detector, start - 1ms);
     CHECK(note_crash(detector, start + 5ms).size() == 2);
 }
+
+TEST_CASE(
+    "a request runs alone although others were given up before a crash",
+    "[upstream]"
+) {
+    crash_detector detector = detector_of(1);
+    note_given_up(detector, 8, start - 100ms, start - 20ms);
+    note_broken(detector, 7, start);
+    static_cast<void>(note_crash(detector, start + 5ms));
+    CHECK(alone_count(detector, 7, start + 5ms) == 1);
+    CHECK(alone_count(detector, 8, start + 5ms) == 0);
+}
+
+TEST_CASE(
+    "a request whose upstream falls silent runs alone although others followed",
+    "[upstream]"
+) {
+    crash_detector detector = detector_of(1);
+    note_given_up(detector, 7, start, start + 500ms);
+    note_given_up(detector, 8, start + 510ms, start + 900ms);
+    note_given_up(detector, 9, start + 520ms, start + 910ms);
+    static_cast<void>(note_crash(detector, start + 2s));
+    CHECK(alone_count(detector, 7, start + 2s) == 1);
+    CHECK(alone_count(detector, 8, start + 2s) == 0);
+}
+
+TEST_CASE("of requests that ran together none counts as alone", "[upstream]") {
+    crash_detector detector = detector_of(1);
+    SECTION("their connections broke") {
+        note_broken(detector, 7, start);
+        note_broken(detector, 8, start);
+    }
+    SECTION("the upstream fell silent") {
+        note_given_up(detector, 7, start, start + 500ms);
+        note_given_up(detector, 8, start + 100ms, start + 900ms);
+    }
+    static_cast<void>(note_crash(detector, start + 2s));
+    CHECK(alone_count(detector, 7, start + 2s) == 0);
+    CHECK(alone_count(detector, 8, start + 2s) == 0);
+}
--- a/tests/upstream/quarantine.tests.cpp
+++ b/tests/upstream/quarantine.tests.cpp
@@ -38,6 +38,8 @@
     quarantine state;
     /// By request: its sender.
     std::map<std::uint64_t, std::uint64_t> running;
+    /// Given up since the upstream's last answer; by request: its sender.
+    std::map<std::uint64_t, std::uint64_t> given_up;
     bool running_alone{false};
 };
 
@@ -112,7 +114,11 @@
     for (const auto& [id, sender] : one.running) {
         in_flight.push_back({identity(id, sender), {}});
     }
+    for (const auto& [id, sender] : one.given_up) {
+        in_flight.push_back({identity(id, sender), {}, false});
+    }
     one.running.clear();
+    one.given_up.clear();
     one.running_alone = false;
     broadcast(it, upstream_crashed(one.state, in_flight, it.now));
 }
@@ -137,10 +143,22 @@
     }
     const std::uint64_t sender = one.running.at(id);
     one.running.erase(id);
+    one.given_up.clear();
     one.running_alone = false;
     broadcast(it, completed(one.state, identity(id, sender), it.now));
 }
 
+/// The caller of request `id` leaves, if it is a harmless one. Poison requests
+/// crash the upstream before that.
+void give_up(host& one, std::uint64_t id) {
+    if (is_poison(id)) {
+        return;
+    }
+    one.given_up.insert(*one.running.find(id));
+    one.running.erase(id);
+    one.running_alone = false;
+}
+
 /// Restarts a daemon, which forgets its counts, and lets it merge a peer's
 /// before it serves. Its upstream drops what it ran.
 void restart(model& it, std::size_t index) {
@@ -159,7 +177,7 @@
 
 void move_once(model& it, std::uint32_t number) {
     move_reader move{number};
-    const std::uint32_t kind = move.below(16);
+    const std::uint32_t kind = move.below(18);
     const std::size_t index = move.below(host_count);
     host& one = it.hosts.at(index);
     if (kind < 8) {
@@ -175,6 +193,9 @@
         deliver(it, move.below(count), move.below(3) == 0);
     } else if (kind == 14) {
         restart(it, index);
+    } else if (kind < 17 && !one.running.empty()) {
+        const auto count = static_cast<std::uint32_t>(one.running.size());
+        give_up(one, std::next(one.running.begin(), move.below(count))->first);
     } else {
         it.now += 1s * move.below(3);
     }
@@ -243,6 +264,9 @@
     quarantine_faults deaf;
     deaf.ignores_reports = true;
     WARN("ignored reports detected in case " << cases_to_catch(deaf));
+    quarantine_faults crowded;
+    crowded.counts_given_up = true;
+    WARN("requests given up detected in case " << cases_to_catch(crowded));
 }
 
 TEST_CASE(
