Tell the daemons of all services of requests that crash instances

Cause: crash counts were sent to the daemons beside the same service only. A configuration that moves or splits the request's route leads it to instances of another service, whose daemons start to count from zero.

Counts of suspected requests, which have two crashes or more, now go to all daemons, at once and whenever a link is opened. Those of one crash stay within the service: there are as many as requests in flight at a crash, and sending them to 740 daemons would cost 1 MB a crash (worked out).

--- a/src/apricotstile/router/frames.hpp
+++ b/src/apricotstile/router/frames.hpp
@@ -149,8 +149,8 @@
     std::uint64_t claimed_millislots{0};
 };
 
-/// Crash counts of requests that are suspected of crashing instances of the
-/// sender's service. Sent without labels.
+/// Crash counts of requests that are suspected of crashing instances. Sent
+/// without labels.
 struct crash_reports_frame {
     std::vector<upstream::crash_report> reports;
 };
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -146,7 +146,7 @@
         const service_id& caller_service
     );
     void send_crash_reports(std::vector<upstream::crash_report>&& reports);
-    void send_all_crash_reports(host_id peer);
+    void send_known_crash_reports(host_id peer);
     [[nodiscard]] serving::reported_load reported_load() const;
     void record_key_request(
         const routed_request& request, const service_id& caller_service
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -75,7 +75,7 @@
         this->merge_entry(received.member, "link");
     };
     result.on_link_ready = [this](host_id peer) {
-        this->send_all_crash_reports(peer);
+        this->send_known_crash_reports(peer);
         if (const auto evacuated = this->make_evacuation_notice()) {
             this->links.send_message(peer, *evacuated);
         }
@@ -220,31 +220,39 @@
     };
 }
 
-/// Sends crash reports to the daemons beside the same service's instances,
-/// which decide on quarantine.
+/// Sends crash reports to the daemons of the same service. Those of other
+/// services need the ones about suspected requests: a configuration may lead
+/// the same requests to their instances.
 void router::implementation::send_crash_reports(
     std::vector<upstream::crash_report>&& reports
 ) {
-    const crash_reports_frame message{std::move(reports)};
+    const crash_reports_frame all{std::move(reports)};
+    const crash_reports_frame suspects{upstream::suspects_in(
+        this->instance.request_quarantine(), all.reports, boot_clock::now()
+    )};
     for (const auto& [peer, entry] : this->known_daemons.entries) {
-        if (peer != this->own_host &&
-            entry.service == this->own_entry.service) {
+        const bool same_service = entry.service == this->own_entry.service;
+        const crash_reports_frame& message = same_service ? all : suspects;
+        if (peer != this->own_host && !message.reports.empty()) {
             this->links.send_message(peer, message);
         }
     }
 }
 
-/// Brings a peer of the same service up to date, which may have started after
-/// the reports were sent or have been unreachable then.
-void router::implementation::send_all_crash_reports(host_id peer) {
+/// Brings a peer up to date, which may have started after the reports were sent
+/// or have been unreachable then.
+void router::implementation::send_known_crash_reports(host_id peer) {
     const auto found = this->known_daemons.entries.find(peer);
-    if (found == this->known_daemons.entries.end() ||
-        found->second.service != this->own_entry.service) {
+    if (found == this->known_daemons.entries.end()) {
         return;
     }
-    crash_reports_frame message{upstream::report_all(
-        this->instance.request_quarantine(), boot_clock::now()
-    )};
+    const bool same_service = found->second.service == this->own_entry.service;
+    const upstream::quarantine& state = this->instance.request_quarantine();
+    const instant now = boot_clock::now();
+    crash_reports_frame message{upstream::report_all(state, now)};
+    if (!same_service) {
+        message.reports = upstream::suspects_in(state, message.reports, now);
+    }
     if (!message.reports.empty()) {
         this->links.send_message(peer, message);
     }
--- a/src/apricotstile/upstream/quarantine.cpp
+++ b/src/apricotstile/upstream/quarantine.cpp
@@ -256,16 +256,19 @@
     return reports;
 }
 
-std::vector<crash_report>
-report_suspects(const quarantine& state, instant now) {
-    std::vector<crash_report> reports;
-    for (const auto& [id, record] : state.crash_records) {
-        if (!has_expired(state, record, now) &&
-            action_for(state, record) != quarantine_action::run) {
-            reports.push_back(make_report(id, record, now));
+std::vector<crash_report> suspects_in(
+    const quarantine& state,
+    const std::vector<crash_report>& reports,
+    instant now
+) {
+    std::vector<crash_report> result;
+    for (const crash_report& report : reports) {
+        if (decision_for(state, report.id, now).action !=
+            quarantine_action::run) {
+            result.push_back(report);
         }
     }
-    return reports;
+    return result;
 }
 
 std::vector<crash_report>
--- a/src/apricotstile/upstream/quarantine.hpp
+++ b/src/apricotstile/upstream/quarantine.hpp
@@ -72,9 +72,12 @@
 [[nodiscard]] std::vector<crash_report>
 report_all(const quarantine& state, instant now);
 
-/// Returns reports of the entries that no longer run like any other request.
-[[nodiscard]] std::vector<crash_report>
-report_suspects(const quarantine& state, instant now);
+/// Returns those of `reports` whose requests no longer run like any other.
+[[nodiscard]] std::vector<crash_report> suspects_in(
+    const quarantine& state,
+    const std::vector<crash_report>& reports,
+    instant now
+);
 
 /// Releases the listed entry `id` from quarantine on behalf of an operator,
 /// with the entries of the same content. Returns the reports for the other
