Keep the counts of refused requests in the table

What operators saw: a request under which three instances had ended was sent to more of them (BUDGET).

Cause: crash counts were in the daemons' memory only. Where all of them restart at about the same time, as many are killed or power fails, they start from zero and the request ends three more instances. The tests restarted one daemon after the other, so that one always knew the counts.

A daemon that has counted crashes of a request with three or more writes them to a row of its host, read with the members' rows before a daemon opens its instance.

--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -11,6 +11,7 @@
 #include <apricotstile/router/local_instance.hpp>
 #include <apricotstile/router/local_key_manager.hpp>
 #include <apricotstile/router/peer_links.hpp>
+#include <apricotstile/router/quarantine_recorder.hpp>
 #include <apricotstile/router/request_router.hpp>
 #include <apricotstile/router/router.hpp>
 #include <apricotstile/router/table_view.hpp>
@@ -147,6 +148,8 @@
     );
     void send_crash_reports(std::vector<upstream::crash_report>&& reports);
     void send_known_crash_reports(host_id peer);
+    void record_quarantine();
+    void restore_quarantine(const platform::row& row);
     [[nodiscard]] serving::reported_load reported_load() const;
     void record_key_request(
         const routed_request& request, const service_id& caller_service
@@ -237,6 +240,7 @@
     departure_recorder recorder{timers, [this] {
                                     this->ask_peers_to_keep_departures();
                                 }};
+    quarantine_recorder crash_recorder{table, own_host};
     /// Whether a peer has sent the departures that earlier runs announced.
     bool peers_know_departures{false};
     /// The instance that deregistered last; its heartbeats are rejected.
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -15,6 +15,7 @@
 #include <apricotstile/serving/work_estimate.hpp>
 #include <apricotstile/serving/work_queue.hpp>
 #include <apricotstile/upstream/crash_detector.hpp>
+#include <apricotstile/upstream/quarantine_records.hpp>
 
 #include <functional>
 #include <map>
@@ -92,6 +93,9 @@
     /// crash.
     void
     handle_crash_report(host_id peer, const upstream::crash_report& report);
+    /// Merges the crash counts that were recorded by an earlier run, or beside
+    /// another instance.
+    void restore_quarantine(const upstream::quarantine_records& records);
     /// Identifies this daemon in its reports.
     void set_self(const member::member_ref& self);
     /// Drops a request that nobody waits for any more. If it runs, its
--- a/src/apricotstile/router/local_instance_crashes.cpp
+++ b/src/apricotstile/router/local_instance_crashes.cpp
@@ -3,6 +3,7 @@
 #include <apricotstile/router/internal/local_work.hpp>
 #include <apricotstile/router/internal/log_format.hpp>
 
+#include <apricotstile/core/unix_time.hpp>
 #include <apricotstile/log/logger.hpp>
 
 namespace apricotstile::router {
@@ -29,6 +30,23 @@
     }
 }
 
+void local_instance::restore_quarantine(
+    const upstream::quarantine_records& records
+) {
+    const instant now = boot_clock::now();
+    upstream::quarantine& state = this->crash_detector.request_quarantine;
+    std::vector<upstream::fingerprint> changed;
+    for (const upstream::recorded_crashes& one : records) {
+        if (upstream::describe(state, one.report.id, now).crashes == 0) {
+            changed.push_back(one.report.id);
+        }
+    }
+    upstream::restore(state, records, now, unix_milliseconds());
+    for (const upstream::fingerprint id : changed) {
+        this->log_crash_counts(id, "table", now);
+    }
+}
+
 void local_instance::log_crash_counts(
     upstream::fingerprint id, const std::string& source, instant now
 ) const {
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -137,6 +137,7 @@
     this->update_config_readers();
     this->request_config_from_peer();
     this->write_entry();
+    this->record_quarantine();
     this->check_instance_liveness();
     this->change_state(this->permitted_state(), "departures known");
     this->update_evacuation();
--- a/src/apricotstile/router/router_instance.cpp
+++ b/src/apricotstile/router/router_instance.cpp
@@ -5,6 +5,7 @@
 #include <apricotstile/router/internal/log_format.hpp>
 #include <apricotstile/router/internal/router_implementation.hpp>
 
+#include <apricotstile/core/unix_time.hpp>
 #include <apricotstile/log/logger.hpp>
 
 #include <algorithm>
@@ -19,13 +20,6 @@
 
 constexpr auto log_prefix = "router";
 
-std::int64_t unix_milliseconds() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch()
-    )
-        .count();
-}
-
 } // namespace
 
 /// Returns whether the state has changed.
--- a/src/apricotstile/router/router_members.cpp
+++ b/src/apricotstile/router/router_members.cpp
@@ -73,6 +73,7 @@
     const duration spread =
         change.is_initial ? duration{0} : random_era_delay(random());
     this->entry_version = {};
+    this->crash_recorder.begin_era();
     this->needs_entry_write = true;
     this->next_entry_write_at = boot_clock::now() + spread;
     for (auto& [service, cached] : this->key_maps) {
@@ -253,6 +254,10 @@
 ) {
     this->members_loaded = true;
     for (const platform::row& row : rows) {
+        if (is_quarantine_row(row.key)) {
+            this->restore_quarantine(row);
+            continue;
+        }
         try {
             const auto received = decode<directory::member_entry>(row.value);
             if (row.key != member_row(this->own_host)) {
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -5,6 +5,7 @@
 #include <apricotstile/router/internal/router_implementation.hpp>
 
 #include <apricotstile/core/hashing.hpp>
+#include <apricotstile/core/unix_time.hpp>
 #include <apricotstile/log/logger.hpp>
 
 namespace apricotstile::router {
@@ -237,6 +238,27 @@
             this->links.send_message(peer, message);
         }
     }
+    this->record_quarantine();
+}
+
+/// Records refused requests, so that they are refused after a restart of all
+/// daemons too.
+void router::implementation::record_quarantine() {
+    // Before, the version of the row isn't known.
+    if (!this->members_loaded && !this->settings.is_first_start) {
+        return;
+    }
+    const instant now = boot_clock::now();
+    this->crash_recorder.update(
+        upstream::records_to_keep(
+            this->instance.request_quarantine(), now, unix_milliseconds()
+        ),
+        now
+    );
+}
+
+void router::implementation::restore_quarantine(const platform::row& row) {
+    this->instance.restore_quarantine(this->crash_recorder.note_row(row));
 }
 
 /// Brings a peer up to date, which may have started after the reports were sent
--- a/src/apricotstile/upstream/crash_record.hpp
+++ b/src/apricotstile/upstream/crash_record.hpp
@@ -34,6 +34,8 @@
     std::uint32_t crashes{0};
     /// Crashes at which nothing else was in flight.
     std::uint32_t alone{0};
+
+    friend bool operator==(const crash_count&, const crash_count&) = default;
 };
 
 /// Crashes of one fingerprint.
--- a/src/apricotstile/upstream/quarantine_policy.hpp
+++ b/src/apricotstile/upstream/quarantine_policy.hpp
@@ -18,6 +18,7 @@
     bool ignores_reports{false};
     /// Requests that were given up before a crash count as running.
     bool counts_given_up{false};
+    bool ignores_records{false};
 };
 
 struct quarantine_policy {
--- a/tests/upstream/quarantine.tests.cpp
+++ b/tests/upstream/quarantine.tests.cpp
@@ -5,6 +5,7 @@
 
 #include <apricotstile/request/routed_request.hpp>
 #include <apricotstile/upstream/quarantine.hpp>
+#include <apricotstile/upstream/quarantine_records.hpp>
 #include <tests/support/schedule.hpp>
 
 #include <catch2/catch.hpp>
@@ -45,6 +46,8 @@
 
 struct model {
     std::array<host, host_count> hosts;
+    /// What each daemon has recorded in the table.
+    std::array<quarantine_records, host_count> rows;
     instant now{24h};
     /// By poison request and sender.
     std::array<std::array<std::uint32_t, sender_count>, poison_count> crashes{};
@@ -175,9 +178,47 @@
     }
 }
 
+std::int64_t unix_ms_of(instant now) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               now.time_since_epoch()
+    )
+        .count();
+}
+
+/// Each daemon records what it is to keep, as it does after each crash.
+void record(model& it) {
+    for (std::size_t i = 0; i < host_count; ++i) {
+        it.rows.at(i) =
+            records_to_keep(it.hosts.at(i).state, it.now, unix_ms_of(it.now));
+    }
+}
+
+/// Restarts all daemons at once: what isn't recorded is forgotten. The bound
+/// holds from the crash on by which a request is refused.
+void restart_all(model& it) {
+    it.undelivered.clear();
+    for (host& one : it.hosts) {
+        const quarantine_policy policy = one.state.policy;
+        const member::member_ref self = one.state.self;
+        one = {};
+        one.state.policy = policy;
+        one.state.self = {self.host, next(self.incarnation)};
+        for (const quarantine_records& row : it.rows) {
+            restore(one.state, row, it.now, unix_ms_of(it.now));
+        }
+    }
+    for (auto& by_sender : it.crashes) {
+        const std::uint32_t by_all =
+            std::accumulate(by_sender.begin(), by_sender.end(), 0U);
+        if (by_all < it.hosts.front().state.policy.crashes_to_refuse) {
+            by_sender.fill(0);
+        }
+    }
+}
+
 void move_once(model& it, std::uint32_t number) {
     move_reader move{number};
-    const std::uint32_t kind = move.below(18);
+    const std::uint32_t kind = move.below(20);
     const std::size_t index = move.below(host_count);
     host& one = it.hosts.at(index);
     if (kind < 8) {
@@ -193,7 +234,9 @@
         deliver(it, move.below(count), move.below(3) == 0);
     } else if (kind == 14) {
         restart(it, index);
-    } else if (kind < 17 && !one.running.empty()) {
+    } else if (kind == 15 && move.below(3) == 0) {
+        restart_all(it);
+    } else if (kind < 19 && !one.running.empty()) {
         const auto count = static_cast<std::uint32_t>(one.running.size());
         give_up(one, std::next(one.running.begin(), move.below(count))->first);
     } else {
@@ -209,6 +252,7 @@
     }
     for (const std::uint32_t number : moves) {
         move_once(it, number);
+        record(it);
         if (it.broken) {
             return it.broken;
         }
@@ -264,6 +308,9 @@
     quarantine_faults deaf;
     deaf.ignores_reports = true;
     WARN("ignored reports detected in case " << cases_to_catch(deaf));
+    quarantine_faults forgetful;
+    forgetful.ignores_records = true;
+    WARN("ignored records detected in case " << cases_to_catch(forgetful));
     quarantine_faults crowded;
     crowded.counts_given_up = true;
     WARN("requests given up detected in case " << cases_to_catch(crowded));
