Refuse requests that crash instances where they come in, and run suspects alone

Cause: only the daemon beside the instance decided on quarantine, when the request arrived and when it started.

The daemon where a request comes in now refuses it before each attempt, if it knows of enough crashes. A waiting request that has become suspected is offered to the queue again, to run alone.

--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -3,6 +3,7 @@
 #ifndef APRICOTSTILE_ROUTER_INTERNAL_LOCAL_WORK_HPP
 #define APRICOTSTILE_ROUTER_INTERNAL_LOCAL_WORK_HPP
 
+#include <apricotstile/core/hashing.hpp>
 #include <apricotstile/http/message_reader.hpp>
 #include <apricotstile/net/stream.hpp>
 #include <apricotstile/router/internal/request_features.hpp>
@@ -33,6 +34,21 @@
     return response;
 }
 
+/// The same at every host. The sender is the service beside the daemon that
+/// the request came in at, which the instance is told. `Request` is a routed
+/// or a received one.
+template <class Request>
+[[nodiscard]] upstream::request_identity
+identity_of(const Request& request, const service_id& caller_service) {
+    upstream::request_identity result;
+    result.content = {
+        combined_hash({request.method, request.target, request.body})};
+    result.from_sender = {combined_hash(
+        {request.method, request.target, caller_service.value, request.body}
+    )};
+    return result;
+}
+
 } // namespace internal
 
 struct local_instance::work {
@@ -43,6 +59,8 @@
     std::string request_id;
     /// The same for every attempt of the same request.
     upstream::request_identity identity;
+    /// As it was offered to the queue.
+    serving::offered_work offered;
     serving::work_features features{};
     instant deadline;
     instant started;
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -3,7 +3,6 @@
 #include <apricotstile/router/internal/local_work.hpp>
 #include <apricotstile/router/internal/log_format.hpp>
 
-#include <apricotstile/core/hashing.hpp>
 #include <apricotstile/log/logger.hpp>
 
 #include <algorithm>
@@ -22,19 +21,6 @@
 
 constexpr auto log_prefix = "instance";
 
-/// The same at every host. The sender is the service beside the daemon that
-/// the request came in at, which the instance is told.
-upstream::request_identity
-identity_of(const routed_request& request, const service_id& caller_service) {
-    upstream::request_identity result;
-    result.content = {
-        combined_hash({request.method, request.target, request.body})};
-    result.from_sender = {combined_hash(
-        {request.method, request.target, caller_service.value, request.body}
-    )};
-    return result;
-}
-
 } // namespace
 
 local_instance::local_instance(
@@ -155,7 +141,7 @@
         this->finish(item, unanswered_response(*refusal));
         return id;
     }
-    item.identity = identity_of(item.request, caller_service);
+    item.identity = internal::identity_of(item.request, caller_service);
     const upstream::quarantine_decision decision = upstream::decide(
         this->crash_detector.request_quarantine, item.identity, now
     );
@@ -163,7 +149,7 @@
         this->refuse_quarantined(item, decision);
         return id;
     }
-    serving::offered_work offered;
+    serving::offered_work& offered = item.offered;
     offered.alone = decision.action == upstream::quarantine_action::run_alone;
     offered.id = item.id;
     serving::note_origin(
@@ -257,10 +243,29 @@
         this->refuse_quarantined(item, decision);
         return;
     }
+    if (decision.action == upstream::quarantine_action::run_alone &&
+        !item.offered.alone) {
+        this->offer_alone(item);
+        return;
+    }
     connection* const idle = this->find_idle_connection();
     this->send(item, idle != nullptr ? *idle : this->open_connection());
 }
 
+/// Offers a request again that was to start beside others, but has become
+/// suspected of crashing the instance while it waited.
+void local_instance::offer_alone(work& item) {
+    const instant now = boot_clock::now();
+    item.offered.alone = true;
+    std::vector<serving::work_action> actions =
+        serving::finished(this->queue, item.id, now);
+    for (const serving::work_action& one :
+         serving::offer(this->queue, item.offered, now)) {
+        actions.push_back(one);
+    }
+    this->perform_actions(actions);
+}
+
 void local_instance::finish(work& item, routed_response&& response) {
     const auto found = this->work_items.find(item.id);
     const std::unique_ptr<work> taken = std::move(found->second);
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -24,6 +24,10 @@
 #include <unordered_map>
 #include <vector>
 
+namespace apricotstile::http {
+struct received_request;
+}
+
 namespace apricotstile::router {
 
 class local_instance {
@@ -96,6 +100,11 @@
     /// Merges the crash counts that were recorded by an earlier run, or beside
     /// another instance.
     void restore_quarantine(const upstream::quarantine_records& records);
+    /// How long a request of this service isn't to be sent to any instance;
+    /// nothing if it may be sent.
+    [[nodiscard]] std::optional<duration> quarantine_left(
+        const http::received_request& request, const service_id& caller_service
+    );
     /// Identifies this daemon in its reports.
     void set_self(const member::member_ref& self);
     /// Drops a request that nobody waits for any more. If it runs, its
@@ -147,6 +156,7 @@
     estimate(std::uint32_t route, const serving::work_features& features) const;
     void perform_actions(const std::vector<serving::work_action>& actions);
     void start(work& item);
+    void offer_alone(work& item);
     [[nodiscard]] std::optional<serving::attempt_outcome>
     refusal_of(const routed_request& request) const;
     void refuse_quarantined(
--- a/src/apricotstile/router/local_instance_crashes.cpp
+++ b/src/apricotstile/router/local_instance_crashes.cpp
@@ -30,6 +30,21 @@
     }
 }
 
+std::optional<duration> local_instance::quarantine_left(
+    const http::received_request& request, const service_id& caller_service
+) {
+    upstream::quarantine& state = this->crash_detector.request_quarantine;
+    if (state.crash_records.empty()) {
+        return std::nullopt;
+    }
+    const upstream::quarantine_decision decision = upstream::decide(
+        state, internal::identity_of(request, caller_service), boot_clock::now()
+    );
+    return decision.action == upstream::quarantine_action::refuse
+               ? std::optional{decision.retry_after}
+               : std::nullopt;
+}
+
 void local_instance::restore_quarantine(
     const upstream::quarantine_records& records
 ) {
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -51,6 +51,10 @@
     /// Whether instances at this location may still serve their keys. False at
     /// some time after the domain's evacuation began.
     std::function<bool(const location&)> may_serve_keys;
+    /// How long a request isn't to be sent to any instance, as it crashes them;
+    /// nothing if it may be sent.
+    std::function<std::optional<duration>(const http::received_request&)>
+        quarantine_left;
     using response_handler = std::function<void(routed_response&&)>;
     /// Forwards a request to the daemon of a host, this one included; returns a
     /// function that cancels it.
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -63,9 +63,18 @@
 }
 
 void request_router::start_attempt(pending_request& request) {
-    const std::optional<host_id> host = this->choose_host(request);
     const caller_id caller = request.caller;
     const std::uint64_t number = ++request.last_attempt;
+    if (const auto left =
+            this->dependencies.quarantine_left(request.received)) {
+        request.attempt = {number, host_id{}, {}};
+        routed_response refused;
+        refused.outcome = serving::attempt_outcome::refused_quarantined;
+        refused.retry_after = *left;
+        this->handle_attempt_end(caller, number, host_id{}, std::move(refused));
+        return;
+    }
+    const std::optional<host_id> host = this->choose_host(request);
     request.attempt = {number, host.value_or(host_id{}), {}};
     if (!host && request.key &&
         this->is_evacuated_everywhere(request.service)) {
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -40,6 +40,9 @@
     result.may_serve_keys = [this](const location& where) {
         return this->may_serve_keys(where);
     };
+    result.quarantine_left = [this](const http::received_request& request) {
+        return this->instance.quarantine_left(request, this->settings.service);
+    };
     result.forward_request =
         [this](
             host_id peer,
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -266,6 +266,43 @@
     CHECK(*waiting == serving::attempt_outcome::refused_quarantined);
 }
 
+TEST_CASE(
+    "a waiting request that becomes suspected meanwhile runs alone",
+    "[router][instance]"
+) {
+    crashing_instance crashing;
+    local_daemon daemon{crashing};
+    daemon.instance->set_instance({"i", 2}, 2);
+    std::optional<serving::attempt_outcome> running;
+    std::optional<serving::attempt_outcome> waiting;
+    const serving::work_id first = daemon.submit("/hang", running);
+    const serving::work_id second = daemon.submit("/hang", running);
+    daemon.submit("/bad", waiting);
+    local_daemon elsewhere{crashing};
+    for (std::int64_t started_ms = 2; started_ms < 4; ++started_ms) {
+        CHECK(elsewhere.run("/bad") == serving::attempt_outcome::lost);
+        REQUIRE(crashing.server.listen(QHostAddress::LocalHost, daemon.port));
+        elsewhere.instance->set_instance({"i", started_ms}, 4);
+    }
+    for (const upstream::crash_report& report : upstream::report_all(
+             elsewhere.instance->request_quarantine(), boot_clock::now()
+         )) {
+        daemon.instance->handle_crash_report(host_id{2}, report);
+    }
+    daemon.instance->withdraw(first);
+    CHECK(daemon.instance->load().running == 1);
+    CHECK(daemon.instance->load().waiting == 1);
+    daemon.instance->withdraw(second);
+    CHECK(daemon.instance->load().running == 1);
+    CHECK(daemon.instance->load().waiting == 0);
+    REQUIRE(tests::wait_until([&] {
+        return waiting.has_value();
+    }));
+    CHECK(*waiting == serving::attempt_outcome::lost);
+    daemon.instance->set_instance({"i", 3}, 2);
+    CHECK(daemon.run("/bad") == serving::attempt_outcome::refused_quarantined);
+}
+
 namespace {
 
 /// An instance whose answers have bodies without end.
--- a/tests/router/request_router.tests.cpp
+++ b/tests/router/request_router.tests.cpp
@@ -53,6 +53,9 @@
         dependencies.may_serve_keys = [](const location&) {
             return true;
         };
+        dependencies.quarantine_left = [this](const http::received_request&) {
+            return this->quarantined;
+        };
         dependencies.report_stale_map = [](const service_id&) {};
         dependencies.forward_request =
             [this](
@@ -102,6 +105,7 @@
     address listen;
     net::timer_queue timers;
     host_id unresponsive;
+    std::optional<duration> quarantined;
     failure_domain_id evacuated{"z"};
     std::vector<forwarded_request> requests;
     std::unique_ptr<request_router> callers;
@@ -377,3 +381,31 @@
     CHECK(status_line(rejected).starts_with("HTTP/1.1 503"));
     CHECK(fixture.requests.size() == requests);
 }
+
+TEST_CASE(
+    "a request that crashes instances is refused where it comes in",
+    "[router][ingress][quarantine]"
+) {
+    ingress_with_hosts fixture{2};
+    fixture.quarantined = 5s;
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress{fixture.listen.ip}, fixture.listen.port);
+    caller.write(pipelined_request(1).c_str());
+    CHECK(status_line(caller).starts_with("HTTP/1.1 503"));
+    CHECK(fixture.requests.empty());
+    CHECK(caller.readAll().contains("Retry-After: 5.000"));
+}
+
+TEST_CASE(
+    "a request isn't sent to a second instance once it is known to crash them",
+    "[router][ingress][quarantine]"
+) {
+    ingress_with_hosts fixture{2};
+    QTcpSocket caller;
+    fixture.request(caller);
+    fixture.quarantined = 5s;
+    fixture.requests.at(0).done(result(serving::attempt_outcome::lost));
+    // It has run.
+    CHECK(status_line(caller).starts_with("HTTP/1.1 502"));
+    CHECK(fixture.requests.size() == 1);
+}
--- a/tests/router/restricted_requests.tests.cpp
+++ b/tests/router/restricted_requests.tests.cpp
@@ -66,6 +66,9 @@
         dependencies.is_reachable = [this](host_id host) {
             return host != this->unresponsive;
         };
+        dependencies.quarantine_left = [](const http::received_request&) {
+            return std::nullopt;
+        };
         dependencies.report_stale_map = [](const service_id&) {};
         dependencies.forward_request =
             [this](
