Don't take a repeated refusal for the answer to the same request

A report from operators of similar systems: a faulty instance sent an earlier refusal once more on a kept connection, and callers were told 'not run' for a request that it ran (REFUSED, TWICE).

Can it happen here? With another request behind it, no: the refusal names the earlier one, or nothing, and is discarded. With the same request behind it, yes: a request whose key has one owner is sent there again after a refusal, on the same connection, and the repeated refusal bears its id.

A request isn't sent again on a connection on which the instance has refused it.

--- a/src/apricotstile/router/internal/local_work.hpp
+++ b/src/apricotstile/router/internal/local_work.hpp
@@ -83,6 +83,10 @@
     bool used{false};
     /// Whether it may carry another exchange.
     bool reusable{true};
+    /// Ids of the requests that the instance refused on it. None of them is
+    /// sent on it again: a refusal that comes once more would count as the
+    /// answer.
+    std::vector<std::string> refused_requests;
     duration idle_timeout{internal::default_idle_timeout};
     instant idle_since;
 };
--- a/src/apricotstile/router/local_exchanges.cpp
+++ b/src/apricotstile/router/local_exchanges.cpp
@@ -32,6 +32,16 @@
 
 constexpr auto log_prefix = "instance";
 
+/// A connection with more refusals isn't used again.
+constexpr std::size_t max_refusals_of_connection = 16;
+
+bool has_refused(
+    const std::vector<std::string>& refused, const std::string& request_id
+) {
+    return std::find(refused.begin(), refused.end(), request_id) !=
+           refused.end();
+}
+
 bool is_success(std::uint16_t status) {
     return status >= first_success && status < first_redirect;
 }
@@ -44,12 +54,14 @@
 
 } // namespace
 
-local_instance::connection* local_instance::find_idle_connection() {
+local_instance::connection*
+local_instance::find_idle_connection(const std::string& request_id) {
     const instant now = boot_clock::now();
     std::vector<connection*> stale;
     connection* best = nullptr;
     for (const auto& one : this->connections) {
-        if (one->current != nullptr || !one->reusable) {
+        if (one->current != nullptr || !one->reusable ||
+            has_refused(one->refused_requests, request_id)) {
             continue;
         }
         if (now - one->idle_since + idle_margin > one->idle_timeout) {
@@ -216,6 +228,9 @@
     routed_response response;
     response.status = answer.status;
     if (says_not_executed) {
+        conn.refused_requests.push_back(item.request_id);
+        conn.reusable = conn.reusable && conn.refused_requests.size() <
+                                             max_refusals_of_connection;
         response.outcome = serving::attempt_outcome::not_executed;
     } else if (is_success(answer.status) && (!is_signed || is_encoded)) {
         response.outcome = serving::attempt_outcome::lost;
--- a/src/apricotstile/router/local_instance.cpp
+++ b/src/apricotstile/router/local_instance.cpp
@@ -248,7 +248,7 @@
         this->offer_alone(item);
         return;
     }
-    connection* const idle = this->find_idle_connection();
+    connection* const idle = this->find_idle_connection(item.request_id);
     this->send(item, idle != nullptr ? *idle : this->open_connection());
 }
 
--- a/src/apricotstile/router/local_instance.hpp
+++ b/src/apricotstile/router/local_instance.hpp
@@ -163,7 +163,7 @@
         work& item, const upstream::quarantine_decision& decision
     );
     void send(work& item, connection& conn);
-    connection* find_idle_connection();
+    connection* find_idle_connection(const std::string& request_id);
     connection& open_connection();
     void handle_data(connection& conn, std::string_view bytes);
     bool enforce_answer_memory(const connection& conn);
