Bound what odd rows, frames and heartbeats make a daemon do

A report from operators of similar systems: one odd entry among those of the instances (deeply nested, a number too large, a port out of range) ended each machine that read it, again and again, or made it stop following.

Can it happen here? Deep nesting and ports can't: the test's heartbeats are rejected, and addresses come from the settings.

--- a/src/apricotstile/router/compact_codec.hpp
+++ b/src/apricotstile/router/compact_codec.hpp
@@ -67,13 +67,21 @@
     number = static_cast<Number>(encoded.value);
 }
 
+/// When reading: each byte or item must be in the bytes that are left.
+template <class Archive>
+void check_length(const Archive& archive, std::uint64_t length) {
+    if constexpr (Archive::is_loading::value) {
+        if (length > archive.bytes_left()) {
+            throw decode_error{"a length exceeds the bytes that are left"};
+        }
+    }
+}
+
 template <class Archive>
 void serialize_string(Archive& archive, std::string& text) {
     varint length{text.size()};
     archive(length);
-    if (length.value > max_frame_length) {
-        throw decode_error{"string in a frame exceeds the maximum length"};
-    }
+    check_length(archive, length.value);
     text.resize(length.value);
     archive(cereal::binary_data(text.data(), text.size()));
 }
@@ -84,9 +92,7 @@
 ) {
     varint count{items.size()};
     archive(count);
-    if (count.value > max_frame_length) {
-        throw decode_error{"list in a frame exceeds the maximum length"};
-    }
+    check_length(archive, count.value);
     items.resize(count.value);
     for (Item& item : items) {
         serialize_item(archive, item);
@@ -110,11 +116,10 @@
 /// if the bytes are malformed.
 template <class Value, class Context>
 [[nodiscard]] Value decode_compact(const std::string& bytes, Context& context) {
-    std::istringstream stream{bytes, std::ios::binary};
     Value value{};
     try {
-        cereal::UserDataAdapter<Context, cereal::BinaryInputArchive> archive{
-            context, stream};
+        cereal::UserDataAdapter<Context, bounded_input_archive> archive{
+            context, bytes};
         archive(value);
     } catch (const std::exception& error) {
         throw decode_error{error.what()};
--- a/src/apricotstile/router/router_instance.cpp
+++ b/src/apricotstile/router/router_instance.cpp
@@ -18,6 +18,12 @@
 /// heartbeat or an answer.
 constexpr int max_missed_heartbeats = 3;
 
+/// An instance whose start lies further in the future isn't the one beside this
+/// daemon. If it counted as the latest run, heartbeats of the real one would be
+/// stale for as long.
+constexpr std::chrono::milliseconds max_clock_difference =
+    std::chrono::hours{24};
+
 constexpr auto log_prefix = "router";
 
 } // namespace
@@ -199,6 +205,10 @@
     if (heartbeat.service != daemon.settings.service) {
         return heartbeat_result::other_instance;
     }
+    if (heartbeat.instance.started_ms >
+        unix_milliseconds() + max_clock_difference.count()) {
+        return heartbeat_result::other_instance;
+    }
     const directory::instance_run& current = daemon.own_entry.instance;
     const bool same_instance = heartbeat.instance == current;
     if ((same_instance && heartbeat.sequence <= daemon.last_sequence) ||
--- a/tests/adapter/heartbeat_codec.tests.cpp
+++ b/tests/adapter/heartbeat_codec.tests.cpp
@@ -104,3 +104,60 @@
     response.keys.clear();
     CHECK(encode_response(response) == R"({"holdMs":2500,"holds":[]})");
 }
+
+namespace {
+
+/// The example with the value of `field` replaced.
+std::string with_field(const std::string& field, const std::string& value) {
+    const std::size_t name = example.find('"' + field + '"');
+    const std::size_t begin = example.find(':', name) + 1;
+    const std::size_t end = example.find_first_of(",}", begin);
+    return example.substr(0, begin) + value + example.substr(end);
+}
+
+std::string nested(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+} // namespace
+
+TEST_CASE(
+    "an odd heartbeat of another writer is rejected and ends nothing",
+    "[adapter][odd]"
+) {
+    constexpr std::size_t deep = 100'000;
+    const std::string body = GENERATE_REF(
+        nested(deep),
+        with_field("version", nested(deep)),
+        with_field("slots", "1e400"),
+        with_field("slots", "99999999999999999999999999"),
+        with_field("slots", "18446744073709551615"),
+        with_field("slots", "4294967297"),
+        with_field("sequence", "18446744073709551616"),
+        with_field("sequence", "18446744073709551615"),
+        with_field("born", "18446744073709551615"),
+        with_field("born", "9223372036854775807"),
+        with_field("born", "-1"),
+        with_field("slots", nested(deep)),
+        with_field("holds", nested(deep)),
+        with_field("state", nested(deep))
+    );
+    // The nested version is a field that isn't read.
+    if (body.find("\"version\":[") != std::string::npos) {
+        CHECK_NOTHROW(decode_heartbeat("i-1", body));
+    } else {
+        CHECK_THROWS_AS(decode_heartbeat("i-1", body), heartbeat_error);
+    }
+    CHECK_NOTHROW(deregistered_start_ms(body));
+}
+
+TEST_CASE(
+    "the address in a heartbeat is of no use, whatever its port",
+    "[adapter][odd]"
+) {
+    // A daemon knows the address of the instance beside it from its settings.
+    for (const char* const where :
+         {R"("10.0.0.1:99999")", R"("10.0.0.1:-1")", R"("")", "[]"}) {
+        CHECK_NOTHROW(decode_heartbeat("i-1", with_field("address", where)));
+    }
+}
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -270,6 +270,21 @@
     return true;
 }
 
+bool daemon_group::send_heartbeat_of_run(
+    std::size_t index, const directory::instance_run& run
+) {
+    host& one = *this->hosts.at(index);
+    keys::heartbeat heartbeat;
+    heartbeat.service = one.settings.service;
+    heartbeat.instance = run;
+    heartbeat.sequence = 1;
+    heartbeat.state = directory::instance_state::ready;
+    heartbeat.slots = 4;
+    keys::heartbeat_answer answer;
+    return one.daemon->handle_heartbeat(heartbeat, answer) ==
+           router::heartbeat_result::accepted;
+}
+
 void daemon_group::send_heartbeats() {
     for (const auto& one : this->hosts) {
         if (one->daemon && one->sends_heartbeats && one->upstream->is_up()) {
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -93,6 +93,11 @@
     void set_state(std::size_t index, directory::instance_state state);
     /// How long the later heartbeats of upstream `index` say that it is cold.
     void set_cold_time(std::size_t index, duration remaining);
+    /// Sends daemon `index` a heartbeat of another run than its upstream's;
+    /// returns whether it is accepted.
+    bool send_heartbeat_of_run(
+        std::size_t index, const directory::instance_run& run
+    );
     /// Deregisters upstream `index`; returns when that is acknowledged.
     void deregister(std::size_t index);
     /// Deregisters upstream `index`; returns whether that is acknowledged.
