--- a/src/apricotstile/http/server.cpp
+++ b/src/apricotstile/http/server.cpp
@@ -13,6 +13,7 @@
 
 #include <chrono>
 #include <stdexcept>
+#include <sys/socket.h>
 
 namespace apricotstile::http {
 
@@ -30,6 +31,18 @@
 constexpr std::uint16_t status_too_large = 413;
 constexpr std::uint16_t status_unavailable = 503;
 
+/// Whether the client has closed the connection behind what was read. Qt
+/// reports that only after the requests that were read.
+bool has_left(const QTcpSocket& client) {
+    char next_byte = 0;
+    return recv(
+               static_cast<int>(client.socketDescriptor()),
+               &next_byte,
+               1,
+               MSG_PEEK | MSG_DONTWAIT
+           ) == 0;
+}
+
 http_request to_http_request(const QHttpServerRequest& request) {
     http_request result;
     result.method = method_name(request.method());
@@ -201,6 +214,10 @@
 
 void server::start_exchange(connection& conn, http_request&& request) {
     ++this->counts.requests;
+    if (has_left(*conn.socket)) {
+        ++this->counts.hung_up;
+        return;
+    }
     this->last_exchange = next(this->last_exchange);
     const exchange_id exchange = this->last_exchange;
     conn.current_exchange = exchange;
--- a/tests/http/server.tests.cpp
+++ b/tests/http/server.tests.cpp
@@ -4,6 +4,7 @@
 
 #include <apricotstile/http/server.hpp>
 #include <tests/http/event_loop.hpp>
+#include <tests/router/blocking_caller.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -140,6 +141,24 @@
     REQUIRE(other.receives("next"));
 }
 
+TEST_CASE(
+    "a request whose client left while the server was blocked isn't passed on",
+    "[http][departed]"
+) {
+    test_server fixture;
+    {
+        apricotstile::tests::blocking_caller caller{fixture.listen_address};
+        caller.send(post("/abandoned", 1));
+    }
+    client other{fixture.listen_address};
+    other.send(post("/next", 1));
+    REQUIRE(wait_until([&fixture] {
+        return !fixture.requests.empty();
+    }));
+    REQUIRE(fixture.requests.front().second.path == "/next");
+    REQUIRE(fixture.http_server.counters().hung_up == 1);
+}
+
 TEST_CASE("pipelined requests are processed in order", "[http]") {
     test_server fixture;
     client sender{fixture.listen_address};
