Look a route up by the parts of its path

Each request tried the prefixes of its host one by one: 9.5 us of processor time with 1,400 routes, on every request. A property test compares the result with trying all routes.

--- a/src/apricotstile/routing/route_table.cpp
+++ b/src/apricotstile/routing/route_table.cpp
@@ -21,17 +21,11 @@
 route_table make_route_table(routing_config config) {
     route_table table;
     for (std::size_t index = 0; index < config.routes.size(); ++index) {
-        table.by_host[config.routes[index].host].push_back(index);
-    }
-    for (auto& [host, indices] : table.by_host) {
-        std::stable_sort(
-            indices.begin(),
-            indices.end(),
-            [&](std::size_t left, std::size_t right) {
-                return config.routes[left].prefix.size() >
-                       config.routes[right].prefix.size();
-            }
-        );
+        const route& one = config.routes[index];
+        host_routes& routes = table.by_host[one.host];
+        routes.by_prefix.emplace(one.prefix, index);
+        routes.longest_prefix =
+            std::max(routes.longest_prefix, one.prefix.size());
     }
     table.restrictions = find_restrictions(config);
     table.config = std::move(config);
@@ -41,18 +35,23 @@
 const route* find_route(
     const route_table& table, std::string_view host, std::string_view target
 ) {
-    const auto found = table.by_host.find(std::string{without_port(host)});
-    if (found == table.by_host.end()) {
+    const auto found_host = table.by_host.find(without_port(host));
+    if (found_host == table.by_host.end()) {
         return nullptr;
     }
-    const std::string_view path = path_of(target);
-    for (const std::size_t index : found->second) {
-        const route& candidate = table.config.routes[index];
-        if (path.substr(0, candidate.prefix.size()) == candidate.prefix) {
-            return &candidate;
+    const host_routes& routes = found_host->second;
+    std::string_view prefix = path_of(target).substr(0, routes.longest_prefix);
+    while (true) {
+        const std::size_t slash = prefix.rfind('/');
+        if (slash == std::string_view::npos) {
+            return nullptr;
+        }
+        const auto found = routes.by_prefix.find(prefix.substr(0, slash + 1));
+        if (found != routes.by_prefix.end()) {
+            return &table.config.routes[found->second];
         }
+        prefix = prefix.substr(0, slash);
     }
-    return nullptr;
 }
 
 const service_id& choose_service(const route& matched, double draw) {
--- a/src/apricotstile/routing/route_table.hpp
+++ b/src/apricotstile/routing/route_table.hpp
@@ -7,15 +7,40 @@
 #include <apricotstile/routing/allowed_regions.hpp>
 #include <apricotstile/routing/routing_config.hpp>
 
+#include <cstddef>
+#include <functional>
+#include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace apricotstile::routing {
 
-/// A configuration with an index of its routes.
+/// Hashes texts, so that a map of strings can be searched for a part of one.
+struct text_hash {
+    using is_transparent = void;
+
+    [[nodiscard]] std::size_t operator()(std::string_view text) const {
+        return std::hash<std::string_view>{}(text);
+    }
+};
+
+template <class Value>
+using text_map =
+    std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
+
+/// The routes of one host.
+struct host_routes {
+    /// Indices into the configuration's routes.
+    text_map<std::size_t> by_prefix;
+    /// No longer part of a path is looked up.
+    std::size_t longest_prefix{0};
+};
+
+/// A configuration with an index of its routes. A request is looked up under
+/// each part of its path that ends with a slash, however many routes there are.
 struct route_table {
     routing_config config;
-    /// Indices into `config.routes` for each host, longest prefix first.
-    std::unordered_map<std::string, std::vector<std::size_t>> by_host;
+    text_map<host_routes> by_host;
     region_restrictions restrictions;
 };
 
--- a/tests/routing/route_table.tests.cpp
+++ b/tests/routing/route_table.tests.cpp
@@ -4,6 +4,9 @@
 #include <apricotstile/routing/route_table.hpp>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <set>
 
 using namespace apricotstile;
 using namespace apricotstile::routing;
@@ -51,3 +54,29 @@
     }
     CHECK(second == 100);
 }
+
+TEST_CASE("the longest matching prefix is found among any", "[routing]") {
+    rc::prop("as by trying all routes", [] {
+        const auto any_path =
+            rc::gen::container<std::string>(rc::gen::element('a', 'b', '/', '/')
+            );
+        routing_config config;
+        const auto prefixes =
+            *rc::gen::container<std::set<std::string>>(any_path);
+        for (const std::string& middle : prefixes) {
+            const std::string prefix = "/" + middle + "/";
+            config.routes.push_back(make_route(prefix, "a.example", prefix));
+        }
+        const std::string path = "/" + *any_path;
+        std::string longest = "none";
+        for (const route& one : config.routes) {
+            const bool is_longer =
+                longest == "none" || one.prefix.size() > longest.size();
+            if (path.starts_with(one.prefix) && is_longer) {
+                longest = one.prefix;
+            }
+        }
+        const route_table table = make_route_table(config);
+        RC_ASSERT(route_name(table, "a.example", path) == longest);
+    });
+}
