--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -508,6 +508,15 @@
     return caller->readLine().split(' ').at(1).toInt();
 }
 
+void daemon_group::send_to_all(const std::string& target, int rounds) {
+    for (int round = 0; round < rounds; ++round) {
+        for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+            static_cast<void>(this->request(index, target));
+            this->restart_crashed_upstreams();
+        }
+    }
+}
+
 fake_upstream& daemon_group::upstream(std::size_t index) {
     return *this->hosts.at(index)->upstream;
 }
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -132,6 +132,9 @@
     /// Sends a request to daemon `index` and returns its answer's status. All
     /// requests have the same key.
     int request(std::size_t index, const std::string& target);
+    /// Sends a request to each daemon in turn, `rounds` times. Crashed
+    /// upstreams are back before the next request.
+    void send_to_all(const std::string& target, int rounds);
     /// Sends a request to daemon `index`; the answer can be read from the
     /// socket.
     std::unique_ptr<QTcpSocket>
--- a/tests/router/local_instance.tests.cpp
+++ b/tests/router/local_instance.tests.cpp
@@ -237,6 +237,29 @@
     CHECK(daemon.run("/bad") == serving::attempt_outcome::refused_quarantined);
 }
 
+namespace {
+
+/// "/bad" crashes another daemon's instance `crashes` times, which that daemon
+/// reports.
+void report_crashes_elsewhere(
+    crashing_instance& crashing, local_daemon& daemon, int crashes
+) {
+    local_daemon elsewhere{crashing};
+    std::int64_t started_ms = 1;
+    for (int i = 0; i < crashes; ++i) {
+        CHECK(elsewhere.run("/bad") == serving::attempt_outcome::lost);
+        REQUIRE(crashing.server.listen(QHostAddress::LocalHost, daemon.port));
+        elsewhere.instance->set_instance({"i", ++started_ms}, 4);
+    }
+    for (const upstream::crash_report& report : upstream::report_all(
+             elsewhere.instance->request_quarantine(), boot_clock::now()
+         )) {
+        daemon.instance->handle_crash_report(host_id{2}, report);
+    }
+}
+
+} // namespace
+
 TEST_CASE(
     "a waiting request that is quarantined meanwhile doesn't start",
     "[router][instance]"
@@ -248,17 +271,7 @@
     std::optional<serving::attempt_outcome> waiting;
     const serving::work_id hanging = daemon.submit("/hang", running);
     daemon.submit("/bad", waiting);
-    local_daemon elsewhere{crashing};
-    for (std::int64_t started_ms = 2; started_ms < 5; ++started_ms) {
-        CHECK(elsewhere.run("/bad") == serving::attempt_outcome::lost);
-        REQUIRE(crashing.server.listen(QHostAddress::LocalHost, daemon.port));
-        elsewhere.instance->set_instance({"i", started_ms}, 4);
-    }
-    for (const upstream::crash_report& report : upstream::report_all(
-             elsewhere.instance->request_quarantine(), boot_clock::now()
-         )) {
-        daemon.instance->handle_crash_report(host_id{2}, report);
-    }
+    report_crashes_elsewhere(crashing, daemon, 3);
     daemon.instance->withdraw(hanging);
     REQUIRE(tests::wait_until([&] {
         return waiting.has_value();
@@ -278,17 +291,7 @@
     const serving::work_id first = daemon.submit("/hang", running);
     const serving::work_id second = daemon.submit("/hang", running);
     daemon.submit("/bad", waiting);
-    local_daemon elsewhere{crashing};
-    for (std::int64_t started_ms = 2; started_ms < 4; ++started_ms) {
-        CHECK(elsewhere.run("/bad") == serving::attempt_outcome::lost);
-        REQUIRE(crashing.server.listen(QHostAddress::LocalHost, daemon.port));
-        elsewhere.instance->set_instance({"i", started_ms}, 4);
-    }
-    for (const upstream::crash_report& report : upstream::report_all(
-             elsewhere.instance->request_quarantine(), boot_clock::now()
-         )) {
-        daemon.instance->handle_crash_report(host_id{2}, report);
-    }
+    report_crashes_elsewhere(crashing, daemon, 2);
     daemon.instance->withdraw(first);
     CHECK(daemon.instance->load().running == 1);
     CHECK(daemon.instance->load().waiting == 1);
--- a/tests/router/quarantine_spread.tests.cpp
+++ b/tests/router/quarantine_spread.tests.cpp
@@ -19,17 +19,6 @@
 /// second service.
 constexpr std::size_t max_crashes = 4;
 
-/// Sends "/s/crash" once to each daemon in turn, `rounds` times. Crashed
-/// upstreams are back before the next request.
-void send_in_turn(daemon_group& group, std::size_t daemons, int rounds) {
-    for (int round = 0; round < rounds; ++round) {
-        for (std::size_t index = 0; index < daemons; ++index) {
-            static_cast<void>(group.request(index, "/s/crash"));
-            group.restart_crashed_upstreams();
-        }
-    }
-}
-
 /// A caller leaves while its request to "/s/" runs, before its answer.
 void abandon_request(daemon_group& group, const std::string& target) {
     {
@@ -51,11 +40,11 @@
     "[router][quarantine]"
 ) {
     daemon_group group{{"s", "s", "t", "t"}};
-    send_in_turn(group, 4, 2);
+    group.send_to_all("/s/crash", 2);
     const std::size_t before = group.runs_of("/s/crash");
     REQUIRE(before <= max_crashes);
     group.move_route(2, "s", "t");
-    send_in_turn(group, 4, 2);
+    group.send_to_all("/s/crash", 2);
     CHECK(group.runs_of("/s/crash") == before);
     CHECK(group.request(0, "/s/other") == 200);
 }
@@ -65,12 +54,12 @@
     "[router][quarantine]"
 ) {
     daemon_group group{{"s", "s", "t", "t"}};
-    send_in_turn(group, 4, 2);
+    group.send_to_all("/s/crash", 2);
     const std::size_t before = group.runs_of("/s/crash");
     group.restart_daemon(2);
     group.restart_daemon(3);
     group.move_route(2, "s", "t");
-    send_in_turn(group, 4, 2);
+    group.send_to_all("/s/crash", 2);
     CHECK(group.runs_of("/s/crash") == before);
 }
 
@@ -80,7 +69,7 @@
     "[router][quarantine]"
 ) {
     daemon_group group{{"s", "s", "s"}};
-    send_in_turn(group, 3, 2);
+    group.send_to_all("/s/crash", 2);
     const std::size_t before = group.runs_of("/s/crash");
     REQUIRE(before <= max_crashes);
     // Twice, as the second run must keep what it has learned of the first.
@@ -88,7 +77,7 @@
     for (int i = 0; i < restarts; ++i) {
         group.restart_all_daemons();
     }
-    send_in_turn(group, 3, 2);
+    group.send_to_all("/s/crash", 2);
     CHECK(group.runs_of("/s/crash") == before);
     CHECK(group.request(0, "/s/other") == 200);
 }
--- a/tests/router/repeated_crashes.tests.cpp
+++ b/tests/router/repeated_crashes.tests.cpp
@@ -17,17 +17,6 @@
 /// second service, which show that the crashes don't depend on the caller.
 constexpr std::size_t max_crashes = 4;
 
-/// Sends "/s/crash" once to each daemon in turn, `rounds` times. Crashed
-/// upstreams are back before the next request.
-void send_in_turn(daemon_group& group, std::size_t daemons, int rounds) {
-    for (int round = 0; round < rounds; ++round) {
-        for (std::size_t index = 0; index < daemons; ++index) {
-            static_cast<void>(group.request(index, "/s/crash"));
-            group.restart_crashed_upstreams();
-        }
-    }
-}
-
 } // namespace
 
 TEST_CASE(
@@ -36,7 +25,7 @@
     "[router][quarantine]"
 ) {
     daemon_group group{{"s", "s", "t", "u"}};
-    send_in_turn(group, 4, 4);
+    group.send_to_all("/s/crash", 4);
     CHECK(group.runs_of("/s/crash") <= max_crashes);
     CHECK(group.request(2, "/s/other") == 200);
 }
@@ -46,12 +35,12 @@
     "[router][quarantine]"
 ) {
     daemon_group group{{"s", "s", "s"}};
-    send_in_turn(group, 3, 2);
+    group.send_to_all("/s/crash", 2);
     const std::size_t before = group.runs_of("/s/crash");
     REQUIRE(before <= max_crashes);
     for (std::size_t index = 0; index < 3; ++index) {
         group.restart_daemon(index);
     }
-    send_in_turn(group, 3, 2);
+    group.send_to_all("/s/crash", 2);
     CHECK(group.runs_of("/s/crash") == before);
 }
