Don't count connections that broke earlier as running at a crash

The same class as the callers that left: a connection that an instance resets while it goes on, with no later answer before the crash, counted as one that was running beside a lone request, so that the request wasn't refused. Only connections that broke after the last request was sent broke at the crash. The second section of the test failed before.

--- a/src/apricotstile/upstream/crash_detector.cpp
+++ b/src/apricotstile/upstream/crash_detector.cpp
@@ -11,36 +11,46 @@
 
 using lost_requests = std::vector<crash_detector::lost_request>;
 
-bool any_connection_broke(const lost_requests& lost) {
-    return std::any_of(lost.begin(), lost.end(), [](const auto& one) {
-        return one.loss == request_loss::connection_broke;
-    });
+bool broke(const crash_detector::lost_request& one) {
+    return one.loss == request_loss::connection_broke;
 }
 
-/// When the request that was sent first was given up.
-instant first_given_up(const lost_requests& lost) {
-    return std::min_element(
-               lost.begin(),
-               lost.end(),
-               [](const auto& left, const auto& right) {
-                   return left.sent_at < right.sent_at;
-               }
-    )->lost_at;
+/// The connection of a request that ended before another one was sent broke for
+/// another reason than the crash.
+void mark_broken_at_crash(lost_requests& lost) {
+    instant last_sent;
+    for (const crash_detector::lost_request& one : lost) {
+        if (broke(one)) {
+            last_sent = std::max(last_sent, one.sent_at);
+        }
+    }
+    for (crash_detector::lost_request& one : lost) {
+        one.request.running = broke(one) && one.lost_at > last_sent;
+    }
 }
 
-/// Sets which requests were running at the crash: those whose connections broke
-/// at it. If it broke none, the upstream fell silent while the first request
-/// without an answer was running.
-void mark_running(lost_requests& lost) {
-    if (lost.empty()) {
-        return;
-    }
-    const bool any_broke = any_connection_broke(lost);
-    const instant first_end = first_given_up(lost);
+/// The upstream fell silent while the first request without an answer was
+/// running.
+void mark_beside_first(lost_requests& lost) {
+    const auto first = std::min_element(
+        lost.begin(),
+        lost.end(),
+        [](const auto& left, const auto& right) {
+            return left.sent_at < right.sent_at;
+        }
+    );
+    const instant first_end = first->lost_at;
     for (crash_detector::lost_request& one : lost) {
-        one.request.running = any_broke
-                                  ? one.loss == request_loss::connection_broke
-                                  : one.sent_at < first_end;
+        one.request.running = one.sent_at < first_end;
+    }
+}
+
+/// Sets which requests were running at the crash.
+void mark_running(lost_requests& lost) {
+    if (std::any_of(lost.begin(), lost.end(), broke)) {
+        mark_broken_at_crash(lost);
+    } else if (!lost.empty()) {
+        mark_beside_first(lost);
     }
 }
 
--- a/tests/upstream/crash_detector.tests.cpp
+++ b/tests/upstream/crash_detector.tests.cpp
@@ -145,11 +145,16 @@
 }
 
 TEST_CASE(
-    "a request runs alone although others were given up before a crash",
+    "a request runs alone although others have ended before it was sent",
     "[upstream]"
 ) {
     crash_detector detector = detector_of(1);
-    note_given_up(detector, 8, start - 100ms, start - 20ms);
+    SECTION("by their deadline or their caller") {
+        note_given_up(detector, 8, start - 100ms, start - 20ms);
+    }
+    SECTION("as their connections broke") {
+        note_broken(detector, 8, start - 20ms);
+    }
     note_broken(detector, 7, start);
     static_cast<void>(note_crash(detector, start + 5ms));
     CHECK(alone_count(detector, 7, start + 5ms) == 1);
