--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -106,16 +106,19 @@
     return fill(template, [fields])
 
 
-def free_port(ips):
-    """A port that is free on each of the addresses."""
+def free_port(ips, taken):
+    """A port that is free on each of the addresses, and not in `taken`."""
     for _ in range(200):
         with socket.socket() as probe:
             probe.bind((ips[0], 0))
             port = probe.getsockname()[1]
+        if port in taken:
+            continue
         try:
             for ip in ips[1:]:
                 with socket.socket() as other:
                     other.bind((ip, port))
+            taken.add(port)
             return port
         except OSError:
             continue
@@ -156,8 +159,9 @@
         self.folder = tempfile.mkdtemp(prefix="apricotstile-review-")
         ips = [f"127.0.{10 + i // 200}.{1 + i % 200}" for i in range(len(services))]
         everywhere = ["127.0.9.1", *ips]
-        ports = {name: free_port(everywhere) for name in PORT_NAMES}
-        internal = [free_port(everywhere), free_port(everywhere)]
+        taken = set()
+        ports = {name: free_port(everywhere, taken) for name in PORT_NAMES}
+        internal = [free_port(everywhere, taken), free_port(everywhere, taken)]
         zone_names = list(self.zones)
         self.machines = []
         for index, service in enumerate(services):
@@ -166,7 +170,7 @@
                 Machine(f"sidecar-{zone}-{index}", ips[index], zone, self.zones[zone],
                         service, ports, internal)
             )
-        self.store = Store("127.0.9.1", free_port(["127.0.9.1"]))
+        self.store = Store("127.0.9.1", free_port(everywhere, taken))
         self.instances = []
         self.not_ready = {}
         self.tasks = []
@@ -273,6 +277,16 @@
         self.record.add("signal", machine=machine.name, signal=signal.Signals(number).name)
         machine.process.send_signal(number)
 
+    async def kill_all(self, down_s):
+        """All processes end at the same moment, and are started again."""
+        for machine in self.machines:
+            self.send_signal(machine, signal.SIGKILL)
+        for machine in self.machines:
+            machine.process.wait()
+        await asyncio.sleep(down_s)
+        for machine in self.machines:
+            self.start_daemon(machine)
+
     def stop(self):
         for task in self.tasks:
             task.cancel()
--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -185,6 +185,7 @@
                 json.dumps(body).encode(), HEARTBEAT_TIMEOUT_S,
             )
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            self.record.add("beat_unanswered", instance=self.id, machine=self.machine.name)
             return False
         if answer is None or not 200 <= answer.status < 300 or len(answer.body) > 4096:
             self.record.add("beat_refused", instance=self.id, machine=self.machine.name,
@@ -202,12 +203,18 @@
             await asyncio.sleep(0.1 if self.released else self.heartbeat_s)
 
     async def deregister(self):
-        answer = await http1.call(
-            self.machine.ip, self.machine.ports["controlPlane"], "POST",
-            f"/v1/Instances.Deregister/{self.id}", [("Content-Type", "application/json")],
-            json.dumps({"born": self.born}).encode(), HEARTBEAT_TIMEOUT_S,
-        )
-        return answer is not None and 200 <= answer.status < 300
+        """Whether the departure is acknowledged."""
+        try:
+            answer = await http1.call(
+                self.machine.ip, self.machine.ports["controlPlane"], "POST",
+                f"/v1/Instances.Deregister/{self.id}", [("Content-Type", "application/json")],
+                json.dumps({"born": self.born}).encode(), HEARTBEAT_TIMEOUT_S,
+            )
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            answer = None
+        status = answer.status if answer else 0
+        self.record.add("deregistered", instance=self.id, status=status)
+        return 200 <= status < 300
 
 
 def subtract(row, others):
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -22,6 +22,8 @@
         self.changed = asyncio.Event()
         self.server = None
         self.calls = 0
+        # While it is silent, calls are neither performed nor answered.
+        self.silent = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -66,7 +68,12 @@
                     break
                 self.calls += 1
                 await asyncio.sleep(self.latency_s)
-                writer.write(await self.answer(request))
+                answer = None if self.silent else await self.answer(request)
+                if answer is None or self.silent:
+                    # A connection on which an answer is lost delivers nothing further.
+                    await reader.read(-1)
+                    break
+                writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
