--- a/review/5/case.py
+++ b/review/5/case.py
@@ -58,7 +58,8 @@
         # From here on machines are in touch.
         in_touch = max(started, record.now()) + CONTACT_S
         await asyncio.sleep(max(0.0, acknowledged + STAYS_S - record.now()))
-        leaving.stop()
+        leaving.exit()
+        await asyncio.sleep(1.5)
         sent = {fields["id"]: at for at, fields in record.of("sent")}
         late = [
             at - acknowledged
@@ -71,8 +72,17 @@
                    at=",".join(f"{one:.2f}" for one in late[:20]))
         if not late:
             return []
+        ended = {fields["id"] for _, fields in record.of("run_end")}
+        answers = {fields["id"]: str(fields["outcome"]) for _, fields in record.of("answered")}
+        lost = [
+            fields["id"]
+            for at, fields in record.of("run")
+            if fields["instance"] == leaving.id and at > acknowledged + DRAIN_S
+            and fields["id"] not in ended and answers.get(fields["id"]) != "200"
+        ]
         return [f"DRAIN: {len(late)} requests reached the instance {late[0]:.2f} to "
-                f"{late[-1]:.2f} s after its departure was acknowledged"]
+                f"{late[-1]:.2f} s after its departure was acknowledged; {len(lost)} orders "
+                f"were lost with it when it ended"]
     finally:
         for task in tasks:
             task.cancel()
--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -35,6 +35,8 @@
         self.highest = [0] * 65536 if keyed else []
         self.acknowledged = 0
         self.tasks = []
+        self.writers = set()
+        self.has_exited = False
         self.server = None
         self.body_for = lambda request: b"ok " + request.target.encode()
 
@@ -50,9 +52,18 @@
         if self.server:
             self.server.close()
 
+    def exit(self):
+        """The process ends, with whatever it is at work on."""
+        self.record.add("exit", instance=self.id, at_work=self.running)
+        self.has_exited = True
+        self.stop()
+        for writer in self.writers:
+            writer.transport.abort()
+
     # Requests.
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await http1.read_message(reader)
@@ -66,6 +77,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def load(self):
@@ -112,6 +124,8 @@
             self.running -= 1
             self.free.release()
             self.at_work.pop(request_id, None)
+        if self.has_exited:
+            return None
         body = self.body_for(request)
         self.record.add("run_end", instance=self.id, id=request_id, answer_bytes=len(body))
         return http1.response_bytes(
