--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -2,6 +2,7 @@
 the command of the deploy file, asks for their readiness and stops them."""
 
 import asyncio
+import contextlib
 import ctypes
 import json
 import os
@@ -296,16 +297,15 @@
 
     try:
         breaches = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # Nothing else may count as broken.
         record.add("could_not_run", why=repr(error))
         record.save()
         print(f"could not run: {error!r}")
         return 2
     for breach in breaches:
         record.add("breach", text=breach)
-        print(f"broken: {breach}")
     record.add("result", broken=len(breaches), trouble=trouble)
     record.save()
-    if not breaches:
-        print("held")
+    with contextlib.suppress(OSError):
+        print("\n".join(f"broken: {breach}" for breach in breaches) or "held", flush=True)
     return 1 if breaches else 0
