Acknowledge a departure only when the store has it

Cause: the copy in one peer's memory counted as recorded. The daemon's log of the case shows the acknowledgement without a write of the row, and a next run that reads the row and learns nothing.

Now only the store's answer allows the acknowledgement. The departure takes effect at once as before, and peers keep it for a restart of this daemon alone; they say so in the log.

Evidence: three of the ten tests of departures fail before this change, among them that no acknowledged departure is lost with all daemons.

Price: acknowledgements wait for the store.

--- a/src/apricotstile/directory/deregistration.hpp
+++ b/src/apricotstile/directory/deregistration.hpp
@@ -1,4 +1,4 @@
-// An instance's announcement that it leaves, in another way than by a heartbeat.
+// An announcement of an instance that it leaves, other than by a heartbeat.
 
 #ifndef APRICOTSTILE_DIRECTORY_DEREGISTRATION_HPP
 #define APRICOTSTILE_DIRECTORY_DEREGISTRATION_HPP
--- a/src/apricotstile/router/departure_recorder.cpp
+++ b/src/apricotstile/router/departure_recorder.cpp
@@ -1,4 +1,4 @@
-// Waits for the table first, as it answers within milliseconds, then for peers.
+// Waits for the table, which answers within milliseconds when it is there.
 
 #include <apricotstile/router/departure_recorder.hpp>
 
--- a/src/apricotstile/router/departure_recorder.hpp
+++ b/src/apricotstile/router/departure_recorder.hpp
@@ -1,5 +1,7 @@
-// Tells when a departure that the local instance has announced will outlast
-// this run of the daemon: its entry is in the shared table, or a peer has it.
+// Tells when a departure that the local instance has announced may be
+// acknowledged: its entry is in the shared table. Peers are asked to keep it
+// while the table is away, so that the next run of this daemon knows it, but
+// their copies don't survive the loss of all processes.
 
 #ifndef APRICOTSTILE_ROUTER_DEPARTURE_RECORDER_HPP
 #define APRICOTSTILE_ROUTER_DEPARTURE_RECORDER_HPP
@@ -28,7 +30,7 @@
 
     /// A departure is in the daemon's entry from this revision on.
     void expect(std::uint64_t revision);
-    /// The table or a peer has the entry of this revision.
+    /// The table has the entry of this revision.
     void note_recorded(std::uint64_t revision);
     [[nodiscard]] bool is_recorded() const;
     /// Calls `done` once: immediately if all departures are recorded, or else
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -124,6 +124,8 @@
         const keep_departures_request& request,
         const std::function<void(const frame&)>& reply
     );
+    void note_departures_kept(host_id peer, const keep_departures_reply& reply)
+        const;
     void handle_control_frame(
         host_id peer,
         const frame& message,
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -109,9 +109,9 @@
     heartbeat_result
     handle_deregistration(const directory::deregistration& received);
     /// Calls `done` once, possibly before this returns: with true when the
-    /// departures that the instance has announced will be known to the next
-    /// run of this daemon, so that they may be acknowledged; with false if that
-    /// takes too long.
+    /// departures that the instance has announced will be known to all later
+    /// runs of this daemon, whatever else ends, so that they may be
+    /// acknowledged; with false if that takes too long.
     void when_departures_recorded(std::function<void(bool recorded)> done);
 
     /// The store has said that no change of the configuration is missing.
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -149,7 +149,7 @@
     } else if (const auto* const kept = std::get_if<keep_departures_request>(&message)) {
         this->keep_departures(peer, *kept, reply);
     } else if (const auto* const confirmed = std::get_if<keep_departures_reply>(&message)) {
-        this->recorder.note_recorded(confirmed->revision);
+        this->note_departures_kept(peer, *confirmed);
     } else if (const auto* const wanted_capacity = std::get_if<capacity_request>(&message)) {
         reply(
             this->local_keys
@@ -174,7 +174,7 @@
     }
 }
 
-/// Keeps the departures that a peer has acknowledged.
+/// Keeps the departures that a peer's instance has announced.
 void router::implementation::keep_departures(
     host_id peer,
     const keep_departures_request& request,
@@ -196,6 +196,23 @@
     reply(keep_departures_reply{request.revision});
 }
 
+/// A peer's memory is enough for the next run of this daemon, but not for an
+/// acknowledgement.
+void router::implementation::note_departures_kept(
+    host_id peer, const keep_departures_reply& reply
+) const {
+    if (this->recorder.is_recorded()) {
+        return;
+    }
+    log::write(
+        log::level::info,
+        log_prefix,
+        "A peer keeps the departures until they are recorded.",
+        {{"peer", internal::format_for_log(peer)},
+         {"revision", std::to_string(reply.revision)}}
+    );
+}
+
 std::function<void()> router::implementation::forward_request(
     host_id peer,
     routed_request&& request,
