Let a planned stop wait for answers that aren't sent yet

Cause: a connection that closes with its answer was off the list that the exit waits for as soon as the answer was handed to the stream, and unsent bytes of peers' links weren't asked for. After the notice, requests that were partly read, or waited to be tried again, were still sent on.

Now such a connection stays until the kernel has its answer, and the exit waits for the links. From the end of the notice on no request is sent to an instance for the first time: it is refused as not run, with a time to retry. The end of the grace ends everything as before.

--- a/src/apricotstile/router/caller_connection.cpp
+++ b/src/apricotstile/router/caller_connection.cpp
@@ -127,9 +127,7 @@
     this->request_begun = this->reader.has_begun();
     this->waiting_since = boot_clock::now();
     if (close_after) {
-        this->stream->close();
-        this->stream = nullptr;
-        this->events.on_closed(this->id);
+        this->close_once_read();
         return;
     }
     if (this->stream->unsent_bytes() > max_unsent_bytes) {
@@ -147,21 +145,34 @@
     this->waits_for_caller = false;
     this->waiting_since = boot_clock::now();
     if (this->closing) {
-        this->stream->close();
-        this->stream = nullptr;
-        this->events.on_closed(this->id);
+        this->close_once_read();
         return;
     }
     this->request_begun = this->reader.has_begun();
     this->read_request_behind();
 }
 
+/// Closes the connection when the kernel has its last answer. Until then the
+/// process must not exit.
+void caller_connection::close_once_read() {
+    this->closing = true;
+    this->waits_for_caller = this->stream->unsent_bytes() > 0;
+    if (!this->waits_for_caller) {
+        this->close_now();
+    }
+}
+
+/// What is unsent is still sent, unless the process exits before.
+void caller_connection::close_now() {
+    this->stream->close();
+    this->stream = nullptr;
+    this->events.on_closed(this->id);
+}
+
 void caller_connection::close_when_idle() {
     this->closing = true;
     if (this->is_idle() && this->stream != nullptr) {
-        this->stream->close();
-        this->stream = nullptr;
-        this->events.on_closed(this->id);
+        this->close_once_read();
     }
 }
 
@@ -176,9 +187,7 @@
                           elapsed > header_timeout && !this->reader.in_body();
     const bool too_idle = elapsed > idle_timeout;
     if (too_slow || too_idle) {
-        this->stream->close();
-        this->stream = nullptr;
-        this->events.on_closed(this->id);
+        this->close_now();
     }
 }
 
--- a/src/apricotstile/router/caller_connection.hpp
+++ b/src/apricotstile/router/caller_connection.hpp
@@ -49,7 +49,8 @@
         std::string_view body,
         bool close
     );
-    /// Closes the connection now if it is idle, else with its next answer.
+    /// Closes the connection now if it is idle, else with its next answer. It
+    /// stays open until the kernel has the answers sent before.
     void close_when_idle();
     /// Closes the connection if the header or idle timeout has passed.
     void
@@ -66,6 +67,8 @@
     void read_request_behind();
     void refuse_malformed();
     void handle_drained();
+    void close_once_read();
+    void close_now();
 
     caller_id id;
     const caller_events& events;
--- a/src/apricotstile/router/peer_links.cpp
+++ b/src/apricotstile/router/peer_links.cpp
@@ -148,6 +148,14 @@
                : found->second->stream->unsent_bytes();
 }
 
+std::size_t peer_links::unsent_response_bytes() const {
+    std::size_t total = 0;
+    for (const auto& [connection, link] : this->incoming_links) {
+        total += link->stream->unsent_bytes();
+    }
+    return total;
+}
+
 void peer_links::publish_entry(const entry_frame& entry) {
     this->own_entry = entry;
     this->has_own_entry = true;
--- a/src/apricotstile/router/peer_links.hpp
+++ b/src/apricotstile/router/peer_links.hpp
@@ -83,6 +83,8 @@
     /// Bytes on the connection that the response goes to that the kernel hasn't
     /// accepted yet.
     [[nodiscard]] std::size_t unsent_response_bytes(peer_request_id to) const;
+    /// The same for all connections that peers opened.
+    [[nodiscard]] std::size_t unsent_response_bytes() const;
     /// Sets the version that requests and responses to peers carry.
     void set_config_version(routing::config_version version);
     /// Sends this daemon's entry to all peers, now and whenever a link opens.
--- a/src/apricotstile/router/request_router.cpp
+++ b/src/apricotstile/router/request_router.cpp
@@ -136,9 +136,12 @@
     caller_id caller, http::received_request&& request
 ) {
     ++this->counted.requests;
-    if (!this->table) {
+    if (!this->table || this->refuses_unsent) {
         this->refuse_early(
-            caller, request, status_unavailable, "no_configuration"
+            caller,
+            request,
+            status_unavailable,
+            this->table ? "stopping" : "no_configuration"
         );
         return;
     }
@@ -293,6 +296,7 @@
 
 void request_router::stop_accepting() {
     this->closing = true;
+    this->refuses_unsent = true;
     this->listener.reset();
     std::vector<caller_connection*> connections;
     for (const auto& [id, one] : this->callers) {
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -100,7 +100,9 @@
     /// From now on tells callers to close their connections. Every request, new
     /// ones included, is answered by `end`.
     void start_closing(instant end);
-    /// Accepts no new connections and closes idle ones.
+    /// Accepts no new connections and closes idle ones. From now on no request
+    /// is sent to an instance for the first time: it would have to be cut off
+    /// with an unknown outcome if it took long.
     void stop_accepting();
 
     /// Requests that aren't answered yet.
@@ -169,6 +171,9 @@
     std::shared_ptr<const routing::route_table> table;
     bool config_current{false};
     bool closing{false};
+    /// Whether requests are refused that no instance may have run. Their
+    /// answers might not be there before the process exits.
+    bool refuses_unsent{false};
     /// Every request must be answered by then; set when closing starts.
     instant answer_deadline{instant::max()};
     std::unique_ptr<net::acceptor> listener;
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -63,6 +63,10 @@
 }
 
 void request_router::start_attempt(pending_request& request) {
+    if (this->refuses_unsent && !request.progress.may_have_run) {
+        this->perform_step(request, serving::next_step::refuse, {});
+        return;
+    }
     const caller_id caller = request.caller;
     const std::uint64_t number = ++request.last_attempt;
     if (const auto left =
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -173,7 +173,8 @@
     }
     const bool idle =
         this->callers.waiting() == 0 && this->instance.unfinished() == 0 &&
-        this->answers.held() == 0 && this->callers.open_connections() == 0;
+        this->answers.held() == 0 && this->links.unsent_response_bytes() == 0 &&
+        this->callers.open_connections() == 0;
     if ((this->stop_notice_passed() && idle) || now >= this->stop_at) {
         const auto handler = std::move(this->on_stopped);
         this->on_stopped = nullptr;
--- a/tests/router/daemon_group.cpp
+++ b/tests/router/daemon_group.cpp
@@ -148,6 +148,7 @@
     std::vector<keys::released_range> released;
     /// The run whose heartbeat was accepted last.
     directory::instance_run accepted;
+    bool has_stopped{false};
     /// The daemon has all evacuations up to this version; nothing before its
     /// first read.
     std::optional<platform::row_version> delivered;
@@ -435,6 +436,25 @@
     this->hosts.at(index)->daemon.reset();
 }
 
+void daemon_group::begin_stop(std::size_t index) {
+    host& one = *this->hosts.at(index);
+    one.daemon->stop([&one] {
+        one.has_stopped = true;
+    });
+}
+
+bool daemon_group::has_stopped(std::size_t index) const {
+    return this->hosts.at(index)->has_stopped;
+}
+
+bool daemon_group::accepts_callers(std::size_t index) const {
+    const address& where = this->hosts.at(index)->settings.caller_address;
+    QTcpSocket probe;
+    probe.connectToHost(QHostAddress{where.ip}, where.port);
+    constexpr int max_wait_ms = 1000;
+    return probe.waitForConnected(max_wait_ms);
+}
+
 void daemon_group::start_daemon(std::size_t index) {
     this->start(*this->hosts.at(index));
 }
--- a/tests/router/daemon_group.hpp
+++ b/tests/router/daemon_group.hpp
@@ -87,6 +87,12 @@
     void restart_all_daemons();
     /// Kills daemon `index`.
     void stop_daemon(std::size_t index);
+    /// Asks daemon `index` to stop, as for a planned restart.
+    void begin_stop(std::size_t index);
+    /// Whether daemon `index` has said that its process may exit.
+    [[nodiscard]] bool has_stopped(std::size_t index) const;
+    /// Whether daemon `index` accepts connections of callers.
+    [[nodiscard]] bool accepts_callers(std::size_t index) const;
     /// Whether upstream `index` sends heartbeats.
     void send_heartbeats_of(std::size_t index, bool sends);
     /// What the later heartbeats of upstream `index` say.
--- a/tests/router/departed_callers.tests.cpp
+++ b/tests/router/departed_callers.tests.cpp
@@ -2,12 +2,10 @@
 // (GONE): on each hop, a request whose caller is known to have left by what has
 // arrived must not be passed on.
 
-#include <apricotstile/core/hashing.hpp>
-#include <apricotstile/router/frames.hpp>
-
 #include <tests/http/event_loop.hpp>
 #include <tests/router/blocking_caller.hpp>
 #include <tests/router/daemon_group.hpp>
+#include <tests/router/scripted_peer.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -30,46 +28,6 @@
     CHECK(group.request(index, "/s/other") == 200);
 }
 
-/// A daemon of service "t" whose frames arrive when the test sends them.
-struct scripted_peer {
-    explicit scripted_peer(const address& daemon) : connection(daemon) {
-        router::entry_frame entry;
-        entry.member.host = host_at(unused_address());
-        entry.member.run = incarnation{1};
-        entry.member.revision = 1;
-        entry.member.service = {"t"};
-        this->add(entry);
-    }
-
-    void add(const router::frame& one) {
-        this->bytes += router::encode_frame(one, this->headers);
-    }
-
-    void add_request(std::uint64_t stream, const std::string& target) {
-        router::request_frame frame;
-        frame.stream = router::stream_id{stream};
-        frame.request.service_hash = name_hash("s");
-        frame.request.method = "GET";
-        frame.request.target = target;
-        frame.request.headers = {{"Request-Id", target}};
-        frame.request.time_to_target = std::chrono::seconds{1};
-        frame.request.time_to_deadline = std::chrono::seconds{5};
-        this->add(frame);
-    }
-
-    void add_cancellation(std::uint64_t stream) {
-        this->add(router::cancel_frame{router::stream_id{stream}});
-    }
-
-    void send() {
-        this->connection.send(std::exchange(this->bytes, {}));
-    }
-
-    blocking_caller connection;
-    router::header_table headers;
-    std::string bytes;
-};
-
 } // namespace
 
 TEST_CASE(
--- a/tests/router/fake_upstream.cpp
+++ b/tests/router/fake_upstream.cpp
@@ -108,17 +108,35 @@
     if (target.find("hang") != std::string::npos) {
         return;
     }
+    if (target.find("slow") != std::string::npos) {
+        this->slow_requests.push_back({connection, head});
+        return;
+    }
+    this->answer(connection, head);
+}
+
+void fake_upstream::answer_slow_requests() {
+    for (const slow_request& one : std::exchange(this->slow_requests, {})) {
+        if (one.connection) {
+            this->answer(one.connection, one.head);
+        }
+    }
+}
+
+void fake_upstream::answer(QTcpSocket* connection, const std::string& head)
+    const {
+    const std::string target = target_in(head);
     const bool is_large = target.find("large") != std::string::npos;
     const std::string body = is_large ? this->large_body : std::string{};
-    std::string answer = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
-                         "Content-Length: " +
-                         std::to_string(body.size()) +
-                         "\r\nRequest-Id: " + header_in(head, "Request-Id") +
-                         "\r\n";
+    std::string bytes = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                        "Content-Length: " +
+                        std::to_string(body.size()) +
+                        "\r\nRequest-Id: " + header_in(head, "Request-Id") +
+                        "\r\n";
     for (const http::header& one : this->extra_headers) {
-        answer += one.name + ": " + one.value + "\r\n";
+        bytes += one.name + ": " + one.value + "\r\n";
     }
-    connection->write(QByteArray::fromStdString(answer + "\r\n" + body));
+    connection->write(QByteArray::fromStdString(bytes + "\r\n" + body));
 }
 
 } // namespace apricotstile::tests
--- a/tests/router/fake_upstream.hpp
+++ b/tests/router/fake_upstream.hpp
@@ -1,6 +1,6 @@
 // An upstream instance on a loopback port. It answers each request at once. It
-// crashes on requests whose target contains "crash", and never answers those
-// whose target contains "hang".
+// crashes on requests whose target contains "crash", never answers those whose
+// target contains "hang", and those with "slow" only when the test says so.
 
 #ifndef APRICOTSTILE_TESTS_ROUTER_FAKE_UPSTREAM_HPP
 #define APRICOTSTILE_TESTS_ROUTER_FAKE_UPSTREAM_HPP
@@ -31,6 +31,8 @@
     void set_extra_headers(std::vector<http::header> headers);
     /// Body of the answers to requests whose target contains "large".
     void set_large_body(std::string body);
+    /// Answers the requests whose target contains "slow".
+    void answer_slow_requests();
     /// Resets all connections and stops listening.
     void crash();
     /// Starts again as a new run at the same address.
@@ -39,6 +41,12 @@
 private:
     void handle_connection(QTcpSocket* connection);
     void handle_request(QTcpSocket* connection, const std::string& head);
+    void answer(QTcpSocket* connection, const std::string& head) const;
+
+    struct slow_request {
+        QPointer<QTcpSocket> connection;
+        std::string head;
+    };
 
     QTcpServer server;
     address listen_address{unused_address()};
@@ -47,6 +55,7 @@
     std::vector<http::header> extra_headers;
     std::string large_body;
     std::vector<QPointer<QTcpSocket>> connections;
+    std::vector<slow_request> slow_requests;
 };
 
 } // namespace apricotstile::tests
