Give each attempt of a request an id of its own

Cause: attempts were numbered within a request, and an attempt's end was matched by connection and number. A request that was refused while it was being forwarded started the next one of its connection, whose attempt then had the same number; its cancellation was replaced, and its late answer was taken for that of the request behind it.

Now an attempt's id is never used again.

--- a/src/apricotstile/router/internal/pending_request.hpp
+++ b/src/apricotstile/router/internal/pending_request.hpp
@@ -9,9 +9,7 @@
 
 /// A request at one host.
 struct attempt_in_progress {
-    /// Increases within a request, so that the end of an earlier attempt is
-    /// recognised and ignored.
-    std::uint64_t number{0};
+    attempt_id id;
     host_id host;
     std::function<void()> cancel;
 };
@@ -33,7 +31,6 @@
     serving::request_progress progress;
     /// Whether the last choice of a host left out one for its region.
     bool region_excluded{false};
-    std::uint64_t last_attempt{0};
     std::optional<attempt_in_progress> attempt;
     /// An earlier one, whose host became unresponsive. The request may be
     /// running there, so its answer is still of use.
--- a/src/apricotstile/router/request_router.hpp
+++ b/src/apricotstile/router/request_router.hpp
@@ -63,6 +63,10 @@
         forward_request;
 };
 
+/// Identifies an attempt to have a request served; never reused, so that a late
+/// response isn't taken for the one to another request of its connection.
+using attempt_id = strong_id<struct attempt_id_tag, std::uint64_t>;
+
 struct request_router_counters {
     std::uint64_t requests{0};
     std::uint64_t answered{0};
@@ -133,7 +137,7 @@
     serving::locality_tier locality_of(const location& where) const;
     void handle_attempt_end(
         caller_id caller,
-        std::uint64_t attempt_number,
+        attempt_id attempt,
         host_id host,
         routed_response&& response
     );
@@ -179,6 +183,7 @@
     std::unique_ptr<net::acceptor> listener;
     caller_events events;
     caller_id last_caller;
+    attempt_id last_attempt;
     std::unordered_map<caller_id, std::unique_ptr<caller_connection>> callers;
     /// At most one for each connection.
     std::unordered_map<caller_id, std::unique_ptr<pending_request>> requests;
--- a/src/apricotstile/router/request_router_attempts.cpp
+++ b/src/apricotstile/router/request_router_attempts.cpp
@@ -68,18 +68,21 @@
         return;
     }
     const caller_id caller = request.caller;
-    const std::uint64_t number = ++request.last_attempt;
+    this->last_attempt = next(this->last_attempt);
+    const attempt_id attempt = this->last_attempt;
     if (const auto left =
             this->dependencies.quarantine_left(request.received)) {
-        request.attempt = {number, host_id{}, {}};
+        request.attempt = {attempt, host_id{}, {}};
         routed_response refused;
         refused.outcome = serving::attempt_outcome::refused_quarantined;
         refused.retry_after = *left;
-        this->handle_attempt_end(caller, number, host_id{}, std::move(refused));
+        this->handle_attempt_end(
+            caller, attempt, host_id{}, std::move(refused)
+        );
         return;
     }
     const std::optional<host_id> host = this->choose_host(request);
-    request.attempt = {number, host.value_or(host_id{}), {}};
+    request.attempt = {attempt, host.value_or(host_id{}), {}};
     if (!host && request.key &&
         this->is_evacuated_everywhere(request.service)) {
         // Waiting for the key to move would be in vain.
@@ -104,7 +107,7 @@
             none.outcome = serving::attempt_outcome::refused_region;
         }
         request.progress.refusals = this->retry_policy.max_refusals;
-        this->handle_attempt_end(caller, number, host_id{}, std::move(none));
+        this->handle_attempt_end(caller, attempt, host_id{}, std::move(none));
         return;
     }
     serving::begin_attempt(request.progress, *host);
@@ -112,14 +115,17 @@
     std::function<void()> cancel = this->dependencies.forward_request(
         *host,
         this->make_routed_request(request),
-        [this, caller, number, host = *host](routed_response&& response) {
-            this->handle_attempt_end(caller, number, host, std::move(response));
+        [this, caller, attempt, host = *host](routed_response&& response) {
+            this->handle_attempt_end(
+                caller, attempt, host, std::move(response)
+            );
         }
     );
-    // The attempt may already have ended, and the request with it.
+    // The attempt may already have ended, and the request with it; the next one
+    // of the connection may have begun.
     const auto found = this->requests.find(caller);
     if (found != this->requests.end() && found->second->attempt &&
-        found->second->attempt->number == number) {
+        found->second->attempt->id == attempt) {
         found->second->attempt->cancel = std::move(cancel);
     }
 }
@@ -158,7 +164,7 @@
 
 void request_router::handle_attempt_end(
     caller_id caller,
-    std::uint64_t number,
+    attempt_id attempt,
     host_id host,
     routed_response&& response
 ) {
@@ -168,9 +174,8 @@
         return;
     }
     pending_request& request = *found->second;
-    const auto is_ended = [&](const std::optional<attempt_in_progress>& attempt
-                          ) {
-        return attempt && attempt->number == number;
+    const auto is_ended = [&](const std::optional<attempt_in_progress>& one) {
+        return one && one->id == attempt;
     };
     const bool was_unresponsive = is_ended(request.unresponsive_attempt);
     if (!was_unresponsive && !is_ended(request.attempt)) {
--- a/tests/router/request_router.tests.cpp
+++ b/tests/router/request_router.tests.cpp
@@ -65,6 +65,13 @@
             ) {
                 const std::size_t index = this->requests.size();
                 this->requests.push_back({host, std::move(done)});
+                if (const auto at_once =
+                        std::exchange(this->next_outcome, std::nullopt)) {
+                    routed_response ended;
+                    ended.outcome = *at_once;
+                    const auto handler = this->requests[index].done;
+                    handler(std::move(ended));
+                }
                 return [this, index] {
                     this->requests[index].cancelled = true;
                 };
@@ -106,6 +113,8 @@
     net::timer_queue timers;
     host_id unresponsive;
     std::optional<duration> quarantined;
+    /// How the next request ends before it is forwarded; nothing if it doesn't.
+    std::optional<serving::attempt_outcome> next_outcome;
     failure_domain_id evacuated{"z"};
     std::vector<forwarded_request> requests;
     std::unique_ptr<request_router> callers;
@@ -310,6 +319,52 @@
     }
 }
 
+TEST_CASE(
+    "a late answer to a request isn't taken for the one to another request of "
+    "its connection",
+    "[router][ingress][pipelining]"
+) {
+    // Guards against the body of a lookup as the answer to an order, and
+    // against an order that is sent twice as a lookup was refused. The first
+    // request is refused while it is being forwarded, which starts the second
+    // one.
+    ingress_with_hosts fixture{1};
+    fixture.next_outcome = serving::attempt_outcome::refused_quarantined;
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress{fixture.listen.ip}, fixture.listen.port);
+    caller.write("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                 "Request-Id: 1\r\nTime-Left: 10000\r\n\r\n"
+                 "GET /x/2 HTTP/1.1\r\nHost: a.example\r\n"
+                 "Request-Id: 2\r\nTime-Left: 200\r\n\r\n");
+    QByteArray received;
+    const auto wait_for_answers = [&](int count) {
+        REQUIRE(tests::wait_until([&] {
+            received += caller.readAll();
+            return received.count("HTTP/1.1 ") >= count;
+        }));
+    };
+    wait_for_answers(2);
+    CHECK(received.count("HTTP/1.1 503") == 1);
+    CHECK(received.count("HTTP/1.1 504") == 1);
+    REQUIRE(fixture.requests.size() == 2);
+    CHECK(fixture.requests[1].cancelled);
+
+    caller.write("GET /x/3 HTTP/1.1\r\nHost: a.example\r\n"
+                 "Request-Id: 3\r\nTime-Left: 10000\r\n\r\n");
+    REQUIRE(tests::wait_until([&] {
+        return fixture.requests.size() == 3;
+    }));
+    routed_response late = result(serving::attempt_outcome::answered);
+    late.body = "second";
+    fixture.requests[1].done(std::move(late));
+    routed_response own = result(serving::attempt_outcome::answered);
+    own.body = "third";
+    fixture.requests[2].done(std::move(own));
+    wait_for_answers(3);
+    CHECK(received.endsWith("third"));
+    CHECK_FALSE(received.contains("second"));
+}
+
 TEST_CASE(
     "a stopping daemon leaves requests behind another one unforwarded",
     "[router][ingress][pipelining]"
