Give callers time to read their answers

Cause: the timeout for unacknowledged data, 2.5 s on all sockets, also runs while a caller makes no room for more than small pieces. Callers' connections now have 30 s, as long as a caller without a deadline is waited for; links and connections to instances keep 2.5 s, so that a silent host is noticed while its requests can still go elsewhere.

--- a/src/apricotstile/net/internal/socket_options.cpp
+++ b/src/apricotstile/net/internal/socket_options.cpp
@@ -13,7 +13,6 @@
 constexpr int keep_alive_idle_s = 1;
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 2;
-constexpr int unacknowledged_timeout_ms = 2500;
 
 void set_option(int descriptor, int level, int name, int value) {
     // Failure is ignored: without one of these options, lost connections are
@@ -24,14 +23,17 @@
 
 } // namespace
 
-void set_stream_options(int descriptor) {
+void set_stream_options(int descriptor, duration unacknowledged_timeout) {
     set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
     set_option(
-        descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_timeout_ms
+        descriptor,
+        IPPROTO_TCP,
+        TCP_USER_TIMEOUT,
+        static_cast<int>(unacknowledged_timeout / std::chrono::milliseconds{1})
     );
 }
 
--- a/src/apricotstile/net/stream.cpp
+++ b/src/apricotstile/net/stream.cpp
@@ -52,7 +52,9 @@
         schedule_failure();
         return;
     }
-    internal::set_stream_options(this->impl->descriptor);
+    internal::set_stream_options(
+        this->impl->descriptor, default_unacknowledged_timeout
+    );
     const sockaddr_in target = internal::to_socket_address(peer);
     const int result = ::connect(
         this->impl->descriptor,
@@ -74,9 +76,10 @@
     );
 }
 
-stream::stream(int descriptor) : impl(std::make_unique<implementation>()) {
+stream::stream(int descriptor, duration unacknowledged_timeout)
+    : impl(std::make_unique<implementation>()) {
     this->impl->descriptor = descriptor;
-    internal::set_stream_options(descriptor);
+    internal::set_stream_options(descriptor, unacknowledged_timeout);
     this->handle_opened();
 }
 
--- a/src/apricotstile/net/stream.hpp
+++ b/src/apricotstile/net/stream.hpp
@@ -28,6 +28,11 @@
     not_opened
 };
 
+/// A peer that acknowledges nothing for this long, or makes no room for more
+/// than small pieces, counts as unreachable.
+inline constexpr duration default_unacknowledged_timeout =
+    std::chrono::milliseconds{2500};
+
 /// Deletes itself after the connection has ended or was closed or aborted.
 /// Handlers may call `close` and `abort`.
 class stream : public QObject {
@@ -36,7 +41,10 @@
     /// `on_end` if that fails or takes longer than `open_timeout`.
     explicit stream(const address& peer, duration open_timeout);
     /// Takes ownership of an accepted socket.
-    explicit stream(int descriptor);
+    explicit stream(
+        int descriptor,
+        duration unacknowledged_timeout = default_unacknowledged_timeout
+    );
     stream(const stream&) = delete;
     stream& operator=(const stream&) = delete;
     ~stream() override;
--- a/src/apricotstile/router/caller_connection.cpp
+++ b/src/apricotstile/router/caller_connection.cpp
@@ -17,6 +17,10 @@
 /// megabytes.
 constexpr std::size_t max_unsent_bytes = 256U << 10U;
 
+/// Callers may read as slowly as their deadlines allow. The kernel takes one
+/// that makes room in small pieces for one that makes none.
+constexpr duration unacknowledged_timeout = std::chrono::seconds{30};
+
 } // namespace
 
 caller_connection::caller_connection(
@@ -25,7 +29,8 @@
     http::request_limits limits,
     const caller_events& events
 )
-    : id(id), events(events), stream(new net::stream{descriptor}),
+    : id(id), events(events),
+      stream(new net::stream{descriptor, unacknowledged_timeout}),
       reader(limits), waiting_since(boot_clock::now()) {
     this->stream->on_data = [this](std::string_view bytes) {
         this->handle_data(bytes);
--- a/tests/router/planned_stop.tests.cpp
+++ b/tests/router/planned_stop.tests.cpp
@@ -129,6 +129,33 @@
     }));
 }
 
+TEST_CASE(
+    "a caller that doesn't read for some seconds gets its whole answer",
+    "[router][slow]"
+) {
+    // Guards against callers that are taken for unreachable as they read
+    // slowly.
+    daemon_group group{{"s", "t"}};
+    group.upstream(0).set_large_body(std::string(large_bytes, 'a'));
+    const std::size_t index = GENERATE(0U, 1U);
+    const blocking_caller caller{group.caller_address(index)};
+    caller.send(request_bytes("/s/large"));
+    REQUIRE(wait_until([&] {
+        return group.runs_of("/s/large") == 1;
+    }));
+    constexpr duration pause = std::chrono::seconds{4};
+    const instant end = boot_clock::now() + pause;
+    REQUIRE(wait_until([&] {
+        return boot_clock::now() >= end;
+    }));
+    std::string answer;
+    CHECK(wait_until([&] {
+        read_some(caller, answer);
+        return body_size(answer) >= large_bytes;
+    }));
+    CHECK(body_size(answer) == large_bytes);
+}
+
 TEST_CASE(
     "a request that arrives late in a planned stop is refused as not run",
     "[router][stop]"
