Reject settings with numbers that are too large

The test throws the parser's error on the code before. The other parsers of the daemon catch all errors of the library.

--- a/src/apricotstile/settings/json_fields.cpp
+++ b/src/apricotstile/settings/json_fields.cpp
@@ -26,6 +26,9 @@
         const auto line = 1 + std::count(text.begin(), end, '\n');
         throw settings_error{
             {{file, fmt::format("line {}", line), "JSON with comments"}}};
+    } catch (const nlohmann::json::out_of_range&) {
+        throw settings_error{
+            {{file, "/", "no number beyond the range of a double"}}};
     }
 }
 
--- a/tests/adapter/settings.tests.cpp
+++ b/tests/adapter/settings.tests.cpp
@@ -113,7 +113,10 @@
 }
 
 TEST_CASE("a link rate that is no rate is an error", "[adapter]") {
-    for (const char* const wrong : {"0", "-1", "\"10\"", "true", "1e9"}) {
+    // A number beyond a double's range guards against a daemon that ends when
+    // its settings change.
+    for (const char* const wrong :
+         {"0", "-1", "\"10\"", "true", "1e9", "1e400"}) {
         values present = usual_values();
         present["limits.linkMbps"] = wrong;
         CHECK_THROWS_AS(read_with(present), settings::settings_error);
