Handle requests behind one another one turn of the event loop each

The next one is read with the event loop's next turn now. The new test, 30,000 such requests, ends the process on the code before.

--- a/src/apricotstile/net/stream.cpp
+++ b/src/apricotstile/net/stream.cpp
@@ -237,6 +237,14 @@
     }
 }
 
+void stream::read_later() {
+    QTimer::singleShot(0, this, [this] {
+        if (this->is_open()) {
+            this->read_pending();
+        }
+    });
+}
+
 void stream::end(stream_end reason) {
     if (this->impl->descriptor < 0 && this->impl->open) {
         return;
--- a/src/apricotstile/net/stream.hpp
+++ b/src/apricotstile/net/stream.hpp
@@ -65,6 +65,9 @@
     void write(std::string_view bytes);
     /// Reads what has arrived, without waiting for the event loop.
     void read_pending();
+    /// Reads what has arrived with the next turn of the event loop, also if
+    /// nothing more arrives.
+    void read_later();
     /// Closes the connection after sending the buffered bytes; no handler runs
     /// afterwards.
     void close();
--- a/src/apricotstile/router/caller_connection.cpp
+++ b/src/apricotstile/router/caller_connection.cpp
@@ -85,10 +85,12 @@
 }
 
 /// Handles a request that was received behind an earlier one, unless its
-/// caller has left since.
+/// caller has left since. Not before the event loop's next turn: the earlier
+/// one may have been answered while it was being handled, and so may thousands
+/// behind it.
 void caller_connection::read_request_behind() {
     if (this->reader.progress() != http::read_progress::incomplete) {
-        this->stream->read_pending();
+        this->stream->read_later();
     }
 }
 
--- a/tests/router/request_router.tests.cpp
+++ b/tests/router/request_router.tests.cpp
@@ -319,6 +319,29 @@
     }
 }
 
+TEST_CASE(
+    "thousands of requests behind one another that are refused at once are all "
+    "answered",
+    "[router][ingress][pipelining]"
+) {
+    // Guards against a process that ends as each is handled inside the one
+    // before.
+    constexpr int count = 30'000;
+    ingress_with_hosts fixture{1};
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress{fixture.listen.ip}, fixture.listen.port);
+    const QByteArray one{"GET / HTTP/1.1\r\nHost: b\r\n\r\n"};
+    caller.write(one.repeated(count));
+    int answers = 0;
+    CHECK(tests::wait_until([&] {
+        while (caller.canReadLine()) {
+            answers += caller.readLine().startsWith("HTTP/1.1 ") ? 1 : 0;
+        }
+        return answers >= count;
+    }));
+    CHECK(answers == count);
+}
+
 TEST_CASE(
     "a late answer to a request isn't taken for the one to another request of "
     "its connection",
