Show that a departure learned from a peer is acknowledged too early

Cause: a new run of a daemon doesn't know that the store lacks a departure that a peer has told it. Change: a case for the review. Nothing is fixed.

--- a/review/standins-2/minifleet.py
+++ b/review/standins-2/minifleet.py
@@ -401,6 +401,31 @@
             row[0] <= key <= row[1] for row in self.holds
         )
 
+    async def leave(self, seconds):
+        """Deregisters first, as some instances do; serves on for `seconds` after
+        the acknowledgement, with heartbeats as before, and exits. Returns when
+        it was acknowledged, or None if it never was."""
+        path = f"/v1/Instances.Deregister/{self.id}"
+        for _ in range(4):
+            sent = time.monotonic()
+            try:
+                status, _ = await call(self.machine.ip, self.world.ports["control"], "POST", path)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                status = None
+            self.world.record(f"{self.machine.name} instance: deregistration answered {status}")
+            if status == 200:
+                self.world.tasks.append(asyncio.create_task(self.exit_after(seconds)))
+                return self.world.record.now()
+            await asyncio.sleep(max(0.0, 3.0 - (time.monotonic() - sent)))
+        return None
+
+    async def exit_after(self, seconds):
+        await asyncio.sleep(seconds)
+        self.world.record(f"{self.machine.name} instance: exits")
+        self.running = False
+        self.beats.cancel()
+        self.server.close()
+
     def crash(self):
         """Ends as a killed process does, and starts again some seconds later."""
         self.running = False
