--- a/review/standins-2/minifleet.py
+++ b/review/standins-2/minifleet.py
@@ -684,9 +684,13 @@
 
     async def guarded():
         world = World(folder)
+        task = asyncio.ensure_future(scenario(world))
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            status = await asyncio.wait_for(scenario(world), 115)
-        except Exception as error:  # the case couldn't run
+            status = await asyncio.wait_for(task, 110)
+        except (Exception, asyncio.CancelledError) as error:  # the case couldn't run
             world.record(f"the case couldn't run: {error!r}")
             print(f"couldn't run: {error!r}", file=sys.stderr)
             status = 2
