--- a/review/standins-2/minifleet.py
+++ b/review/standins-2/minifleet.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -24,6 +25,15 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets the kernel end a daemon when the script ends, even by SIGKILL."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Record:
     """What was sent, answered and run, with seconds since the start."""
 
@@ -280,7 +290,12 @@
             env["APRICOTSTILE_CONFIG"] = path
             log = open(os.path.join(self.world.folder, f"{self.name}.log"), "a")
             self.process = await asyncio.create_subprocess_exec(
-                DAEMON, env=env, cwd=ROOT, stdout=log, stderr=log
+                DAEMON,
+                env=env,
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                preexec_fn=end_with_parent,
             )
             log.close()
             self.starts += 1
@@ -686,7 +701,7 @@
         world = World(folder)
         task = asyncio.ensure_future(scenario(world))
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, task.cancel)
         try:
             status = await asyncio.wait_for(task, 110)
