Count all that is held for callers and the instance, until it is gone

Callers saw a daemon end: its memory was used up by clients whose requests it had refused, or not yet counted.

Cause: the memory budget counted what the request router knew of, not what lies in the process. A request that was refused while it arrived gave its reservation back, but its parser kept the bytes for the 2 s in which the connection stays open for the answer. A large body was judged by its last piece, which is small, and so took the part for small messages too. Heads, and bytes behind a request that waits, counted nothing: a header of 3 bytes takes some 130. A string whose first bytes were sent kept all of its memory. And a growing string takes twice its size while it is copied.

Change: one budget in the process, which outlives all holders. Connections reserve what they have allocated for what is received and unsent; a body (core/shared_bytes) is in the process once, and its reservation goes with it to the request router, the link, the instance's queue and back. Refused requests are dropped at once.

--- a/src/apricotstile/edge/caller_connection.cpp
+++ b/src/apricotstile/edge/caller_connection.cpp
@@ -3,6 +3,7 @@
 #include <apricotstile/edge/caller_connection.hpp>
 
 #include <apricotstile/net/stream.hpp>
+#include <apricotstile/serving/held_bytes.hpp>
 #include <apricotstile/serving/memory_budget.hpp>
 
 namespace apricotstile::edge {
@@ -25,6 +26,13 @@
 /// How long a caller has to close a connection behind its last answer.
 constexpr duration close_timeout = std::chrono::seconds{2};
 
+/// Memory of a connection on which nothing was received: its socket, parser and
+/// entries in tables.
+constexpr std::size_t connection_bytes = 6U << 10U;
+
+/// A smaller body is sent in one call with the head before it.
+constexpr std::size_t max_joined_body_bytes = 64U << 10U;
+
 } // namespace
 
 caller_connection::caller_connection(
@@ -38,6 +46,7 @@
       stream(new net::stream{descriptor, unacknowledged_timeout}),
       reader(limits), memory(memory), reservation(memory),
       waiting_since(boot_clock::now()) {
+    this->update_reservation();
     this->stream->on_data = [this](std::string_view bytes) {
         this->handle_data(bytes);
     };
@@ -49,6 +58,7 @@
     };
     this->stream->on_end = [this](net::stream_end) {
         this->stream = nullptr;
+        this->update_reservation();
         if (this->events.handles_departed && !this->awaiting_response) {
             this->read_next_request();
         }
@@ -72,12 +82,17 @@
     }
     const http::read_progress progress = this->reader.put(bytes);
     if (this->awaiting_response || this->waits_for_caller) {
-        this->ignores_input = this->reader.waiting_bytes() > max_waiting_bytes;
-        this->closing = this->closing || this->ignores_input;
+        if (this->reader.waiting_bytes() > max_waiting_bytes ||
+            !this->reserve()) {
+            this->ignores_input = true;
+            this->closing = true;
+            this->reader.discard_waiting();
+            this->update_reservation();
+        }
         return;
     }
-    if (this->reader.in_body() && !this->reserve_body()) {
-        this->events.on_body_refused(this->id);
+    if (!this->reserve()) {
+        this->events.on_memory_refused(this->id);
         return;
     }
     if (progress == http::read_progress::incomplete && !this->sent_continue &&
@@ -87,28 +102,28 @@
     }
 }
 
-/// Reserves memory for the request that is being received. Returns false if
-/// there isn't enough.
-bool caller_connection::reserve_body() {
-    const std::size_t expected = this->reader.expected_body_bytes();
-    if (expected <= this->body_bytes) {
-        return true;
-    }
-    const std::size_t added = serving::memory_of_request(expected) -
-                              serving::memory_of_request(this->body_bytes);
-    if (!serving::fits(this->memory, added)) {
-        return false;
+/// Reserves memory for what was received and what was announced. Returns false
+/// if there isn't enough.
+bool caller_connection::reserve() {
+    const std::size_t wanted = this->held_bytes();
+    if (wanted > this->reserved_bytes) {
+        const std::size_t added = wanted - this->reserved_bytes;
+        if (!serving::fits(this->memory, added, wanted)) {
+            return false;
+        }
     }
-    this->body_bytes = expected;
     this->update_reservation();
     return true;
 }
 
+std::size_t caller_connection::held_bytes() const {
+    return connection_bytes + this->reader.held_bytes() +
+           (this->stream == nullptr ? 0 : this->stream->copied_bytes());
+}
+
 void caller_connection::update_reservation() {
-    this->reservation.set(
-        serving::memory_of_request(this->body_bytes) +
-        (this->stream == nullptr ? 0 : this->stream->unsent_bytes())
-    );
+    this->reserved_bytes = this->held_bytes();
+    this->reservation.set(this->reserved_bytes);
 }
 
 /// A request is handled only now: its caller may have left right after it.
@@ -139,7 +154,7 @@
         return;
     }
     http::received_request request = this->reader.take();
-    this->body_bytes = request.body.size();
+    request.body = serving::hold(request.body, this->memory);
     this->update_reservation();
     this->awaiting_response = true;
     this->keep_alive = request.keep_alive;
@@ -162,10 +177,9 @@
     this->closing = true;
     this->awaiting_close = true;
     this->waiting_since = boot_clock::now();
-    this->body_bytes = 0;
-    this->stream->write(
-        http::response_bytes(status, headers, {}, true, this->head_only)
-    );
+    // The connection stays for a while, but not what was received.
+    this->reader.discard();
+    this->stream->write(http::response_head(status, headers, 0, true));
     this->stream->end_writing();
     this->update_reservation();
 }
@@ -173,18 +187,18 @@
 void caller_connection::respond(
     std::uint16_t status,
     const std::vector<http::header>& headers,
-    std::string_view body,
+    const shared_bytes& body,
     bool close
 ) {
     if (this->stream == nullptr) {
         return;
     }
     const bool close_after = close || this->closing || !this->keep_alive;
-    this->stream->write(http::response_bytes(
-        status, headers, body, close_after, this->head_only
-    ));
+    this->write_body(
+        http::response_head(status, headers, body.size(), close_after),
+        this->head_only ? shared_bytes{} : body
+    );
     this->awaiting_response = false;
-    this->body_bytes = 0;
     this->update_reservation();
     this->request_begun = this->reader.has_begun();
     this->waiting_since = boot_clock::now();
@@ -199,6 +213,15 @@
     this->read_request_behind();
 }
 
+void caller_connection::write_body(std::string head, const shared_bytes& body) {
+    if (body.size() <= max_joined_body_bytes) {
+        this->stream->write(head.append(body.view()));
+        return;
+    }
+    this->stream->write(head);
+    this->stream->write_shared(body);
+}
+
 /// The caller has read enough of its answers.
 void caller_connection::handle_drained() {
     this->update_reservation();
--- a/src/apricotstile/edge/caller_connection.hpp
+++ b/src/apricotstile/edge/caller_connection.hpp
@@ -22,9 +22,9 @@
 
 struct caller_events {
     std::function<void(caller_id, http::received_request&&)> on_request;
-    /// A request's body is refused while it arrives, as it doesn't fit into the
-    /// memory budget beside the others. The handler must call `respond_unread`.
-    std::function<void(caller_id)> on_body_refused;
+    /// A request is refused while it arrives, as it doesn't fit into the memory
+    /// budget beside the others. The handler must call `respond_unread`.
+    std::function<void(caller_id)> on_memory_refused;
     /// The connection has closed; a request from it may still be in progress.
     std::function<void(caller_id)> on_closed;
     /// Whether a request is handled although its caller has closed the
@@ -51,7 +51,7 @@
     void respond(
         std::uint16_t status,
         const std::vector<http::header>& headers,
-        std::string_view body,
+        const shared_bytes& body,
         bool close
     );
     /// Answers a request whose rest isn't read. The connection closes when the
@@ -73,8 +73,10 @@
 
 private:
     void handle_data(std::string_view bytes);
-    [[nodiscard]] bool reserve_body();
+    [[nodiscard]] bool reserve();
+    [[nodiscard]] std::size_t held_bytes() const;
     void update_reservation();
+    void write_body(std::string head, const shared_bytes& body);
     void handle_read_all();
     void read_next_request();
     void read_request_behind();
@@ -87,11 +89,12 @@
     const caller_events& events;
     net::stream* stream;
     http::request_reader reader;
-    /// For the request in progress and for what the caller hasn't read.
     serving::memory_budget& memory;
+    /// For the connection itself, the request that is being received and the
+    /// copies of what the caller hasn't read.
     serving::memory_reservation reservation;
-    /// Of the request in progress.
-    std::size_t body_bytes{0};
+    /// What is reserved.
+    std::size_t reserved_bytes{0};
     /// Whether a request waits for its answer.
     bool awaiting_response{false};
     /// Whether the caller has to read its answers before its next request is
--- a/src/apricotstile/edge/internal/pending_request.hpp
+++ b/src/apricotstile/edge/internal/pending_request.hpp
@@ -16,8 +16,7 @@
 };
 
 struct request_router::pending_request {
-    explicit pending_request(serving::memory_budget& memory)
-        : answer_memory(memory) {}
+    explicit pending_request(serving::memory_budget& memory) : memory(memory) {}
 
     caller_id caller;
     std::string id;
@@ -39,8 +38,8 @@
     /// An earlier one, whose host became unresponsive. The request may be
     /// running there, so its answer is still of use.
     std::optional<attempt_in_progress> unresponsive_attempt;
-    /// For the answer that is expected.
-    serving::memory_reservation answer_memory;
+    /// For the request without its body, and for the answer that is expected.
+    serving::memory_reservation memory;
     net::timer_id deadline_timer;
     net::timer_id retry_timer;
     std::string attempt_trace;
--- a/src/apricotstile/edge/request_router.cpp
+++ b/src/apricotstile/edge/request_router.cpp
@@ -55,7 +55,7 @@
     request_router_dependencies dependencies
 )
     : timers(timers), dependencies(std::move(dependencies)),
-      memory(this->dependencies.memory),
+      memory(*this->dependencies.memory),
       random(
           this->dependencies.self.value ^
           static_cast<std::uint64_t>(boot_clock::now().time_since_epoch().count(
@@ -65,8 +65,8 @@
         [this](caller_id caller, http::received_request&& request) {
             this->handle_request(caller, std::move(request));
         };
-    this->events.on_body_refused = [this](caller_id caller) {
-        this->refuse_body(caller);
+    this->events.on_memory_refused = [this](caller_id caller) {
+        this->refuse_while_received(caller);
     };
     this->events.on_closed = [this](caller_id caller) {
         this->handle_disconnect(caller);
@@ -216,11 +216,13 @@
         static_cast<std::size_t>(serving::expected_answer_bytes(
             this->answer_sizes, name_hash(route->name)
         ));
-    if (!serving::fits(this->memory, answer_bytes)) {
+    const std::size_t wanted =
+        answer_bytes + http::memory_of(item.received.headers);
+    if (!serving::fits(this->memory, wanted)) {
         this->refuse_for_memory(item);
         return;
     }
-    item.answer_memory.set(answer_bytes);
+    item.memory.set(wanted);
     this->restart_deadline_timer(item);
     serving::count_request(
         this->budgets[item.service], this->dependencies.retry_budget, now
@@ -336,10 +338,6 @@
     return this->counted;
 }
 
-const serving::memory_budget& request_router::memory_use() const {
-    return this->memory;
-}
-
 const serving::instance_view* request_router::instance_view_of(host_id host
 ) const {
     const auto found = this->views.find(host);
--- a/src/apricotstile/edge/request_router.hpp
+++ b/src/apricotstile/edge/request_router.hpp
@@ -33,8 +33,9 @@
     host_id self;
     location where;
     http::header_names names;
-    /// For callers' requests and answers.
-    serving::memory_budget memory;
+    /// For callers' requests and answers; must outlive the request router and
+    /// its timers.
+    serving::memory_budget* memory{nullptr};
     serving::windowed_retry_budget_policy retry_budget;
     /// A leaving instance gets no requests later than this after one of its
     /// answers said so.
@@ -113,7 +114,6 @@
     [[nodiscard]] std::size_t waiting() const;
     [[nodiscard]] std::size_t open_connections() const;
     [[nodiscard]] const request_router_counters& counters() const;
-    [[nodiscard]] const serving::memory_budget& memory_use() const;
     /// What is known of the instance on `host`; null if nothing is.
     [[nodiscard]] const serving::instance_view* instance_view_of(host_id host
     ) const;
@@ -123,7 +123,7 @@
 
     void handle_accept(int descriptor);
     void handle_request(caller_id caller, http::received_request&& request);
-    void refuse_body(caller_id caller);
+    void refuse_while_received(caller_id caller);
     void refuse_for_memory(pending_request& request);
     void handle_disconnect(caller_id caller);
     static void log_disconnect(const pending_request& request);
@@ -191,8 +191,7 @@
     instant answer_deadline{instant::max()};
     std::unique_ptr<net::acceptor> listener;
     caller_events events;
-    /// Must outlive all reservations, so callers and requests follow it.
-    serving::memory_budget memory;
+    serving::memory_budget& memory;
     caller_id last_caller;
     attempt_id last_attempt;
     std::unordered_map<caller_id, std::unique_ptr<caller_connection>> callers;
--- a/src/apricotstile/edge/request_router_answers.cpp
+++ b/src/apricotstile/edge/request_router_answers.cpp
@@ -34,15 +34,16 @@
 
 } // namespace
 
-/// Refuses a request while its body is received.
-void request_router::refuse_body(caller_id caller) {
+/// Refuses a request that hasn't been received completely.
+void request_router::refuse_while_received(caller_id caller) {
     ++this->counted.requests;
     ++this->counted.refused;
     ++this->counted.unanswered["503_memory"];
+    ++this->memory.refused;
     log::write(
         log::level::warning,
         log_prefix,
-        "Request refused, as its body would take too much memory.",
+        "Request refused while it was received: it would take too much memory.",
         {{"reserved", std::to_string(this->memory.reserved)},
          {"limit", std::to_string(this->memory.limit)}}
     );
@@ -52,6 +53,7 @@
 }
 
 void request_router::refuse_for_memory(pending_request& request) {
+    ++this->memory.refused;
     this->answer_locally(
         request, status_unavailable, "memory", memory_retry_after
     );
@@ -60,8 +62,8 @@
 bool request_router::exceeds_memory(
     const pending_request& request, const peer::routed_response& response
 ) const {
-    return request.route->idempotent &&
-           serving::exceeds_hard_limit(this->memory, response.body.size());
+    return request.route->idempotent && !response.body.empty() &&
+           serving::exceeds_hard_limit(this->memory, 0);
 }
 
 void request_router::answer_locally(
@@ -119,8 +121,9 @@
     serving::note_answer_size(
         this->answer_sizes, name_hash(request.route->name), response.body.size()
     );
-    request.answer_memory.set(0);
+    request.memory.set(0);
     if (this->exceeds_memory(request, response)) {
+        ++this->memory.refused;
         this->answer_locally(request, status_bad_gateway, "memory", 0s);
         return;
     }
--- a/src/apricotstile/http/message_reader.cpp
+++ b/src/apricotstile/http/message_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <apricotstile/http/message_reader.hpp>
 
+#include <apricotstile/http/internal/body_buffer.hpp>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -18,8 +20,8 @@
 
 namespace beast_http = boost::beast::http;
 
-using request_parser = beast_http::request_parser<beast_http::string_body>;
-using response_parser = beast_http::response_parser<beast_http::string_body>;
+using request_parser = beast_http::request_parser<internal::collected_body>;
+using response_parser = beast_http::response_parser<internal::collected_body>;
 
 constexpr std::uint16_t status_bad_request = 400;
 constexpr std::uint16_t status_body_too_large = 413;
@@ -96,29 +98,78 @@
     return seconds;
 }
 
-/// Passes `received` to `parser` and removes the bytes that it consumed. The
-/// parser leaves an unfinished line or trailer there, without a limit of its
-/// own in a chunked body.
-template <class Parser>
-boost::system::error_code
-parse_bytes(Parser& parser, std::string& received, std::size_t max_unfinished) {
-    boost::system::error_code error;
-    while (!received.empty() && !parser.is_done()) {
-        const std::size_t consumed =
-            parser.put(boost::asio::buffer(received), error);
-        received.erase(0, consumed);
-        if (error || consumed == 0) {
-            break;
+/// Memory of a header besides its name and value, in the parser and in a list.
+constexpr std::size_t header_overhead = 128;
+
+template <class Fields>
+std::size_t memory_of_fields(const Fields& fields) {
+    std::size_t total = 0;
+    for (const auto& field : fields) {
+        total +=
+            header_overhead + field.name_string().size() + field.value().size();
+    }
+    return total;
+}
+
+/// Bytes that a parser hasn't consumed yet. It leaves an unfinished line or
+/// trailer, without a limit of its own in a chunked body.
+struct unparsed_bytes {
+    std::string received;
+
+    /// Passes what is left and `added` to `parser`. Fails if more than
+    /// `max_unfinished` bytes of an unfinished message are left.
+    template <class Parser>
+    boost::system::error_code
+    parse(Parser& parser, std::string_view added, std::size_t max_unfinished) {
+        boost::system::error_code error;
+        if (this->received.empty()) {
+            this->received = added.substr(put_all(parser, added, error));
+        } else {
+            this->received += added;
+            this->remove(put_all(parser, this->received, error));
         }
+        if (error == beast_http::error::need_more) {
+            error = {};
+        }
+        if (!error && !parser.is_done() &&
+            this->received.size() > max_unfinished) {
+            error = beast_http::error::header_limit;
+        }
+        return error;
+    }
+
+    void clear() {
+        std::string{}.swap(this->received);
     }
-    if (error == beast_http::error::need_more) {
-        error = {};
+
+private:
+    /// Returns how many of the bytes were consumed.
+    template <class Parser>
+    static std::size_t put_all(
+        Parser& parser, std::string_view bytes, boost::system::error_code& error
+    ) {
+        std::size_t consumed = 0;
+        while (consumed < bytes.size() && !parser.is_done()) {
+            const std::string_view rest = bytes.substr(consumed);
+            const std::size_t accepted = parser.put(
+                boost::asio::buffer(rest.data(), rest.size()), error
+            );
+            consumed += accepted;
+            if (error || accepted == 0) {
+                break;
+            }
+        }
+        return consumed;
     }
-    if (!error && !parser.is_done() && received.size() > max_unfinished) {
-        error = beast_http::error::header_limit;
+
+    void remove(std::size_t consumed) {
+        if (consumed == this->received.size()) {
+            this->clear();
+        } else {
+            this->received.erase(0, consumed);
+        }
     }
-    return error;
-}
+};
 
 } // namespace
 
@@ -131,12 +182,14 @@
 struct request_reader::implementation {
     request_limits limits;
     std::optional<request_parser> parser;
-    /// Received bytes that the parser hasn't consumed yet.
-    std::string received;
+    unparsed_bytes unparsed;
     read_progress progress{read_progress::incomplete};
     std::uint16_t refusal_status{status_bad_request};
+    /// Memory of the current request's headers, once they are complete.
+    std::optional<std::size_t> header_memory;
 
     void restart() {
+        this->header_memory.reset();
         this->parser.emplace();
         this->parser->header_limit(this->limits.header_bytes);
         this->parser->body_limit(this->limits.body_bytes);
@@ -144,13 +197,19 @@
         this->progress = read_progress::incomplete;
     }
 
-    void parse_received() {
+    void parse(std::string_view added) {
+        if (this->progress == read_progress::complete) {
+            this->unparsed.received += added;
+        }
         if (this->progress != read_progress::incomplete) {
             return;
         }
-        const boost::system::error_code error = parse_bytes(
-            *this->parser, this->received, this->limits.header_bytes
+        const boost::system::error_code error = this->unparsed.parse(
+            *this->parser, added, this->limits.header_bytes
         );
+        if (!this->header_memory && this->parser->is_header_done()) {
+            this->header_memory = memory_of_fields(this->parser->get());
+        }
         if (error) {
             this->refusal_status = error_status(error);
             this->progress = read_progress::malformed;
@@ -169,8 +228,7 @@
 request_reader::~request_reader() = default;
 
 read_progress request_reader::put(std::string_view bytes) {
-    this->impl->received += bytes;
-    this->impl->parse_received();
+    this->impl->parse(bytes);
     return this->impl->progress;
 }
 
@@ -181,10 +239,10 @@
     result.method = to_string_view(message.method_string());
     result.target = to_string_view(message.target());
     result.headers = end_to_end_headers(message);
-    result.body = std::move(message.body());
+    result.body = internal::take_all(message.body());
     result.keep_alive = keep_alive;
     this->impl->restart();
-    this->impl->parse_received();
+    this->impl->parse({});
     return result;
 }
 
@@ -198,7 +256,8 @@
 
 bool request_reader::has_begun() const {
     return this->impl->progress == read_progress::incomplete &&
-           (this->impl->parser->got_some() || !this->impl->received.empty());
+           (this->impl->parser->got_some() ||
+            !this->impl->unparsed.received.empty());
 }
 
 bool request_reader::in_body() const {
@@ -207,13 +266,25 @@
 }
 
 std::size_t request_reader::waiting_bytes() const {
-    return this->impl->received.size();
+    return this->impl->unparsed.received.size();
+}
+
+std::size_t request_reader::held_bytes() const {
+    // The parser allocates a body of stated length with its first byte.
+    const std::size_t stated_bytes =
+        this->in_body() ? this->impl->parser->content_length().value_or(0) : 0;
+    return this->impl->unparsed.received.capacity() +
+           this->impl->header_memory.value_or(0) +
+           std::max(stated_bytes, this->impl->parser->get().body().capacity);
+}
+
+void request_reader::discard() {
+    this->impl->unparsed.clear();
+    this->impl->restart();
 }
 
-std::size_t request_reader::expected_body_bytes() const {
-    const std::size_t arrived = this->impl->parser->get().body().size();
-    const auto stated = this->impl->parser->content_length();
-    return stated ? std::max<std::size_t>(*stated, arrived) : arrived;
+void request_reader::discard_waiting() {
+    this->impl->unparsed.clear();
 }
 
 bool request_reader::expects_continue() const {
@@ -239,7 +310,7 @@
     bool skip_body{false};
     unsigned interim_responses{0};
     std::optional<response_parser> parser;
-    std::string received;
+    unparsed_bytes unparsed;
     read_progress progress{read_progress::incomplete};
 
     void restart() {
@@ -251,14 +322,19 @@
         this->progress = read_progress::incomplete;
     }
 
-    void parse_received() {
+    void parse(std::string_view added) {
+        if (this->progress != read_progress::incomplete) {
+            this->unparsed.received += added;
+            return;
+        }
         while (this->progress == read_progress::incomplete) {
-            if (parse_bytes(
-                    *this->parser, this->received, max_response_header_bytes
+            if (this->unparsed.parse(
+                    *this->parser, added, max_response_header_bytes
                 )) {
                 this->progress = read_progress::malformed;
                 return;
             }
+            added = {};
             if (!this->parser->is_done()) {
                 return;
             }
@@ -291,8 +367,7 @@
 }
 
 read_progress response_reader::put(std::string_view bytes) {
-    this->impl->received += bytes;
-    this->impl->parse_received();
+    this->impl->parse(bytes);
     return this->impl->progress;
 }
 
@@ -319,24 +394,37 @@
     result.idle_timeout_s =
         parse_idle_timeout(to_string_view(message[beast_http::field::keep_alive]
         ));
-    result.body = std::move(message.body());
+    result.body = internal::take_all(message.body());
     this->impl->restart();
     return result;
 }
 
 bool response_reader::has_unread_bytes() const {
-    return !this->impl->received.empty();
+    return !this->impl->unparsed.received.empty();
+}
+
+std::size_t response_reader::held_bytes() const {
+    return this->impl->unparsed.received.capacity() +
+           this->impl->parser->get().body().capacity;
 }
 
 bool response_reader::has_begun() const {
     return this->impl->parser->got_some();
 }
 
-std::string request_bytes(
+std::size_t memory_of(const std::vector<header>& headers) {
+    std::size_t total = 0;
+    for (const header& one : headers) {
+        total += header_overhead + one.name.size() + one.value.size();
+    }
+    return total;
+}
+
+std::string request_head(
     std::string_view method,
     std::string_view target,
     const std::vector<header>& headers,
-    std::string_view body
+    std::size_t body_bytes
 ) {
     std::string result = fmt::format("{} {} HTTP/1.1\r\n", method, target);
     for (const header& one : headers) {
@@ -344,23 +432,32 @@
             std::back_inserter(result), "{}: {}\r\n", one.name, one.value
         );
     }
-    if (!body.empty() || method == "POST" || method == "PUT" ||
+    if (body_bytes > 0 || method == "POST" || method == "PUT" ||
         method == "PATCH") {
         fmt::format_to(
-            std::back_inserter(result), "Content-Length: {}\r\n", body.size()
+            std::back_inserter(result), "Content-Length: {}\r\n", body_bytes
         );
     }
     result += "\r\n";
+    return result;
+}
+
+std::string request_bytes(
+    std::string_view method,
+    std::string_view target,
+    const std::vector<header>& headers,
+    std::string_view body
+) {
+    std::string result = request_head(method, target, headers, body.size());
     result += body;
     return result;
 }
 
-std::string response_bytes(
+std::string response_head(
     std::uint16_t status,
     const std::vector<header>& headers,
-    std::string_view body,
-    bool close,
-    bool head_only
+    std::size_t body_bytes,
+    bool close
 ) {
     const auto reason = to_string_view(
         beast_http::obsolete_reason(static_cast<beast_http::status>(status))
@@ -375,11 +472,8 @@
         result += "Connection: close\r\n";
     }
     fmt::format_to(
-        std::back_inserter(result), "Content-Length: {}\r\n\r\n", body.size()
+        std::back_inserter(result), "Content-Length: {}\r\n\r\n", body_bytes
     );
-    if (!head_only) {
-        result += body;
-    }
     return result;
 }
 
--- a/src/apricotstile/http/message_reader.hpp
+++ b/src/apricotstile/http/message_reader.hpp
@@ -3,6 +3,7 @@
 #ifndef APRICOTSTILE_HTTP_MESSAGE_READER_HPP
 #define APRICOTSTILE_HTTP_MESSAGE_READER_HPP
 
+#include <apricotstile/core/shared_bytes.hpp>
 #include <apricotstile/http/message.hpp>
 
 #include <cstdint>
@@ -23,7 +24,7 @@
     std::string target;
     /// In order, without hop-by-hop headers.
     std::vector<header> headers;
-    std::string body;
+    shared_bytes body;
     bool keep_alive{true};
 };
 
@@ -56,11 +57,16 @@
     /// Bytes received that aren't parsed yet, as a complete request comes
     /// first.
     [[nodiscard]] std::size_t waiting_bytes() const;
-    /// While the body is being received: the size that the sender has stated,
-    /// or what has arrived if that is more or it hasn't.
-    [[nodiscard]] std::size_t expected_body_bytes() const;
+    /// Memory of the current request and of the bytes behind it. A body counts
+    /// with the length that its sender has stated, before it has arrived.
+    [[nodiscard]] std::size_t held_bytes() const;
     /// Whether the sender waits for a "100 Continue" response.
     [[nodiscard]] bool expects_continue() const;
+    /// Drops the current request and all bytes behind it; nothing more may be
+    /// put.
+    void discard();
+    /// Drops the bytes that aren't parsed yet.
+    void discard_waiting();
     /// Takes effect with the next request.
     void set_limits(request_limits limits);
 
@@ -74,7 +80,7 @@
     std::uint16_t status{0};
     /// In order, without hop-by-hop headers.
     std::vector<header> headers;
-    std::string body;
+    shared_bytes body;
     bool keep_alive{true};
     /// From the Keep-Alive header, in seconds.
     std::optional<unsigned> idle_timeout_s;
@@ -98,6 +104,8 @@
     received_response take();
     /// Whether bytes follow the response that was taken.
     [[nodiscard]] bool has_unread_bytes() const;
+    /// Memory of the current response and of the bytes behind it.
+    [[nodiscard]] std::size_t held_bytes() const;
     /// Whether part of the current response has been received.
     [[nodiscard]] bool has_begun() const;
 
@@ -106,8 +114,16 @@
     std::unique_ptr<implementation> impl;
 };
 
-/// Serializes a request with the given headers. Adds Content-Length if there is
-/// a body or the method usually has one.
+/// Serializes the head of a request, which its body follows. Adds
+/// Content-Length if there is a body or the method usually has one.
+[[nodiscard]] std::string request_head(
+    std::string_view method,
+    std::string_view target,
+    const std::vector<header>& headers,
+    std::size_t body_bytes
+);
+
+/// The whole request.
 [[nodiscard]] std::string request_bytes(
     std::string_view method,
     std::string_view target,
@@ -115,16 +131,18 @@
     std::string_view body
 );
 
-/// Serializes a response with the given headers. Adds Content-Length, and
-/// Connection if `close` is set; `head_only` omits the body.
-[[nodiscard]] std::string response_bytes(
+/// Serializes the head of a response, which its body follows. Adds
+/// Content-Length, and Connection if `close` is set.
+[[nodiscard]] std::string response_head(
     std::uint16_t status,
     const std::vector<header>& headers,
-    std::string_view body,
-    bool close,
-    bool head_only
+    std::size_t body_bytes,
+    bool close
 );
 
+/// Memory that the headers of a message take.
+[[nodiscard]] std::size_t memory_of(const std::vector<header>& headers);
+
 /// Compares two header names, ignoring case.
 [[nodiscard]] bool same_name(std::string_view left, std::string_view right);
 
--- a/src/apricotstile/net/stream.cpp
+++ b/src/apricotstile/net/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <apricotstile/net/stream.hpp>
 
+#include <apricotstile/net/internal/send_queue.hpp>
 #include <apricotstile/net/internal/socket_options.hpp>
 
 #include <QSocketNotifier>
@@ -10,6 +11,7 @@
 #include <array>
 #include <cerrno>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 namespace apricotstile::net {
@@ -21,10 +23,29 @@
 /// loop.
 constexpr int max_chunks_per_wake_up = 8;
 
+/// Pieces that one system call sends.
+constexpr std::size_t max_pieces_per_call = 16;
+
 bool would_block() {
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
+/// Sends the first pieces of the queue in one call; returns as `send` does.
+ssize_t send_pieces(int descriptor, const internal::send_queue& queue) {
+    std::array<iovec, max_pieces_per_call> parts{};
+    std::size_t count = 0;
+    for (const std::string_view bytes :
+         internal::next_unsent(queue, max_pieces_per_call)) {
+        // The kernel only reads what the entry refers to.
+        parts.at(count) = {const_cast<char*>(bytes.data()), bytes.size()};
+        ++count;
+    }
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = count;
+    return sendmsg(descriptor, &message, MSG_NOSIGNAL);
+}
+
 } // namespace
 
 struct stream::implementation {
@@ -34,8 +55,12 @@
     bool closing{false};
     /// The peer is told that no more follows once `unsent` is empty.
     bool ends_writing{false};
-    /// Bytes that the kernel hasn't accepted yet.
-    std::string unsent;
+    internal::send_queue unsent;
+
+    [[nodiscard]] bool has_unsent() const {
+        return !this->unsent.pieces.empty();
+    }
+
     std::unique_ptr<QSocketNotifier> read_notifier;
     std::unique_ptr<QSocketNotifier> write_notifier;
     std::unique_ptr<QTimer> open_timer;
@@ -120,24 +145,43 @@
 }
 
 void stream::write(std::string_view bytes) {
+    const std::optional<std::size_t> sent = this->send_now(bytes);
+    if (sent && *sent < bytes.size()) {
+        internal::push_copy(this->impl->unsent, bytes.substr(*sent));
+        this->wait_until_writable();
+    }
+}
+
+void stream::write_shared(const shared_bytes& bytes) {
+    const std::optional<std::size_t> sent = this->send_now(bytes);
+    if (sent && *sent < bytes.size()) {
+        internal::push_shared(this->impl->unsent, bytes, *sent);
+        this->wait_until_writable();
+    }
+}
+
+/// Sends what the kernel accepts, unless other bytes wait before `bytes`.
+/// Returns how many it was, or nothing if the connection is of no use.
+std::optional<std::size_t> stream::send_now(std::string_view bytes) {
     if (this->impl->descriptor < 0 || this->impl->closing) {
-        return;
+        return std::nullopt;
     }
-    if (!this->impl->open || !this->impl->unsent.empty()) {
-        this->impl->unsent += bytes;
-        return;
+    if (!this->impl->open || this->impl->has_unsent()) {
+        return 0;
     }
     const ssize_t sent =
         send(this->impl->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (sent < 0 && !would_block()) {
         // The read notifier reports the lost connection.
-        return;
+        return std::nullopt;
     }
-    bytes.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
-    if (bytes.empty()) {
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
+void stream::wait_until_writable() {
+    if (!this->impl->open) {
         return;
     }
-    this->impl->unsent = bytes;
     if (!this->impl->write_notifier) {
         this->watch_writable();
     }
@@ -162,22 +206,20 @@
             return;
         }
     }
-    if (!this->impl->unsent.empty()) {
-        const ssize_t sent = send(
-            this->impl->descriptor,
-            this->impl->unsent.data(),
-            this->impl->unsent.size(),
-            MSG_NOSIGNAL
-        );
+    if (this->impl->has_unsent()) {
+        const ssize_t sent =
+            send_pieces(this->impl->descriptor, this->impl->unsent);
         if (sent < 0 && !would_block()) {
             this->end(stream_end::broken);
             return;
         }
         if (sent > 0) {
-            this->impl->unsent.erase(0, static_cast<std::size_t>(sent));
+            internal::note_sent(
+                this->impl->unsent, static_cast<std::size_t>(sent)
+            );
         }
     }
-    if (!this->impl->unsent.empty()) {
+    if (this->impl->has_unsent()) {
         return;
     }
     this->impl->write_notifier->setEnabled(false);
@@ -269,7 +311,7 @@
 
 void stream::shut_down_if_ended() {
     if (this->impl->ends_writing && this->is_open() &&
-        this->impl->unsent.empty()) {
+        !this->impl->has_unsent()) {
         shutdown(this->impl->descriptor, SHUT_WR);
     }
 }
@@ -282,7 +324,7 @@
     if (this->impl->descriptor < 0 || this->impl->closing) {
         return;
     }
-    if (!this->impl->open || this->impl->unsent.empty()) {
+    if (!this->impl->open || !this->impl->has_unsent()) {
         this->close_socket();
         this->deleteLater();
         return;
@@ -312,7 +354,11 @@
 }
 
 std::size_t stream::unsent_bytes() const {
-    return this->impl->unsent.size();
+    return this->impl->unsent.unsent_bytes;
+}
+
+std::size_t stream::copied_bytes() const {
+    return this->impl->unsent.copied_bytes;
 }
 
 void stream::close_socket() {
@@ -330,6 +376,7 @@
         this->impl->open_timer->stop();
         this->impl->open_timer.release()->deleteLater();
     }
+    this->impl->unsent = {};
     if (this->impl->descriptor >= 0) {
         ::close(this->impl->descriptor);
         this->impl->descriptor = -1;
--- a/src/apricotstile/net/stream.hpp
+++ b/src/apricotstile/net/stream.hpp
@@ -5,6 +5,7 @@
 #ifndef APRICOTSTILE_NET_STREAM_HPP
 #define APRICOTSTILE_NET_STREAM_HPP
 
+#include <apricotstile/core/shared_bytes.hpp>
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/host/address.hpp>
 
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -63,6 +65,8 @@
 
     /// Sends `bytes`; buffers what the kernel doesn't accept yet.
     void write(std::string_view bytes);
+    /// The same without a copy: `bytes` stay in memory until they are sent.
+    void write_shared(const shared_bytes& bytes);
     /// Reads what has arrived, without waiting for the event loop.
     void read_pending();
     /// Reads what has arrived with the next turn of the event loop, also if
@@ -80,10 +84,14 @@
 
     [[nodiscard]] bool is_open() const;
     [[nodiscard]] std::size_t unsent_bytes() const;
+    /// Memory of the unsent bytes that aren't shared.
+    [[nodiscard]] std::size_t copied_bytes() const;
 
 private:
     struct implementation;
 
+    [[nodiscard]] std::optional<std::size_t> send_now(std::string_view bytes);
+    void wait_until_writable();
     void watch_writable();
     void handle_opened();
     void shut_down_if_ended();
--- a/src/apricotstile/peer/answer_sender.cpp
+++ b/src/apricotstile/peer/answer_sender.cpp
@@ -177,14 +177,15 @@
     answer& item, const serving::egress_action& action
 ) {
     ++this->sent_parts;
-    std::string& body = item.response.body;
+    const std::string_view unsent =
+        item.response.body.view().substr(item.sent_bytes);
     if (action.is_last) {
-        body.erase(0, item.sent_bytes);
+        item.response.body = std::string{unsent};
         this->respond(item.to, std::move(item.response));
         return;
     }
     this->links.respond_part(
-        item.to, {item.to.stream, body.substr(item.sent_bytes, action.bytes)}
+        item.to, {item.to.stream, std::string{unsent.substr(0, action.bytes)}}
     );
     item.sent_bytes += action.bytes;
 }
--- a/src/apricotstile/peer/frames.cpp
+++ b/src/apricotstile/peer/frames.cpp
@@ -66,6 +66,20 @@
     }
 }
 
+/// Encodes or decodes a body as a string.
+template <class Archive>
+void serialize_body(Archive& archive, shared_bytes& body) {
+    if constexpr (Archive::is_saving::value) {
+        varint length{body.size()};
+        archive(length);
+        archive(cereal::binary_data(body.view().data(), body.size()));
+    } else {
+        std::string bytes;
+        serialize_string(archive, bytes);
+        body = std::move(bytes);
+    }
+}
+
 template <class Archive>
 void serialize_load(Archive& archive, serving::reported_load& load) {
     serialize_varint(archive, load.slots);
@@ -90,7 +104,7 @@
     serialize_string(archive, value.method);
     serialize_string(archive, value.target);
     serialize_headers(archive, value.headers);
-    serialize_string(archive, value.body);
+    serialize_body(archive, value.body);
     serialize_varint(archive, value.priority);
     serialize_milliseconds(archive, value.time_to_target);
     serialize_milliseconds(archive, value.time_to_deadline);
@@ -101,7 +115,7 @@
     archive(value.outcome);
     serialize_varint(archive, value.status);
     serialize_headers(archive, value.headers);
-    serialize_string(archive, value.body);
+    serialize_body(archive, value.body);
     serialize_milliseconds(archive, value.retry_after);
 }
 
--- a/src/apricotstile/peer/frames.hpp
+++ b/src/apricotstile/peer/frames.hpp
@@ -3,6 +3,7 @@
 #ifndef APRICOTSTILE_PEER_FRAMES_HPP
 #define APRICOTSTILE_PEER_FRAMES_HPP
 
+#include <apricotstile/core/shared_bytes.hpp>
 #include <apricotstile/directory/entry.hpp>
 #include <apricotstile/http/message.hpp>
 #include <apricotstile/keys/key_lease_guardian.hpp>
@@ -36,7 +37,7 @@
     std::string method;
     std::string target;
     std::vector<http::header> headers;
-    std::string body;
+    shared_bytes body;
     std::optional<keys::key_number> key;
     std::uint32_t priority{0};
     /// Time left until the route's target latency is exceeded.
@@ -50,7 +51,7 @@
     serving::attempt_outcome outcome{serving::attempt_outcome::lost};
     std::uint16_t status{0};
     std::vector<http::header> headers;
-    std::string body;
+    shared_bytes body;
     duration retry_after{0};
 };
 
--- a/src/apricotstile/peer/peer_links_outgoing.cpp
+++ b/src/apricotstile/peer/peer_links_outgoing.cpp
@@ -99,7 +99,7 @@
             const auto parts = link.response_parts.extract(response->stream);
             if (!parts.empty() &&
                 received.outcome == serving::attempt_outcome::answered) {
-                received.body.insert(0, parts.mapped());
+                received.body = parts.mapped().append(received.body.view());
             }
             handler(std::move(received));
         }
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -16,6 +16,7 @@
 #include <apricotstile/router/table_view.hpp>
 #include <apricotstile/routing/config_readers.hpp>
 #include <apricotstile/routing/evacuations.hpp>
+#include <apricotstile/serving/memory_budget.hpp>
 #include <apricotstile/sidecar/local_instance.hpp>
 
 #include <nlohmann/json_fwd.hpp>
@@ -169,6 +170,8 @@
 
     router_settings settings;
     platform::shared_table& table;
+    /// Of the process. Outlives all that holds reservations, timers included.
+    serving::memory_budget memory;
     net::timer_queue timers;
     host_id own_host;
     directory::member_entry own_entry;
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -53,11 +53,17 @@
     const router_settings& settings, platform::shared_table& table
 )
     : settings(settings), table(table),
+      memory(
+          settings.memory_bytes > 0
+              ? serving::make_memory_budget(settings.memory_bytes)
+              : serving::memory_budget{}
+      ),
       own_host(host_at(settings.peer_address)),
       instance(
           settings.instance_address,
           this->settings.names,
           timers,
+          memory,
           [this](keys::key_number key) {
               return this->local_keys && this->local_keys->may_dispatch(key);
           },
@@ -271,12 +277,12 @@
           {"repeats", counted.retries},
           {"unanswered", counted.unanswered},
           {"waiting", daemon.callers.waiting()},
-          {"connections", daemon.callers.open_connections()},
-          {"reserved_bytes", daemon.callers.memory_use().reserved},
+          {"connections", daemon.callers.open_connections()}}},
+        {"memory",
+         {{"reserved_bytes", daemon.memory.reserved},
           {"max_reserved_bytes",
-           daemon.settings.memory_bytes == 0
-               ? 0
-               : daemon.callers.memory_use().limit}}},
+           daemon.settings.memory_bytes == 0 ? 0 : daemon.memory.limit},
+          {"refused", daemon.memory.refused}}},
         {"instance",
          {{"slots", load.slots},
           {"running", load.running},
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -22,10 +22,7 @@
     result.self = host_at(this->settings.peer_address);
     result.where = this->settings.where;
     result.names = this->settings.names;
-    if (this->settings.memory_bytes > 0) {
-        result.memory =
-            serving::make_memory_budget(this->settings.memory_bytes);
-    }
+    result.memory = &this->memory;
     result.retry_budget = this->settings.retry_budget;
     result.leaving_grace = this->settings.drain_timeout - drain_margin;
     result.known = &this->known_daemons;
--- a/src/apricotstile/sidecar/internal/local_work.hpp
+++ b/src/apricotstile/sidecar/internal/local_work.hpp
@@ -6,6 +6,7 @@
 #include <apricotstile/core/hashing.hpp>
 #include <apricotstile/http/message_reader.hpp>
 #include <apricotstile/net/stream.hpp>
+#include <apricotstile/serving/memory_reservation.hpp>
 #include <apricotstile/sidecar/internal/request_features.hpp>
 #include <apricotstile/sidecar/local_instance.hpp>
 
@@ -32,9 +33,12 @@
 identity_of(const Request& request, const service_id& caller_service) {
     upstream::request_identity result;
     result.content = {
-        combined_hash({request.method, request.target, request.body})};
+        combined_hash({request.method, request.target, request.body.view()})};
     result.from_sender = {combined_hash(
-        {request.method, request.target, caller_service.value, request.body}
+        {request.method,
+         request.target,
+         caller_service.value,
+         request.body.view()}
     )};
     return result;
 }
@@ -42,6 +46,8 @@
 } // namespace internal
 
 struct local_instance::work {
+    explicit work(serving::memory_budget& memory) : memory(memory) {}
+
     serving::work_id id;
     peer::routed_request request;
     service_id caller_service;
@@ -59,9 +65,13 @@
     net::timer_id timer;
     /// Carries the work while it runs; null otherwise.
     connection* conn{nullptr};
+    /// For the request without its body.
+    serving::memory_reservation memory;
 };
 
 struct local_instance::connection {
+    explicit connection(serving::memory_budget& memory) : memory(memory) {}
+
     net::stream* stream{nullptr};
     http::response_reader reader{internal::max_answer_bytes};
     /// The work whose answer is awaited; null while idle.
@@ -79,6 +89,15 @@
     std::vector<std::string> refused_requests;
     duration idle_timeout{internal::default_idle_timeout};
     instant idle_since;
+    /// For the answer that is being received, and copies of what is unsent.
+    serving::memory_reservation memory;
+
+    void update_reservation() {
+        this->memory.set(
+            this->reader.held_bytes() +
+            (this->stream == nullptr ? 0 : this->stream->copied_bytes())
+        );
+    }
 };
 
 } // namespace apricotstile::sidecar
--- a/src/apricotstile/sidecar/local_exchanges.cpp
+++ b/src/apricotstile/sidecar/local_exchanges.cpp
@@ -5,6 +5,7 @@
 #include <apricotstile/sidecar/internal/local_work.hpp>
 
 #include <apricotstile/log/logger.hpp>
+#include <apricotstile/serving/held_bytes.hpp>
 
 #include <algorithm>
 #include <array>
@@ -32,6 +33,12 @@
 
 constexpr auto log_prefix = "instance";
 
+/// A smaller body is sent in one call with the head before it.
+constexpr std::size_t max_joined_body_bytes = 64U << 10U;
+
+/// A smaller answer isn't given up for the memory that others take.
+constexpr std::size_t small_answer_bytes = 64U << 10U;
+
 /// A connection with more refusals isn't used again.
 constexpr std::size_t max_refusals_of_connection = 16;
 
@@ -77,7 +84,7 @@
 }
 
 local_instance::connection& local_instance::open_connection() {
-    auto added = std::make_unique<connection>();
+    auto added = std::make_unique<connection>(this->memory);
     connection& result = *added;
     result.idle_since = boot_clock::now();
     result.stream = new net::stream{this->where, open_timeout};
@@ -131,20 +138,25 @@
     conn.current = &item;
     item.conn = &conn;
     conn.reader.expect(item.request.method);
-    conn.stream->write(http::request_bytes(
+    const shared_bytes& body = item.request.body;
+    std::string head = http::request_head(
         item.request.method,
         item.request.target,
         this->headers_for(item),
-        item.request.body
-    ));
+        body.size()
+    );
+    if (body.size() <= max_joined_body_bytes) {
+        conn.stream->write(head.append(body.view()));
+    } else {
+        conn.stream->write(head);
+        conn.stream->write_shared(body);
+    }
+    conn.update_reservation();
 }
 
 /// Gives up the largest unfinished answer if all of them hold too much memory.
 /// Returns whether it is the one on `conn`, which is closed then.
 bool local_instance::enforce_answer_memory(const connection& conn) {
-    if (this->unfinished_answer_bytes() <= internal::max_answer_bytes) {
-        return false;
-    }
     const auto largest = std::max_element(
         this->connections.begin(),
         this->connections.end(),
@@ -152,6 +164,22 @@
             return left->answer_bytes < right->answer_bytes;
         }
     );
+    const bool endangers_process =
+        (*largest)->answer_bytes > small_answer_bytes &&
+        serving::exceeds_hard_limit(this->memory, 0);
+    if (!endangers_process &&
+        this->unfinished_answer_bytes() <= internal::max_answer_bytes) {
+        return false;
+    }
+    ++this->memory.refused;
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "Answer given up while it was received: answers take too much memory.",
+        {{"bytes", std::to_string((*largest)->answer_bytes)},
+         {"reserved", std::to_string(this->memory.reserved)},
+         {"limit", std::to_string(this->memory.limit)}}
+    );
     const bool is_same = largest->get() == &conn;
     this->handle_end(**largest, false, true);
     return is_same;
@@ -168,6 +196,7 @@
         return;
     }
     http::read_progress progress = conn.reader.put(bytes);
+    conn.update_reservation();
     while (progress == http::read_progress::complete && conn.current != nullptr
     ) {
         this->handle_answer(conn);
@@ -185,7 +214,9 @@
 void local_instance::handle_answer(connection& conn) {
     work& item = *conn.current;
     http::received_response answer = conn.reader.take();
+    answer.body = serving::hold(answer.body, this->memory);
     conn.answer_bytes = 0;
+    conn.update_reservation();
     conn.reusable = conn.reusable && answer.keep_alive;
     if (answer.idle_timeout_s) {
         conn.idle_timeout = std::chrono::seconds{*answer.idle_timeout_s};
--- a/src/apricotstile/sidecar/local_instance.cpp
+++ b/src/apricotstile/sidecar/local_instance.cpp
@@ -26,11 +26,12 @@
     const address& where,
     const http::header_names& names,
     net::timer_queue& timers,
+    serving::memory_budget& memory,
     key_check holds_key,
     crash_report_handler on_crash_reports,
     leaving_handler on_leaving
 )
-    : where(where), names(names), timers(timers),
+    : where(where), names(names), timers(timers), memory(memory),
       holds_key(std::move(holds_key)),
       on_crash_reports(std::move(on_crash_reports)),
       on_leaving(std::move(on_leaving)),
@@ -125,7 +126,7 @@
 ) {
     const instant now = boot_clock::now();
     this->last_id = next(this->last_id);
-    auto added = std::make_unique<work>();
+    auto added = std::make_unique<work>(this->memory);
     work& item = *added;
     item.id = this->last_id;
     item.request = std::move(request);
@@ -134,6 +135,7 @@
     item.request_id = std::string{
         http::header_value(item.request.headers, this->names.request_id)};
     item.deadline = now + item.request.time_to_deadline;
+    item.memory.set(http::memory_of(item.request.headers));
     this->work_items.emplace(item.id, std::move(added));
     const serving::work_id id = item.id;
     if (const auto refusal = this->refusal_of(item.request)) {
--- a/src/apricotstile/sidecar/local_instance.hpp
+++ b/src/apricotstile/sidecar/local_instance.hpp
@@ -10,6 +10,7 @@
 #include <apricotstile/net/timer_queue.hpp>
 #include <apricotstile/peer/frames.hpp>
 #include <apricotstile/serving/caller_origins.hpp>
+#include <apricotstile/serving/memory_budget.hpp>
 #include <apricotstile/serving/service_times.hpp>
 #include <apricotstile/serving/stated_load.hpp>
 #include <apricotstile/serving/work_estimate.hpp>
@@ -46,10 +47,12 @@
     /// run.
     using leaving_handler = std::function<void()>;
 
+    /// `names`, `timers` and `memory` must outlive it, and `memory` its timers.
     local_instance(
         const address& where,
         const http::header_names& names,
         net::timer_queue& timers,
+        serving::memory_budget& memory,
         key_check holds_key,
         crash_report_handler on_crash_reports,
         leaving_handler on_leaving
@@ -197,6 +200,7 @@
     address where;
     const http::header_names& names;
     net::timer_queue& timers;
+    serving::memory_budget& memory;
     key_check holds_key;
     region_check allows_region;
     crash_report_handler on_crash_reports;
--- a/tests/edge/ingress_with_hosts.hpp
+++ b/tests/edge/ingress_with_hosts.hpp
@@ -35,6 +35,8 @@
     /// Sends a request and waits until it is forwarded.
     void request(QTcpSocket& caller);
 
+    /// Outlives all that is held.
+    serving::memory_budget memory;
     directory::directory known;
     address listen;
     net::timer_queue timers;
--- a/tests/edge/restricted_requests.tests.cpp
+++ b/tests/edge/restricted_requests.tests.cpp
@@ -54,6 +54,7 @@
         dependencies.names.request_id = "Request-Id";
         dependencies.names.remaining_deadline = "Time-Left";
         dependencies.names.key = "Key";
+        dependencies.memory = &this->memory;
         dependencies.known = &this->known;
         dependencies.owner_of = [this](const service_id&, keys::key_number) {
             return this->owner;
@@ -133,6 +134,7 @@
     directory::directory known;
     address listen;
     bool keyed{false};
+    serving::memory_budget memory;
     net::timer_queue timers;
     host_id unresponsive;
     std::optional<host_id> owner;
--- a/tests/sidecar/faulty_instance.tests.cpp
+++ b/tests/sidecar/faulty_instance.tests.cpp
@@ -55,6 +55,7 @@
             address{loopback, scripted.server.serverPort()},
             this->names,
             this->timers,
+            this->memory,
             [](keys::key_number) {
                 return true;
             },
@@ -87,6 +88,7 @@
     }
 
     header_names names;
+    serving::memory_budget memory;
     net::timer_queue timers;
     std::unique_ptr<local_instance> instance;
 };
--- a/tests/sidecar/local_instance.tests.cpp
+++ b/tests/sidecar/local_instance.tests.cpp
@@ -90,6 +90,7 @@
             address{loopback, this->port},
             this->names,
             this->timers,
+            this->memory,
             [](keys::key_number) {
                 return true;
             },
@@ -134,6 +135,7 @@
 
     std::uint16_t port;
     header_names names;
+    serving::memory_budget memory;
     net::timer_queue timers;
     /// Crashes and fingerprints that were reported.
     std::size_t crashes{0};
