Send large requests between daemons in parts that the receiver may refuse

Cause: the receiver of a link took each frame whole, copied it while it was decoded, queued it for the instance and copied it again for sending, and counted nothing of it. What eleven daemons may hold ended up at one.

Change: a request with a body above 64 KiB is sent as a head and parts of 32 KiB, between which small frames pass. The receiver reserves memory for the whole body at the head, or refuses the request as not run and drops its parts. The body then waits in the queue and goes to the instance as it is. Links count what they hold in the same budget, answers that arrive in parts too. A request whose last part wasn't sent when the link ends certainly hasn't run, and is no longer called lost. A daemon of an earlier release gets whole requests: an entry says whether its sender understands parts.

--- a/src/apricotstile/peer/frames.cpp
+++ b/src/apricotstile/peer/frames.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t length_bytes = 4;
 constexpr unsigned byte_bits = 8;
 constexpr std::uint8_t has_key_flag = 1;
+/// A buffer that is empty keeps no more memory than this.
+constexpr std::size_t max_idle_capacity = 4U << 10U;
 
 template <class Archive>
 void serialize_milliseconds(Archive& archive, duration& value) {
@@ -140,6 +142,20 @@
     serialize_string(archive, value.bytes);
 }
 
+template <class Archive>
+void serialize(Archive& archive, request_head& value) {
+    serialize_varint(archive, value.stream.value);
+    archive(value.request);
+    serialize_varint(archive, value.config.value);
+    serialize_varint(archive, value.body_bytes);
+}
+
+template <class Archive>
+void serialize(Archive& archive, request_part& value) {
+    serialize_varint(archive, value.stream.value);
+    serialize_string(archive, value.bytes);
+}
+
 template <class Archive>
 void serialize(Archive& archive, cancel_frame& value) {
     serialize_varint(archive, value.stream.value);
@@ -149,6 +165,12 @@
 void serialize(Archive& archive, entry_frame& value) {
     archive(value.member);
     serialize_load(archive, value.load);
+    // Earlier daemons neither send nor read what follows.
+    if constexpr (Archive::is_saving::value) {
+        archive(value.accepts_parts);
+    } else {
+        value.accepts_parts = archive.bytes_left() > 0;
+    }
 }
 
 template <class Archive>
@@ -353,6 +375,9 @@
     const auto type = static_cast<unsigned char>(received[length_bytes]);
     const std::string payload = received.substr(length_bytes + 1, length - 1);
     received.erase(0, length_bytes + length);
+    if (received.empty() && received.capacity() > max_idle_capacity) {
+        std::string{}.swap(received);
+    }
     return decode_payload(type, payload, headers);
 }
 
--- a/src/apricotstile/peer/frames.hpp
+++ b/src/apricotstile/peer/frames.hpp
@@ -89,6 +89,9 @@
 struct entry_frame {
     directory::member_entry member;
     serving::reported_load load;
+    /// Whether the sender understands `request_head` and `request_part`;
+    /// earlier daemons don't.
+    bool accepts_parts{true};
 };
 
 /// A holder asks a guardian to promise its lease.
@@ -219,6 +222,23 @@
     std::string bytes;
 };
 
+/// A request with a large body, which follows in parts while other frames pass
+/// in between. The receiver may refuse it before the body has arrived.
+struct request_head {
+    stream_id stream;
+    /// Without the body.
+    routed_request request;
+    routing::config_version config;
+    std::uint64_t body_bytes{0};
+};
+
+/// The next bytes of the body of a request. Dropped if it was refused or
+/// cancelled.
+struct request_part {
+    stream_id stream;
+    std::string bytes;
+};
+
 /// The receiver replies with a `pong_frame` at once.
 struct ping_frame {};
 
@@ -250,7 +270,9 @@
     release_reply,
     response_part,
     evacuation_notice,
-    packed_config>;
+    packed_config,
+    request_head,
+    request_part>;
 
 /// Encodes a frame with its length prefix. `headers` is the table of the
 /// direction that the frame is sent in. Each encoded frame must be sent, in
--- a/src/apricotstile/peer/peer_links.cpp
+++ b/src/apricotstile/peer/peer_links.cpp
@@ -15,13 +15,18 @@
 constexpr duration check_interval = 100ms;
 /// Unsent bytes above which a link accepts no more requests.
 constexpr std::size_t max_unsent_bytes = 4U << 20U;
+/// A larger body is sent in parts.
+constexpr std::size_t max_whole_body_bytes = 64U << 10U;
 
 } // namespace
 
 peer_links::peer_links(
-    const address& listen, net::timer_queue& timers, peer_link_events events
+    const address& listen,
+    net::timer_queue& timers,
+    serving::memory_budget& memory,
+    peer_link_events events
 )
-    : timers(timers), events(std::move(events)) {
+    : timers(timers), memory(memory), events(std::move(events)) {
     this->listener = std::make_unique<net::acceptor>(
         listen,
         [this](int descriptor, const address&) {
@@ -49,7 +54,7 @@
 peer_links::outgoing_link& peer_links::link_to(host_id peer) {
     auto& link = this->outgoing_links[peer];
     if (!link) {
-        link = std::make_unique<outgoing_link>();
+        link = std::make_unique<outgoing_link>(this->memory);
         link->peer = peer;
     }
     return *link;
@@ -94,16 +99,27 @@
         });
         return stream;
     }
-    link.stream->write(encode_frame(
-        request_frame{stream, request, this->own_config}, link.sent_headers
-    ));
+    if (request.body.size() <= max_whole_body_bytes) {
+        link.stream->write(encode_frame(
+            request_frame{stream, request, this->own_config}, link.sent_headers
+        ));
+        return stream;
+    }
+    outgoing_body added;
+    added.head = {stream, request, this->own_config, request.body.size()};
+    added.head.request.body = {};
+    added.body = request.body;
+    link.bodies.push_back(std::move(added));
+    this->send_bodies(link);
     return stream;
 }
 
 void peer_links::cancel(host_id peer, stream_id stream) {
     outgoing_link& link = this->link_to(peer);
-    link.response_parts.erase(stream);
-    if (link.waiting.erase(stream) > 0 && link.stream != nullptr) {
+    take_parts(link, stream);
+    const bool is_known_to_peer = !drop_body(link, stream);
+    if (link.waiting.erase(stream) > 0 && link.stream != nullptr &&
+        is_known_to_peer) {
         link.stream->write(encode_frame(cancel_frame{stream}, link.sent_headers)
         );
     }
--- a/src/apricotstile/peer/peer_links.hpp
+++ b/src/apricotstile/peer/peer_links.hpp
@@ -7,6 +7,7 @@
 #include <apricotstile/host/address.hpp>
 #include <apricotstile/net/timer_queue.hpp>
 #include <apricotstile/peer/frames.hpp>
+#include <apricotstile/serving/memory_budget.hpp>
 
 #include <functional>
 #include <memory>
@@ -38,6 +39,9 @@
         peer_request_id, routed_request&&, const service_id& caller_service
     )>
         on_request;
+    /// A peer's request is refused while it is received, as it doesn't fit into
+    /// the memory budget beside the others. The handler must respond.
+    std::function<void(peer_request_id)> on_memory_refused;
     /// The peer no longer waits for the response, or its connection ended.
     std::function<void(peer_request_id)> on_cancel;
     std::function<void(host_id, const entry_frame&)> on_entry;
@@ -61,9 +65,13 @@
 public:
     using response_handler = std::function<void(routed_response&&)>;
 
-    /// Throws `std::runtime_error` if it can't listen.
+    /// `memory` must outlive the links and `timers`. Throws
+    /// `std::runtime_error` if it can't listen.
     peer_links(
-        const address& listen, net::timer_queue& timers, peer_link_events events
+        const address& listen,
+        net::timer_queue& timers,
+        serving::memory_budget& memory,
+        peer_link_events events
     );
     peer_links(const peer_links&) = delete;
     peer_links& operator=(const peer_links&) = delete;
@@ -100,6 +108,8 @@
     [[nodiscard]] std::size_t open_links() const;
 
 private:
+    struct outgoing_body;
+    struct incoming_body;
     struct outgoing_link;
     struct incoming_link;
 
@@ -107,17 +117,27 @@
     void open(outgoing_link& link);
     void connect_without_backoff(host_id peer);
     void handle_outgoing_data(outgoing_link& link, std::string_view bytes);
-    static void
-    handle_response_part(outgoing_link& link, const response_part& part);
+    void handle_entry(outgoing_link& link, const entry_frame& entry);
+    void handle_response(outgoing_link& link, const response_frame& response);
+    void handle_response_part(outgoing_link& link, const response_part& part);
+    void update_reservation(outgoing_link& link);
+    static std::string take_parts(outgoing_link& link, stream_id stream);
+    void send_bodies(outgoing_link& link);
+    void send_next_part(outgoing_link& link);
+    static bool drop_body(outgoing_link& link, stream_id stream);
     void handle_outgoing_end(outgoing_link& link, bool was_open);
     void check_liveness();
     void compare_config(host_id peer, routing::config_version version);
     void handle_accept(int descriptor);
     void handle_incoming_frames(incoming_link& link, bool is_ending);
     void handle_incoming_frame(incoming_link& link, frame&& received);
+    void handle_request(incoming_link& link, request_frame&& received);
+    void handle_request_head(incoming_link& link, request_head&& received);
+    void handle_request_part(incoming_link& link, const request_part& received);
     void handle_incoming_end(peer_connection_id connection);
 
     net::timer_queue& timers;
+    serving::memory_budget& memory;
     peer_link_events events;
     routing::config_version own_config;
     entry_frame own_entry;
--- a/src/apricotstile/router/internal/router_implementation.hpp
+++ b/src/apricotstile/router/internal/router_implementation.hpp
@@ -149,6 +149,7 @@
         peer::routed_request&& request,
         const service_id& caller_service
     );
+    void refuse_for_memory(peer::peer_request_id from);
     [[nodiscard]] std::optional<duration> admit_to_link(
         peer::peer_request_id from,
         const peer::routed_request& request,
--- a/src/apricotstile/router/router.cpp
+++ b/src/apricotstile/router/router.cpp
@@ -74,7 +74,7 @@
               this->begin_drain("answer");
           }
       ),
-      links(settings.peer_address, timers, this->make_link_events()),
+      links(settings.peer_address, timers, memory, this->make_link_events()),
       answers(
           links,
           timers,
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -14,6 +14,10 @@
 
 constexpr auto log_prefix = "router";
 
+/// After a refusal for lack of memory, which a slow instance or slow callers
+/// take seconds to return.
+constexpr duration memory_retry_after = std::chrono::seconds{1};
+
 } // namespace
 
 edge::request_router_dependencies
@@ -66,6 +70,9 @@
                         ) {
         this->handle_peer_request(from, std::move(request), caller_service);
     };
+    result.on_memory_refused = [this](peer::peer_request_id from) {
+        this->refuse_for_memory(from);
+    };
     result.on_cancel = [this](peer::peer_request_id from) {
         const auto found = this->peer_work.find(from);
         if (found != this->peer_work.end()) {
@@ -348,6 +355,14 @@
     );
 }
 
+/// Refuses a peer's request that hasn't run, as there is no memory for it.
+void router::implementation::refuse_for_memory(peer::peer_request_id from) {
+    peer::routed_response refused;
+    refused.outcome = serving::attempt_outcome::refused_busy;
+    refused.retry_after = memory_retry_after;
+    this->answers.send(from, std::move(refused));
+}
+
 void router::implementation::handle_peer_request(
     peer::peer_request_id from,
     peer::routed_request&& request,
@@ -363,6 +378,11 @@
         respond(std::move(refused));
         return;
     }
+    if (!serving::fits(this->memory, http::memory_of(request.headers))) {
+        ++this->memory.refused;
+        this->refuse_for_memory(from);
+        return;
+    }
     this->record_key_request(request, caller_service);
     if (const auto retry_after =
             this->admit_to_link(from, request, caller_service)) {
--- a/tests/adapter/reader_fuzz.tests.cpp
+++ b/tests/adapter/reader_fuzz.tests.cpp
@@ -144,6 +144,10 @@
     response.response.status = 200;
     response.response.headers = request.request.headers;
     response.response.body = std::string(300, 'b');
+    peer::request_head head;
+    head.stream = request.stream;
+    head.request = request.request;
+    head.body_bytes = 70'000;
     peer::config_reply config;
     routing::route route;
     route.name = "r";
@@ -159,6 +163,8 @@
     return {
         framed(request),
         framed(response),
+        framed(head),
+        framed(peer::request_part{head.stream, std::string(300, 'c')}),
         framed(config),
         framed(peer::pack_config(config.config)),
         framed(peer::entry_frame{entry, {}}),
