Serve bodies up to the configuration's maxBodyBytes

Callers got 413 for a body above 16 MB though the configuration allows 64 MiB.

Cause: a limit in the code that lay below the configuration's, since a body used to be in a process several times. It is there once now, and the memory budget refuses what doesn't fit beside others.

Change: the configuration's limit alone decides on 413.

--- a/src/apricotstile/edge/request_router.cpp
+++ b/src/apricotstile/edge/request_router.cpp
@@ -43,8 +43,7 @@
 }
 
 http::request_limits limits_of(const routing::caller_limits& limits) {
-    constexpr std::uint64_t max_body_bytes = 16U << 20U;
-    return {limits.header_bytes, std::min(limits.body_bytes, max_body_bytes)};
+    return {limits.header_bytes, limits.body_bytes};
 }
 
 } // namespace
