Close stalled connections in favour of other callers

Callers got no connection, or 503 for a long time, while others kept theirs open and sent or read nothing: they took all descriptors, so that links and connections to the instance couldn't be opened either, and nothing ended their hold on the memory budget before the idle timeout.

Cause: connections were accepted until descriptors ran out, and memory was given to whoever came first. The idle timeout of a body or an answer also ran from its first byte, so that one that moved was cut off, and a byte from time to time didn't count differently from a megabyte.

Change: serving/caller_eviction decides which connections are closed when memory or connections run out: those on which less than 1 KiB has moved for a second (incomplete requests, answered 503), or for five (unread answers), and idle ones for new connections. Callers have half of the descriptors. The idle timeout counts from the last KiB. Limits are settings with defaults, and have metrics and log lines.

--- a/src/apricotstile/edge/caller_connection.cpp
+++ b/src/apricotstile/edge/caller_connection.cpp
@@ -6,6 +6,8 @@
 #include <apricotstile/serving/held_bytes.hpp>
 #include <apricotstile/serving/memory_budget.hpp>
 
+#include <algorithm>
+
 namespace apricotstile::edge {
 
 namespace {
@@ -30,6 +32,10 @@
 /// entries in tables.
 constexpr std::size_t connection_bytes = 6U << 10U;
 
+/// Smaller pieces of a body or an answer don't count as progress, as a caller
+/// could keep its memory with a byte from time to time.
+constexpr std::size_t progress_bytes = 1U << 10U;
+
 /// A smaller body is sent in one call with the head before it.
 constexpr std::size_t max_joined_body_bytes = 64U << 10U;
 
@@ -45,7 +51,7 @@
     : id(id), events(events),
       stream(new net::stream{descriptor, unacknowledged_timeout}),
       reader(limits), memory(memory), reservation(memory),
-      waiting_since(boot_clock::now()) {
+      waiting_since(boot_clock::now()), progress_at(waiting_since) {
     this->update_reservation();
     this->stream->on_data = [this](std::string_view bytes) {
         this->handle_data(bytes);
@@ -79,7 +85,9 @@
     if (!this->request_begun) {
         this->request_begun = true;
         this->waiting_since = boot_clock::now();
+        this->progress_at = this->waiting_since;
     }
+    this->note_progress(bytes.size());
     const http::read_progress progress = this->reader.put(bytes);
     if (this->awaiting_response || this->waits_for_caller) {
         if (this->reader.waiting_bytes() > max_waiting_bytes ||
@@ -108,7 +116,11 @@
     const std::size_t wanted = this->held_bytes();
     if (wanted > this->reserved_bytes) {
         const std::size_t added = wanted - this->reserved_bytes;
-        if (!serving::fits(this->memory, added, wanted)) {
+        const bool is_refused =
+            !serving::fits(this->memory, added, wanted) &&
+            !(this->events.make_room &&
+              this->events.make_room(this->id, added, wanted));
+        if (is_refused) {
             return false;
         }
     }
@@ -126,6 +138,14 @@
     this->reservation.set(this->reserved_bytes);
 }
 
+void caller_connection::note_progress(std::size_t bytes) {
+    this->moved_bytes += bytes;
+    if (this->moved_bytes >= progress_bytes) {
+        this->moved_bytes = 0;
+        this->progress_at = boot_clock::now();
+    }
+}
+
 /// A request is handled only now: its caller may have left right after it.
 void caller_connection::handle_read_all() {
     if (!this->awaiting_response && !this->waits_for_caller &&
@@ -202,6 +222,8 @@
     this->update_reservation();
     this->request_begun = this->reader.has_begun();
     this->waiting_since = boot_clock::now();
+    this->progress_at = this->waiting_since;
+    this->unsent_bytes = this->stream->unsent_bytes();
     if (close_after) {
         this->close_once_read();
         return;
@@ -251,6 +273,17 @@
 /// What is unsent is still sent, unless the process exits before.
 void caller_connection::close_now() {
     this->stream->close();
+    this->handle_closed();
+}
+
+void caller_connection::abort() {
+    if (this->stream != nullptr) {
+        this->stream->abort();
+        this->handle_closed();
+    }
+}
+
+void caller_connection::handle_closed() {
     this->stream = nullptr;
     this->events.on_closed(this->id);
 }
@@ -269,6 +302,11 @@
         return;
     }
     this->update_reservation();
+    const std::size_t unsent = this->stream->unsent_bytes();
+    this->note_progress(
+        this->unsent_bytes - std::min(unsent, this->unsent_bytes)
+    );
+    this->unsent_bytes = unsent;
     const duration elapsed = now - this->waiting_since;
     if (this->awaiting_close) {
         if (elapsed > close_timeout) {
@@ -276,14 +314,38 @@
         }
         return;
     }
+    const bool is_moving = unsent > 0 || this->reader.in_body();
     const bool too_slow = !this->waits_for_caller && this->reader.has_begun() &&
                           elapsed > header_timeout && !this->reader.in_body();
-    const bool too_idle = elapsed > idle_timeout;
+    const bool too_idle =
+        (is_moving ? now - this->progress_at : elapsed) > idle_timeout;
     if (too_slow || too_idle) {
         this->close_now();
     }
 }
 
+serving::caller_use caller_connection::use(instant now) const {
+    using serving::caller_state;
+    serving::caller_use result{this->id, caller_state::idle, 0, {}};
+    result.bytes = this->reserved_bytes;
+    result.stalled = now - this->progress_at;
+    if (this->awaiting_response) {
+        result.state = caller_state::waiting;
+    } else if (this->awaiting_close) {
+        result.state = caller_state::idle;
+    } else if (this->has_unread_answers()) {
+        result.state = caller_state::reading;
+        result.bytes += this->stream->unsent_bytes();
+    } else if (this->reader.has_begun()) {
+        result.state = caller_state::sending;
+    }
+    return result;
+}
+
+bool caller_connection::has_unread_answers() const {
+    return this->stream != nullptr && this->stream->unsent_bytes() > 0;
+}
+
 void caller_connection::set_limits(http::request_limits limits) {
     this->reader.set_limits(limits);
 }
--- a/src/apricotstile/edge/caller_connection.hpp
+++ b/src/apricotstile/edge/caller_connection.hpp
@@ -4,9 +4,9 @@
 #ifndef APRICOTSTILE_EDGE_CALLER_CONNECTION_HPP
 #define APRICOTSTILE_EDGE_CALLER_CONNECTION_HPP
 
-#include <apricotstile/core/strong_id.hpp>
 #include <apricotstile/core/time.hpp>
 #include <apricotstile/http/message_reader.hpp>
+#include <apricotstile/serving/caller_eviction.hpp>
 #include <apricotstile/serving/memory_reservation.hpp>
 
 #include <cstdint>
@@ -18,13 +18,18 @@
 
 namespace apricotstile::edge {
 
-using caller_id = strong_id<struct caller_id_tag, std::uint64_t>;
+using serving::caller_id;
 
 struct caller_events {
     std::function<void(caller_id, http::received_request&&)> on_request;
     /// A request is refused while it arrives, as it doesn't fit into the memory
     /// budget beside the others. The handler must call `respond_unread`.
     std::function<void(caller_id)> on_memory_refused;
+    /// Tries to make room in the memory budget for `added` bytes of a message
+    /// of this caller that takes `message_bytes` in all. Returns whether they
+    /// fit.
+    std::function<bool(caller_id, std::size_t added, std::size_t message_bytes)>
+        make_room;
     /// The connection has closed; a request from it may still be in progress.
     std::function<void(caller_id)> on_closed;
     /// Whether a request is handled although its caller has closed the
@@ -67,7 +72,11 @@
     void
     check_timeouts(instant now, duration header_timeout, duration idle_timeout);
     void set_limits(http::request_limits limits);
+    /// Resets the connection, with what its caller hasn't read.
+    void abort();
 
+    /// What the connection takes, and for how long nothing has moved on it.
+    [[nodiscard]] serving::caller_use use(instant now) const;
     [[nodiscard]] bool is_idle() const;
     [[nodiscard]] bool is_closed() const;
 
@@ -76,7 +85,9 @@
     [[nodiscard]] bool reserve();
     [[nodiscard]] std::size_t held_bytes() const;
     void update_reservation();
+    void note_progress(std::size_t bytes);
     void write_body(std::string head, const shared_bytes& body);
+    [[nodiscard]] bool has_unread_answers() const;
     void handle_read_all();
     void read_next_request();
     void read_request_behind();
@@ -84,6 +95,7 @@
     void handle_drained();
     void close_once_read();
     void close_now();
+    void handle_closed();
 
     caller_id id;
     const caller_events& events;
@@ -113,6 +125,12 @@
     /// End of the last exchange, or arrival of a request's first byte.
     instant waiting_since;
     bool request_begun{false};
+    /// When the last sizeable piece of a message was received or sent.
+    instant progress_at;
+    /// Bytes since then.
+    std::size_t moved_bytes{0};
+    /// As of the last check of the timeouts.
+    std::size_t unsent_bytes{0};
 };
 
 } // namespace apricotstile::edge
--- a/src/apricotstile/edge/request_router.cpp
+++ b/src/apricotstile/edge/request_router.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <unistd.h>
 
 namespace apricotstile::edge {
 
@@ -67,6 +68,10 @@
     this->events.on_memory_refused = [this](caller_id caller) {
         this->refuse_while_received(caller);
     };
+    this->events.make_room =
+        [this](caller_id caller, std::size_t added, std::size_t message_bytes) {
+            return this->make_room(caller, added, message_bytes);
+        };
     this->events.on_closed = [this](caller_id caller) {
         this->handle_disconnect(caller);
     };
@@ -124,6 +129,10 @@
 }
 
 void request_router::handle_accept(int descriptor) {
+    if (!this->admit_connection()) {
+        ::close(descriptor);
+        return;
+    }
     this->last_caller = next(this->last_caller);
     const routing::caller_limits limits =
         this->table ? this->table->config.limits : routing::caller_limits{};
@@ -217,7 +226,7 @@
         ));
     const std::size_t wanted =
         answer_bytes + http::memory_of(item.received.headers);
-    if (!serving::fits(this->memory, wanted)) {
+    if (!this->make_room(caller, wanted, wanted)) {
         this->refuse_for_memory(item);
         return;
     }
--- a/src/apricotstile/edge/request_router.hpp
+++ b/src/apricotstile/edge/request_router.hpp
@@ -12,12 +12,14 @@
 #include <apricotstile/peer/frames.hpp>
 #include <apricotstile/routing/route_table.hpp>
 #include <apricotstile/serving/answer_sizes.hpp>
+#include <apricotstile/serving/caller_eviction.hpp>
 #include <apricotstile/serving/instance_choice.hpp>
 #include <apricotstile/serving/memory_budget.hpp>
 #include <apricotstile/serving/request_progress.hpp>
 #include <apricotstile/serving/retrying_callers.hpp>
 #include <apricotstile/serving/windowed_retry_budget.hpp>
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -36,6 +38,9 @@
     /// For callers' requests and answers; must outlive the request router and
     /// its timers.
     serving::memory_budget* memory{nullptr};
+    /// Callers' connections that are open at once.
+    std::size_t max_connections{std::numeric_limits<std::size_t>::max()};
+    serving::eviction_policy eviction;
     serving::windowed_retry_budget_policy retry_budget;
     /// A leaving instance gets no requests later than this after one of its
     /// answers said so.
@@ -76,6 +81,11 @@
     std::uint64_t no_route{0};
     std::uint64_t disconnected{0};
     std::uint64_t retries{0};
+    /// Connections closed, and new ones refused, because there were too many.
+    std::uint64_t connections_evicted{0};
+    std::uint64_t connections_refused{0};
+    /// Connections closed to make room in the memory budget.
+    std::uint64_t evicted_for_memory{0};
     /// Requests that no instance answered, by status and reason.
     std::map<std::string, std::uint64_t> unanswered;
     /// Time from a request's arrival to its instance's answer, by service.
@@ -123,6 +133,12 @@
 
     void handle_accept(int descriptor);
     void handle_request(caller_id caller, http::received_request&& request);
+    [[nodiscard]] bool admit_connection();
+    [[nodiscard]] std::vector<serving::caller_use> uses_of_callers() const;
+    [[nodiscard]] bool
+    make_room(caller_id caller, std::size_t added, std::size_t message_bytes);
+    void evict_for_memory(caller_id caller);
+    void log_eviction(caller_id caller, const char* reason) const;
     void refuse_while_received(caller_id caller);
     void refuse_for_memory(pending_request& request);
     void handle_disconnect(caller_id caller);
@@ -192,6 +208,10 @@
     std::unique_ptr<net::acceptor> listener;
     caller_events events;
     serving::memory_budget& memory;
+    /// When callers are next looked through for memory; none was found before.
+    instant next_eviction_at;
+    /// Limits the rate of warnings about refused connections.
+    instant next_connection_warning;
     caller_id last_caller;
     attempt_id last_attempt;
     std::unordered_map<caller_id, std::unique_ptr<caller_connection>> callers;
--- a/src/apricotstile/router/router.hpp
+++ b/src/apricotstile/router/router.hpp
@@ -14,6 +14,7 @@
 #include <apricotstile/platform/shared_table.hpp>
 #include <apricotstile/routing/evacuations.hpp>
 #include <apricotstile/routing/routing_config.hpp>
+#include <apricotstile/serving/caller_eviction.hpp>
 #include <apricotstile/serving/cold_limit.hpp>
 #include <apricotstile/serving/windowed_retry_budget.hpp>
 #include <apricotstile/sidecar/key_call_format.hpp>
@@ -22,6 +23,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +61,10 @@
     double link_bytes_per_second{0};
     /// The process is ended if it uses more memory. Zero if it isn't limited.
     std::size_t memory_bytes{0};
+    /// Callers' connections that are open at once.
+    std::size_t max_caller_connections{std::numeric_limits<std::size_t>::max()};
+    /// Which connections are closed in favour of others.
+    serving::eviction_policy eviction;
     /// Whether the whole system starts for the first time, so that no earlier
     /// run of a daemon has granted any keys.
     bool is_first_start{false};
--- a/src/apricotstile/router/router_requests.cpp
+++ b/src/apricotstile/router/router_requests.cpp
@@ -27,6 +27,8 @@
     result.where = this->settings.where;
     result.names = this->settings.names;
     result.memory = &this->memory;
+    result.max_connections = this->settings.max_caller_connections;
+    result.eviction = this->settings.eviction;
     result.retry_budget = this->settings.retry_budget;
     result.leaving_grace = this->settings.drain_timeout - drain_margin;
     result.known = &this->known_daemons;
--- a/tests/adapter/reader_fuzz.tests.cpp
+++ b/tests/adapter/reader_fuzz.tests.cpp
@@ -322,16 +322,23 @@
     const QTemporaryDir directory;
     const std::string file = directory.filePath("settings.json").toStdString();
     constexpr std::uint64_t file_rounds = 500;
+    const std::string usual =
+        R"({"host":{"name":"n","failure_domain":"z","region":"r",)"
+        R"("link_mbps":10,"memory_mb":260},"listen":{)"
+        R"("callers":"127.0.0.1:7001","peers":"127.0.0.1:7002",)"
+        R"("readiness":"127.0.0.1:7003","heartbeats":"127.0.0.1:7004",)"
+        R"("metrics":"127.0.0.1:7005"},"upstream":{"address":)"
+        R"("127.0.0.1:7006","service":"s","heartbeat_ms":1000,)"
+        R"("drain_timeout_ms":3000,"longest_hold_ms":10000},"retries":{)"
+        R"("ratio":0.1,"extra":10,"window_s":10},"stop":{"grace_s":6},)"
+        R"("store":"127.0.0.1:7007","start":"again"})";
+    std::string with_callers = usual;
+    with_callers.insert(
+        with_callers.find("\"stop\""),
+        R"("callers":{"max_connections":9,"answer_stall_ms":5000},)"
+    );
     fuzz<settings::settings_error>(
-        {R"({"host":{"name":"n","failure_domain":"z","region":"r",)"
-         R"("link_mbps":10,"memory_mb":260},"listen":{)"
-         R"("callers":"127.0.0.1:7001","peers":"127.0.0.1:7002",)"
-         R"("readiness":"127.0.0.1:7003","heartbeats":"127.0.0.1:7004",)"
-         R"("metrics":"127.0.0.1:7005"},"upstream":{"address":)"
-         R"("127.0.0.1:7006","service":"s","heartbeat_ms":1000,)"
-         R"("drain_timeout_ms":3000,"longest_hold_ms":10000},"retries":{)"
-         R"("ratio":0.1,"extra":10,"window_s":10},"stop":{"grace_s":6},)"
-         R"("store":"127.0.0.1:7007","start":"again"})"},
+        {usual, with_callers},
         file_rounds,
         [&](const std::string& text) {
             std::ofstream{file} << text;
--- a/tests/adapter/settings.tests.cpp
+++ b/tests/adapter/settings.tests.cpp
@@ -86,6 +86,18 @@
     return read_settings(file);
 }
 
+/// The usual settings with these of callers.
+daemon_settings read_with_callers(const std::string& callers) {
+    const QTemporaryDir directory;
+    const std::string file = directory.filePath("settings.json").toStdString();
+    std::string text = render(
+        settings::read_text(APRICOTSTILE_SETTINGS_TEMPLATE), usual_values()
+    );
+    text.insert(text.find("\"stop\""), "\"callers\": " + callers + ",\n");
+    std::ofstream{file} << text;
+    return read_settings(file);
+}
+
 } // namespace
 
 TEST_CASE(
@@ -119,6 +131,38 @@
     }
 }
 
+TEST_CASE("callers' connections are half of the descriptors", "[adapter]") {
+    values present = usual_values();
+    present["limits.fileDescriptors"] = "200";
+    CHECK(read_with(present).router.max_caller_connections == 100);
+    present["limits.fileDescriptors"] = "null";
+    CHECK(read_with(present).router.max_caller_connections > 100);
+    for (const char* const wrong : {"0", "63", "-1", "\"200\"", "1e9"}) {
+        present["limits.fileDescriptors"] = wrong;
+        CHECK_THROWS_AS(read_with(present), settings::settings_error);
+    }
+}
+
+TEST_CASE("what callers may take can be set", "[adapter]") {
+    const daemon_settings usual = read_with(usual_values());
+    CHECK(usual.router.eviction.request_stall == std::chrono::seconds{1});
+    CHECK(usual.router.eviction.answer_stall == std::chrono::seconds{5});
+    const daemon_settings read = read_with_callers(
+        R"({"max_connections": 7, "request_stall_ms": 20, "answer_stall_ms": 30})"
+    );
+    CHECK(read.router.max_caller_connections == 7);
+    CHECK(read.router.eviction.request_stall == std::chrono::milliseconds{20});
+    CHECK(read.router.eviction.answer_stall == std::chrono::milliseconds{30});
+    for (const char* const wrong :
+         {R"({"max_connections": 0})",
+          R"({"max_connections": "7"})",
+          R"({"request_stall_ms": -1})",
+          R"({"answer_stall_ms": 1e9})",
+          R"({"most": 7})"}) {
+        CHECK_THROWS_AS(read_with_callers(wrong), settings::settings_error);
+    }
+}
+
 TEST_CASE("a link rate of null counts as absent", "[adapter]") {
     values present = usual_values();
     present["limits.linkMbps"] = "null";
