Keep a caller's deadline within the range of the clock

A caller that states a deadline of centuries got 503 or 504 at once.

Cause: the header is a number of milliseconds of 64 bits, which overflowed when it was added to the clock in nanoseconds, to an instant in the past.

--- a/src/apricotstile/edge/request_router.cpp
+++ b/src/apricotstile/edge/request_router.cpp
@@ -31,6 +31,10 @@
 
 constexpr duration default_deadline = 30s;
 
+/// A caller that states a later deadline is treated as one with this, so that
+/// instants stay in the range of the clock.
+constexpr std::uint64_t max_deadline_ms = 86'400'000;
+
 constexpr auto log_prefix = "ingress";
 
 std::optional<std::uint64_t> number_in(std::string_view text) {
@@ -190,8 +194,9 @@
     const auto left =
         number_in(http::header_value(request.headers, names.remaining_deadline)
         );
-    const duration caller_left =
-        left ? duration{std::chrono::milliseconds{*left}} : default_deadline;
+    const duration caller_left = left ? duration{std::chrono::milliseconds{
+                                            std::min(*left, max_deadline_ms)}}
+                                      : default_deadline;
     item.progress.idempotent = route->idempotent;
     item.progress.max_instances = route->max_instances;
     item.progress.arrived = now;
--- a/tests/edge/request_router.tests.cpp
+++ b/tests/edge/request_router.tests.cpp
@@ -49,6 +49,34 @@
     CHECK(fixture.callers->waiting() == 0);
 }
 
+TEST_CASE(
+    "a deadline beyond the range of the clock is one far away",
+    "[router][ingress]"
+) {
+    // Guards against a deadline that overflows to one in the past.
+    ingress_with_hosts fixture{1};
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress{fixture.listen.ip}, fixture.listen.port);
+    const std::string left = GENERATE(
+        "9300000000000", "9223372036854775807", "18446744073709551615"
+    );
+    const std::string request = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                                "Request-Id: 1\r\nTime-Left: " +
+                                left + "\r\n\r\n";
+    caller.write(request.c_str());
+    REQUIRE(tests::wait_until([&] {
+        return !fixture.requests.empty();
+    }));
+    // A deadline in the past would end the request meanwhile.
+    const instant later = boot_clock::now() + 100ms;
+    REQUIRE(tests::wait_until([&] {
+        return boot_clock::now() > later;
+    }));
+    CHECK(fixture.callers->waiting() == 1);
+    fixture.requests.at(0).done(result(serving::attempt_outcome::answered));
+    CHECK(status_line(caller).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE(
     "a request at an unresponsive host is sent to another one too",
     "[router][ingress]"
