Take no answer with a status outside 200 to 599

Cause: the parser accepts any three digits. What was below 200 counted as an interim response, which is skipped; the rest was passed on.

Change: interim are 100 to 199 without 101, which no request asks for; a final response has 200 to 599. Anything else is malformed: the connection is closed, and the request ends as one that may have run. The ingress applies the same to what a daemon of an earlier release passes on, and the client of the store and of upstreams in the first implementation does too.

--- a/src/apricotstile/edge/request_router_attempts.cpp
+++ b/src/apricotstile/edge/request_router_attempts.cpp
@@ -169,6 +169,11 @@
     host_id host,
     peer::routed_response&& response
 ) {
+    // Of a daemon of an earlier release, which passes any status on.
+    if (response.outcome == serving::attempt_outcome::answered &&
+        !http::is_final_status(response.status)) {
+        response = peer::unanswered_response(serving::attempt_outcome::lost);
+    }
     this->note_attempt_end(host, response);
     const auto found = this->requests.find(caller);
     if (found == this->requests.end()) {
--- a/src/apricotstile/http/client_connection.cpp
+++ b/src/apricotstile/http/client_connection.cpp
@@ -143,6 +143,10 @@
     if (!this->impl->parser->is_done()) {
         return;
     }
+    if (!is_final_status(this->impl->parser->get().result_int())) {
+        this->finish({exchange_failure::malformed, {}});
+        return;
+    }
     const bool keep =
         this->impl->parser->keep_alive() && this->impl->received.empty();
     exchange_result result{
--- a/src/apricotstile/http/message.cpp
+++ b/src/apricotstile/http/message.cpp
@@ -49,6 +49,12 @@
     return found == headers.end() ? std::string_view{} : found->value;
 }
 
+bool is_final_status(unsigned status) {
+    constexpr unsigned first = 200;
+    constexpr unsigned last = 599;
+    return first <= status && status <= last;
+}
+
 std::string to_wire(const http_response& response) {
     beast_http::response<beast_http::string_body> message;
     message.version(http_1_1);
--- a/src/apricotstile/http/message.hpp
+++ b/src/apricotstile/http/message.hpp
@@ -39,6 +39,9 @@
 [[nodiscard]] std::string_view
 header_value(const std::vector<header>& headers, std::string_view name);
 
+/// Whether a status is one of a final response: 200 to 599.
+[[nodiscard]] bool is_final_status(unsigned status);
+
 /// Serializes `response` as HTTP/1.1.
 [[nodiscard]] std::string to_wire(const http_response& response);
 
--- a/src/apricotstile/http/message_reader.cpp
+++ b/src/apricotstile/http/message_reader.cpp
@@ -28,10 +28,18 @@
 constexpr std::uint16_t status_headers_too_large = 431;
 constexpr std::uint16_t status_not_implemented = 501;
 constexpr std::uint32_t max_response_header_bytes = 64U << 10U;
+constexpr unsigned first_interim_status = 100;
 constexpr unsigned first_final_status = 200;
+/// Ends HTTP on the connection; no request asks for that.
+constexpr unsigned status_switching_protocols = 101;
 /// Interim (1xx) responses before a final one.
 constexpr unsigned max_interim_responses = 16;
 
+bool is_interim_status(unsigned status) {
+    return first_interim_status <= status && status < first_final_status &&
+           status != status_switching_protocols;
+}
+
 std::string_view to_string_view(boost::beast::string_view text) {
     return {text.data(), text.size()};
 }
@@ -335,11 +343,18 @@
                 return;
             }
             added = {};
+            const unsigned status = this->parser->get().result_int();
+            const bool is_interim = is_interim_status(status);
+            if (this->parser->is_header_done() && !is_interim &&
+                !is_final_status(status)) {
+                this->progress = read_progress::malformed;
+                return;
+            }
             if (!this->parser->is_done()) {
                 return;
             }
-            // Skips interim (1xx) responses, which precede the final one.
-            if (this->parser->get().result_int() < first_final_status) {
+            // Skips interim responses, which precede the final one.
+            if (is_interim) {
                 if (++this->interim_responses > max_interim_responses) {
                     this->progress = read_progress::malformed;
                     return;
--- a/tests/sidecar/faulty_instance.tests.cpp
+++ b/tests/sidecar/faulty_instance.tests.cpp
@@ -175,3 +175,22 @@
     }
     CHECK(daemon.run("1").outcome == serving::attempt_outcome::answered);
 }
+
+TEST_CASE(
+    "an answer with a status outside the protocol is lost",
+    "[router][instance][faulty]"
+) {
+    // Guards against callers that get such a status as an answer, or that wait
+    // until their deadline as it was taken for an interim response.
+    const std::string status =
+        GENERATE("000", "001", "099", "101", "600", "999");
+    scripted_instance scripted{[&](QTcpSocket& connection, const std::string&) {
+        connection.write(("HTTP/1.1 " + status +
+                          " Odd\r\nSignature: s\r\nRequest-Id: 1\r\n"
+                          "Content-Length: 4\r\n\r\nbody")
+                             .c_str());
+    }};
+    local_daemon daemon{scripted};
+    INFO(status);
+    CHECK(daemon.run("1").outcome == serving::attempt_outcome::lost);
+}
