Log a full table of connections once a second, and allow bodies over a frame

A line for each connection that is closed for a new one would let clients that open connections without end use up the processor with log lines. They are counted now, and logged once a second at most.

A body of a request in parts is bounded by the receiver's memory, no longer by the length of a frame: with a larger maxBodyBytes its link would have been closed as malformed, with all other requests on it.

--- a/src/apricotstile/edge/request_router.hpp
+++ b/src/apricotstile/edge/request_router.hpp
@@ -138,7 +138,8 @@
     [[nodiscard]] bool
     make_room(caller_id caller, std::size_t added, std::size_t message_bytes);
     void evict_for_memory(caller_id caller);
-    void log_eviction(caller_id caller, const char* reason) const;
+    void log_eviction(caller_id caller) const;
+    void log_full();
     void refuse_while_received(caller_id caller);
     void refuse_for_memory(pending_request& request);
     void handle_disconnect(caller_id caller);
@@ -210,7 +211,7 @@
     serving::memory_budget& memory;
     /// When callers are next looked through for memory; none was found before.
     instant next_eviction_at;
-    /// Limits the rate of warnings about refused connections.
+    /// Limits the rate of warnings about too many connections.
     instant next_connection_warning;
     caller_id last_caller;
     attempt_id last_attempt;
--- a/src/apricotstile/edge/request_router_memory.cpp
+++ b/src/apricotstile/edge/request_router_memory.cpp
@@ -56,23 +56,30 @@
     );
     if (chosen) {
         ++this->counted.connections_evicted;
-        this->log_eviction(*chosen, "connections");
         this->callers.at(*chosen)->abort();
-        return true;
+    } else {
+        ++this->counted.connections_refused;
     }
-    ++this->counted.connections_refused;
+    this->log_full();
+    return chosen.has_value();
+}
+
+/// Logs that connections are closed for new ones, or new ones refused.
+void request_router::log_full() {
     const instant now = boot_clock::now();
-    if (now >= this->next_connection_warning) {
-        this->next_connection_warning = now + connection_warning_interval;
-        log::write(
-            log::level::warning,
-            log_prefix,
-            "Connections refused: as many are open as are allowed.",
-            {{"open", std::to_string(this->callers.size())},
-             {"refused", std::to_string(this->counted.connections_refused)}}
-        );
+    if (now < this->next_connection_warning) {
+        return;
     }
-    return false;
+    this->next_connection_warning = now + connection_warning_interval;
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "As many connections are open as are allowed.",
+        {{"open", std::to_string(this->callers.size())},
+         {"closed_for_others",
+          std::to_string(this->counted.connections_evicted)},
+         {"refused", std::to_string(this->counted.connections_refused)}}
+    );
 }
 
 /// Whether a message of `caller` fits into the memory budget, after other
@@ -107,7 +114,7 @@
 /// Closes a caller's connection. A request that hasn't arrived completely is
 /// refused.
 void request_router::evict_for_memory(caller_id caller) {
-    this->log_eviction(caller, "memory");
+    this->log_eviction(caller);
     caller_connection& chosen = *this->callers.at(caller);
     if (chosen.use(boot_clock::now()).state == serving::caller_state::sending) {
         this->refuse_while_received(caller);
@@ -116,15 +123,14 @@
     }
 }
 
-void request_router::log_eviction(caller_id caller, const char* reason) const {
+void request_router::log_eviction(caller_id caller) const {
     const serving::caller_use use =
         this->callers.at(caller)->use(boot_clock::now());
     log::write(
         log::level::warning,
         log_prefix,
-        "Connection closed in favour of other callers.",
-        {{"reason", reason},
-         {"state", std::string{name_of(use.state)}},
+        "Connection closed to make room for other callers.",
+        {{"state", std::string{name_of(use.state)}},
          {"bytes", std::to_string(use.bytes)},
          {"stalled_ms",
           std::to_string(use.stalled / std::chrono::milliseconds{1})}}
--- a/src/apricotstile/peer/peer_links_incoming.cpp
+++ b/src/apricotstile/peer/peer_links_incoming.cpp
@@ -16,6 +16,9 @@
 
 constexpr auto log_prefix = "links";
 
+/// Of a request in parts, where the memory isn't limited.
+constexpr std::size_t max_body_bytes = 1U << 30U;
+
 struct received_frames {
     /// Complete frames, up to the first malformed one.
     std::vector<frame> frames;
@@ -161,13 +164,14 @@
 void peer_links::handle_request_head(
     incoming_link& link, request_head&& received
 ) {
-    if (received.body_bytes > max_frame_length) {
-        throw decode_error{"the body of a request exceeds the maximum"};
+    if (received.body_bytes == 0) {
+        throw decode_error{"the body of a request in parts is empty"};
     }
     const stream_id stream = received.stream;
     const auto body_bytes = static_cast<std::size_t>(received.body_bytes);
     link.unanswered.insert(stream);
-    if (!serving::fits(this->memory, body_bytes)) {
+    if (body_bytes > max_body_bytes ||
+        !serving::fits(this->memory, body_bytes)) {
         ++this->memory.refused;
         log::write(
             log::level::warning,
--- a/tests/peer/request_parts.tests.cpp
+++ b/tests/peer/request_parts.tests.cpp
@@ -122,6 +122,22 @@
     CHECK(to.memory.reserved < megabyte);
 }
 
+TEST_CASE("a body may exceed the length of a frame", "[peer][parts]") {
+    linked_daemon from{200 * megabyte};
+    linked_daemon to{200 * megabyte};
+    outcome_of_request ignored;
+    const std::size_t body_bytes = max_frame_length + megabyte;
+    from.links->send(
+        host_at(to.where),
+        request_of(std::string(body_bytes, 'x')),
+        ignored.handler()
+    );
+    REQUIRE(tests::wait_until([&] {
+        return to.requests.size() == 1;
+    }));
+    CHECK(to.requests.begin()->second.body.size() == body_bytes);
+}
+
 TEST_CASE(
     "a large request is refused before its body arrives if there is no memory",
     "[peer][parts]"
