Take no answer whose headers are those of several

Cause: an instance broke an answer off within its headers, and a late copy of another one followed. Together they parse as one answer, with two ids, of which only the first was compared.

Change: the id, the signature and the statement that a request wasn't run may each stand once. Otherwise the connection is closed, and the request ends as one that may have run.

Not covered: an answer that breaks off within its body, whose last bytes then come from the next one. Only the signature could tell, whose form isn't known.

--- a/src/apricotstile/http/message.cpp
+++ b/src/apricotstile/http/message.cpp
@@ -24,6 +24,16 @@
            std::tolower(static_cast<unsigned char>(right));
 }
 
+bool has_name(const header& one, std::string_view name) {
+    return std::equal(
+        one.name.begin(),
+        one.name.end(),
+        name.begin(),
+        name.end(),
+        same_character
+    );
+}
+
 template <class Message>
 std::string serialized(Message& message) {
     message.prepare_payload();
@@ -38,17 +48,22 @@
 header_value(const std::vector<header>& headers, std::string_view name) {
     const auto found =
         std::find_if(headers.begin(), headers.end(), [&](const header& one) {
-            return std::equal(
-                one.name.begin(),
-                one.name.end(),
-                name.begin(),
-                name.end(),
-                same_character
-            );
+            return has_name(one, name);
         });
     return found == headers.end() ? std::string_view{} : found->value;
 }
 
+std::size_t
+header_count(const std::vector<header>& headers, std::string_view name) {
+    return static_cast<std::size_t>(std::count_if(
+        headers.begin(),
+        headers.end(),
+        [&](const header& one) {
+            return has_name(one, name);
+        }
+    ));
+}
+
 bool is_final_status(unsigned status) {
     constexpr unsigned first = 200;
     constexpr unsigned last = 599;
--- a/src/apricotstile/http/message.hpp
+++ b/src/apricotstile/http/message.hpp
@@ -3,6 +3,7 @@
 #ifndef APRICOTSTILE_HTTP_MESSAGE_HPP
 #define APRICOTSTILE_HTTP_MESSAGE_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -39,6 +40,10 @@
 [[nodiscard]] std::string_view
 header_value(const std::vector<header>& headers, std::string_view name);
 
+/// How many headers have this name, ignoring case.
+[[nodiscard]] std::size_t
+header_count(const std::vector<header>& headers, std::string_view name);
+
 /// Whether a status is one of a final response: 200 to 599.
 [[nodiscard]] bool is_final_status(unsigned status);
 
--- a/src/apricotstile/sidecar/local_exchanges.cpp
+++ b/src/apricotstile/sidecar/local_exchanges.cpp
@@ -49,6 +49,22 @@
            refused.end();
 }
 
+/// Whether the headers name more than one answer: one broke off within them and
+/// another one follows.
+bool names_several(
+    const std::vector<http::header>& headers, const http::header_names& names
+) {
+    const std::array<const std::string*, 3> single{
+        &names.request_id, &names.signature, &names.not_executed};
+    return std::any_of(
+        single.begin(),
+        single.end(),
+        [&](const std::string* name) {
+            return http::header_count(headers, *name) > 1;
+        }
+    );
+}
+
 bool is_success(std::uint16_t status) {
     return status >= first_success && status < first_redirect;
 }
@@ -221,6 +237,17 @@
     if (answer.idle_timeout_s) {
         conn.idle_timeout = std::chrono::seconds{*answer.idle_timeout_s};
     }
+    if (names_several(answer.headers, this->names)) {
+        log::write(
+            log::level::warning,
+            log_prefix,
+            "Discarded an answer whose headers are those of several.",
+            {{"request", item.request_id},
+             {"status", std::to_string(answer.status)}}
+        );
+        this->handle_end(conn, false, true);
+        return;
+    }
     const std::string_view echoed =
         http::header_value(answer.headers, this->names.request_id);
     const bool says_not_executed =
--- a/tests/sidecar/faulty_instance.tests.cpp
+++ b/tests/sidecar/faulty_instance.tests.cpp
@@ -176,6 +176,44 @@
     CHECK(daemon.run("1").outcome == serving::attempt_outcome::answered);
 }
 
+TEST_CASE(
+    "no part of another answer is taken for one that broke off",
+    "[router][instance][faulty]"
+) {
+    // A sound answer is cut at each byte, and a late copy of another one
+    // follows on the connection.
+    const std::string own = GENERATE(
+        success("1"),
+        std::string{"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: s\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+        std::string{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nRequest-Id: 1\r\n"
+                    "Signature: s\r\n\r\nbody"}
+    );
+    const std::string other = GENERATE(
+        std::string{"HTTP/1.1 200 OK\r\nSignature: o\r\nRequest-Id: 2\r\n"
+                    "Content-Length: 5\r\n\r\nother"},
+        std::string{"HTTP/1.1 200 OK\r\nRequest-Id: 2\r\nSignature: o\r\n"
+                    "Content-Length: 5\r\n\r\nother"}
+    );
+    std::size_t sent = 0;
+    scripted_instance scripted{[&](QTcpSocket& connection, const std::string&) {
+        connection.write((own.substr(0, sent) + other).c_str());
+        connection.disconnectFromHost();
+    }};
+    local_daemon daemon{scripted};
+    for (sent = 0; sent < own.size(); ++sent) {
+        INFO(own.substr(0, sent) << other);
+        const routed_response response = daemon.run("1");
+        // The last bytes of a body may come from the other answer: nothing
+        // but the signature could tell.
+        const bool is_cut_in_body = sent >= own.find("\r\n\r\n") + 4;
+        CHECK((
+            is_cut_in_body || response.outcome == serving::attempt_outcome::lost
+        ));
+        CHECK(response.body.view().find("other") == std::string_view::npos);
+    }
+}
+
 TEST_CASE(
     "an answer with a status outside the protocol is lost",
     "[router][instance][faulty]"
