Leave out lease rows that can't be read, and apply the others

Cause: the key of a lease row was taken for a number without a check, and the exception left the event loop. A lease that couldn't be decoded ended the reading of all rows, and in the result of a transaction the process.

Change: each row of another owner is applied or left out on its own, in reads and in results of transactions, with one log line a read and a count. The map and the own lease stay necessary: without them a read counts as failed, as before.

--- a/src/apricotstile/keys/key_owner.hpp
+++ b/src/apricotstile/keys/key_owner.hpp
@@ -156,6 +156,9 @@
     /// For each guardian, when the request for its newest promise was sent.
     std::map<guardian_id, instant> promise_request_times;
 
+    /// Rows that were left out as they can't be read, for the log; emptied by
+    /// whoever logs them.
+    std::vector<platform::row_key> unreadable_rows;
     /// Whether the rows have been read at least once.
     bool rows_known{false};
     /// Whether the rows must be read again, as the outcome of a transaction is
@@ -309,12 +312,13 @@
 );
 
 /// Handles a read of all rows of the service, in which the lease rows were read
-/// before the map.
+/// before the map. Throws `decode_error` if the map or the own lease can't be
+/// read.
 void apply_rows(
     key_owner& state, const std::vector<platform::row>& rows, instant now
 );
 
-/// Handles a read of the lease rows alone.
+/// Handles a read of the lease rows alone. Throws as `apply_rows`.
 void apply_lease_rows(
     key_owner& state, const std::vector<platform::row>& rows, instant now
 );
--- a/src/apricotstile/keys/key_owner_results.cpp
+++ b/src/apricotstile/keys/key_owner_results.cpp
@@ -6,6 +6,8 @@
 #include <apricotstile/keys/internal/owner_rows.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
 
 namespace apricotstile::keys {
 
@@ -69,7 +71,36 @@
     }
 }
 
-/// Handles a row of the service, which may already be outdated.
+/// The number that `text` consists of. Throws `decode_error`.
+host_id parse_host(std::string_view text) {
+    host_id host;
+    const auto read =
+        std::from_chars(text.data(), text.data() + text.size(), host.value);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size()) {
+        throw decode_error{"the key of a lease row names no host"};
+    }
+    return host;
+}
+
+void apply_lease_of_other(
+    key_owner& state,
+    const platform::row& row,
+    std::string_view holder,
+    instant now
+) {
+    const host_id host = parse_host(holder);
+    const auto known = state.watched_leases.find(host);
+    if (known == state.watched_leases.end() ||
+        known->second.version < row.version) {
+        const auto record = decode<lease_record>(row.value);
+        // The holder may have renewed the lease at any time until the rows
+        // arrived, so the wait for its expiry starts now.
+        state.watched_leases[host] = {row.version, now, record.guardians, {}};
+    }
+}
+
+/// Handles a row of the service, which may already be outdated. Throws
+/// `decode_error`.
 void apply_row(key_owner& state, const platform::row& row, instant now) {
     const std::string lease_prefix = "leases/" + state.service.value + "/";
     if (row.key == map_row_key(state.service)) {
@@ -77,22 +108,30 @@
     } else if (row.key == lease_row_key(state.service, state.self)) {
         apply_own_row(state, row);
     } else if (row.key.value.starts_with(lease_prefix)) {
-        const host_id host{
-            std::stoull(row.key.value.substr(lease_prefix.size()))};
-        const auto known = state.watched_leases.find(host);
-        if (known == state.watched_leases.end() ||
-            known->second.version < row.version) {
-            // The holder may have renewed the lease at any time until the rows
-            // arrived, so the wait for its expiry starts now.
-            state.watched_leases[host] = {
-                row.version,
-                now,
-                decode<lease_record>(row.value).guardians,
-                {}};
-        }
+        apply_lease_of_other(
+            state, row, row.key.value.substr(lease_prefix.size()), now
+        );
+    }
+}
+
+/// A row that can't be read, one of another writer, is left out; the others are
+/// applied all the same.
+void apply_readable_row(
+    key_owner& state, const platform::row& row, instant now
+) {
+    try {
+        apply_row(state, row, now);
+    } catch (const decode_error&) {
+        state.unreadable_rows.push_back(row.key);
     }
 }
 
+/// Whether the row is one without which this daemon doesn't know what it owns.
+bool is_essential(const key_owner& state, const platform::row_key& key) {
+    return key == map_row_key(state.service) ||
+           key == lease_row_key(state.service, state.self);
+}
+
 } // namespace
 
 std::optional<key_map_change> handle_commit_result(
@@ -110,8 +149,9 @@
         !result.current.empty()) {
         // The answer contains the rows that failed the conditions.
         for (const platform::row& row : result.current) {
-            apply_row(state, row, now);
+            apply_readable_row(state, row, now);
         }
+        state.needs_read = state.needs_read || !state.unreadable_rows.empty();
         return std::nullopt;
     }
     const bool lacks_versions =
@@ -183,7 +223,11 @@
     }
     state.leases_read_at = now;
     for (const platform::row& row : rows) {
-        apply_row(state, row, now);
+        if (is_essential(state, row.key)) {
+            apply_row(state, row, now);
+        } else {
+            apply_readable_row(state, row, now);
+        }
     }
     for (const owned_range& one : state.map.ranges) {
         watch_lease(state, one.owner, now);
--- a/src/apricotstile/router/local_key_manager.cpp
+++ b/src/apricotstile/router/local_key_manager.cpp
@@ -283,6 +283,7 @@
     if (change) {
         this->dependencies.broadcast(peer::map_change_frame{*change});
     }
+    this->log_unreadable_rows();
     this->answer_relayed_releases(result, change);
     this->begin_pending_era();
     if (result.status != platform::commit_status::committed) {
--- a/src/apricotstile/router/local_key_manager.hpp
+++ b/src/apricotstile/router/local_key_manager.hpp
@@ -130,6 +130,7 @@
     void back_off(bool is_conflict);
     void read_rows();
     void read_leases();
+    void log_unreadable_rows();
     void poll_leases();
     void choose_guardians();
     void request_promises();
@@ -170,6 +171,8 @@
     /// An era to begin once no transaction is in flight.
     std::optional<pending_era> next_era;
     instant last_read_at;
+    /// Rows that were left out as they can't be read.
+    std::uint64_t left_out_rows{0};
     instant last_move_at;
     /// Releases of other owners.
     std::vector<waiting_release> relayed_waiting;
--- a/src/apricotstile/router/local_key_manager_reads.cpp
+++ b/src/apricotstile/router/local_key_manager_reads.cpp
@@ -5,6 +5,8 @@
 #include <apricotstile/core/codec.hpp>
 #include <apricotstile/log/logger.hpp>
 
+#include <utility>
+
 namespace apricotstile::router {
 
 namespace {
@@ -60,6 +62,7 @@
                             {{"reason", error.what()}}
                         );
                     }
+                    this->log_unreadable_rows();
                     this->advance();
                 }
             );
@@ -102,8 +105,27 @@
                     {{"reason", error.what()}}
                 );
             }
+            this->log_unreadable_rows();
         }
     );
 }
 
+/// Logs the rows that were left out since the last call, in one line.
+void local_key_manager::log_unreadable_rows() {
+    const std::vector<platform::row_key> rows =
+        std::exchange(this->key_owner.unreadable_rows, {});
+    if (rows.empty()) {
+        return;
+    }
+    this->left_out_rows += rows.size();
+    log::write(
+        log::level::warning,
+        log_prefix,
+        "Rows that can't be read were left out.",
+        {{"rows", std::to_string(rows.size())},
+         {"first", rows.front().value},
+         {"in_all", std::to_string(this->left_out_rows)}}
+    );
+}
+
 } // namespace apricotstile::router
--- a/tests/keys/key_owner.tests.cpp
+++ b/tests/keys/key_owner.tests.cpp
@@ -106,6 +106,46 @@
     CHECK(kept_ranges(state).empty());
 }
 
+TEST_CASE(
+    "a lease row of another writer is left out, and the others are applied",
+    "[keys][rows]"
+) {
+    // Guards against a process that ends, or learns of no lease, because of one
+    // row.
+    key_owner state = leased_owner();
+    const platform::row unreadable = GENERATE(
+        platform::row{{"leases/registry/abc"}, {9}, "x"},
+        platform::row{{"leases/registry/"}, {9}, ""},
+        platform::row{{"leases/registry/-2"}, {9}, "x"},
+        platform::row{{"leases/registry/7x"}, {9}, "x"},
+        platform::row{{"leases/registry/99999999999999999999999"}, {9}, "x"},
+        platform::row{{"leases/registry/3"}, {9}, "\xff\xff"},
+        platform::row{{"leases/registry/3"}, {9}, ""}
+    );
+    key_owner other = make_key_owner({}, host_id{2}, incarnation{6}, registry);
+    apply_rows(other, {make_map_row(host_id{2}, 3)}, start);
+    static_cast<void>(handle_heartbeat(other, make_heartbeat(1), start));
+    const auto written = start_next_transaction(other, {}, {}, start);
+    REQUIRE(written);
+    const platform::row sound{
+        lease_row_key(registry, host_id{2}), {8}, *written->mutations[0].value};
+    SECTION("read") {
+        apply_lease_rows(state, {unreadable, sound, unreadable}, start + 1s);
+        CHECK(state.unreadable_rows.size() == 2);
+    }
+    SECTION("in the result of a transaction") {
+        REQUIRE(start_next_transaction(state, {}, {}, start + 15s));
+        handle_commit_result(
+            state,
+            {platform::commit_status::conflict, {}, {unreadable, sound}},
+            start + 15s
+        );
+        CHECK(state.unreadable_rows.size() == 1);
+    }
+    CHECK(state.unreadable_rows.front() == unreadable.key);
+    CHECK(state.watched_leases.at(host_id{2}).version == sound.version);
+}
+
 TEST_CASE(
     "owners that acquire their leases at the same time write no common row",
     "[keys][keeper][scale]"
