Shorten long values in log lines

A daemon whose log isn't read in time kept up to 8,192 lines for it. Callers choose some of what stands in them: the id of a request may have 15 KB, which makes 120 MB.

Cause: the lines that wait were bounded in number, not in size.

Change: a value has 256 bytes at most in a log line.

--- a/src/apricotstile/log/logger.cpp
+++ b/src/apricotstile/log/logger.cpp
@@ -20,6 +20,9 @@
 namespace {
 
 constexpr std::size_t max_waiting_lines = 8192;
+/// Of a field. Callers choose some of the values, and the lines that wait
+/// count toward the process's memory.
+constexpr std::size_t max_value_bytes = 256;
 /// Lines below a warning in one second; what is beyond is left out and
 /// counted, so that failures are kept before successes.
 constexpr std::uint32_t max_minor_lines = 200;
@@ -74,6 +77,12 @@
     return out;
 }
 
+std::string shortened(const std::string& value) {
+    return value.size() <= max_value_bytes
+               ? value
+               : value.substr(0, max_value_bytes) + "...";
+}
+
 std::string timestamp() {
     const auto now = std::chrono::system_clock::now();
     const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -165,10 +174,9 @@
         "{} {} [{}] {}", timestamp(), name_of(severity), prefix, sentence
     );
     for (const field& one : fields) {
+        const std::string value = shortened(one.value);
         line += fmt::format(
-            " {}={}",
-            one.key,
-            needs_quotes(one.value) ? quoted(one.value) : one.value
+            " {}={}", one.key, needs_quotes(value) ? quoted(value) : value
         );
     }
     line += '\n';
--- a/tests/hostile_clients/fleet.py
+++ b/tests/hostile_clients/fleet.py
@@ -86,12 +86,16 @@
     """A deployment: one machine with an instance of the served service, and
     `others` machines with instances of another one."""
 
-    def __init__(self, memory_mb, body_limit, others=0, descriptors=None, slots=14):
+    def __init__(
+        self, memory_mb, body_limit, others=0, descriptors=None, slots=14, reads_log=True
+    ):
         self.memory_mb = memory_mb
         self.body_limit = body_limit
         self.others = others
         self.descriptors = descriptors
         self.slots = slots
+        self.reads_log = reads_log
+        self.log = None
         self.world = None
         self.watches = []
         self.clients = []
@@ -116,6 +120,10 @@
         ]
         config = minifleet.config(routes, services)
         config["limits"]["maxBodyBytes"] = self.body_limit
+        if not self.reads_log:
+            path = os.path.join(self.world.folder, "sidecar-noord-a-1.log")
+            os.mkfifo(path)
+            self.log = os.open(path, os.O_RDWR)
         names = [SERVED] + [OTHER] * self.others
         await self.world.start(names, minifleet.ZONES[:1], config)
         for machine in self.world.machines:
@@ -196,14 +204,16 @@
     def stop(self):
         if self.world:
             self.world.stop()
+        if self.log:
+            os.close(self.log)
 
 
-def head(extra, path=PATH + "1", method="POST", number=0):
+def head(extra, path=PATH + "1", method="POST", number=0, host=HOST, request=None):
     """The head of a request, without the empty line behind it."""
     lines = [
         f"{method} {path} HTTP/1.1",
-        f"Host: {HOST}",
-        f"{minifleet.PREFIX}Request-Attempt-Id: {number:016x}",
+        f"Host: {host}",
+        f"{minifleet.PREFIX}Request-Attempt-Id: {request or f'{number:016x}'}",
         f"{minifleet.PREFIX}Deadline-Remaining: {DEADLINE_MS}",
     ]
     return ("\r\n".join(lines + extra) + "\r\n").encode()
--- a/tests/hostile_clients/hostile_clients.py
+++ b/tests/hostile_clients/hostile_clients.py
@@ -187,6 +187,31 @@
     return fleet, clients
 
 
+async def long_ids_in_the_log():
+    """Refused requests with long ids, while nobody reads the daemon's log."""
+    fleet = Fleet(MEMORY_MB, BODY_LIMIT, reads_log=False)
+    await fleet.start()
+    refused = head(
+        ["Content-Length: 0"],
+        host="tarief.example",
+        path="/read/1",
+        method="GET",
+        request="x" * 15_000,
+    )
+
+    def pieces(_):
+        yield (refused + b"\r\n") * 12
+
+    clients = []
+    for _ in range(20):
+        for one in clients:
+            one.close()
+        clients = await run_crowd(fleet, 100, pieces, rounds=1)
+        # The daemon writes a bounded number of lines a second.
+        await asyncio.sleep(1)
+    return fleet, clients
+
+
 async def accounted_memory():
     """All kinds of holders at once: the daemon knows what they take."""
     fleet = Fleet(MEMORY_MB, BODY_LIMIT, slots=2)
@@ -261,6 +286,7 @@
 
 CASES = {
     "large_chunks": large_chunks,
+    "long_ids_in_the_log": long_ids_in_the_log,
     "small_chunks": small_chunks,
     "announced_bodies": announced_bodies,
     "bodies_over_the_limit": bodies_over_the_limit,
