--- a/tests/hostile_clients/hostile_clients.py
+++ b/tests/hostile_clients/hostile_clients.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import os
 import sys
 
 import fleet as loopback
@@ -336,4 +337,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    status = main()
+    sys.stdout.flush()
+    # Children of the event loop may still be ending.
+    os._exit(status)
--- a/tests/http/body_buffer.tests.cpp
+++ b/tests/http/body_buffer.tests.cpp
@@ -3,26 +3,19 @@
 
 #include <apricotstile/http/internal/body_buffer.hpp>
 #include <apricotstile/http/message_reader.hpp>
+#include <tests/support/numbered_bytes.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <fmt/format.h>
 
 using namespace apricotstile::http;
+using apricotstile::tests::numbered_bytes;
 
 namespace {
 
 constexpr std::size_t megabyte = 1'000'000;
 
-std::string numbered_bytes(std::size_t count) {
-    std::string result;
-    while (result.size() < count) {
-        result += std::to_string(result.size()) + "\n";
-    }
-    result.resize(count);
-    return result;
-}
-
 std::string chunk(std::string_view bytes) {
     return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
 }
--- a/tests/net/send_queue.tests.cpp
+++ b/tests/net/send_queue.tests.cpp
@@ -2,6 +2,7 @@
 // takes them slowly, and against memory that stays when they have been sent.
 
 #include <apricotstile/net/internal/send_queue.hpp>
+#include <tests/support/numbered_bytes.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -9,18 +10,10 @@
 
 using namespace apricotstile;
 using namespace apricotstile::net::internal;
+using apricotstile::tests::numbered_bytes;
 
 namespace {
 
-std::string numbered_bytes(std::size_t count, std::size_t from) {
-    std::string result;
-    while (result.size() < count) {
-        result += std::to_string(from + result.size()) + "\n";
-    }
-    result.resize(count);
-    return result;
-}
-
 /// What the kernel would get if it took `count` bytes at most.
 std::string take(send_queue& queue, std::size_t count) {
     std::string taken;
--- a/tests/peer/request_parts.tests.cpp
+++ b/tests/peer/request_parts.tests.cpp
@@ -5,6 +5,7 @@
 #include <apricotstile/peer/peer_links.hpp>
 #include <apricotstile/serving/held_bytes.hpp>
 #include <tests/http/event_loop.hpp>
+#include <tests/support/numbered_bytes.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -12,21 +13,13 @@
 
 using namespace apricotstile;
 using namespace apricotstile::peer;
+using apricotstile::tests::numbered_bytes;
 using namespace std::chrono_literals;
 
 namespace {
 
 constexpr std::size_t megabyte = 1'000'000;
 
-std::string numbered_bytes(std::size_t count) {
-    std::string result;
-    while (result.size() < count) {
-        result += std::to_string(result.size()) + "\n";
-    }
-    result.resize(count);
-    return result;
-}
-
 /// A daemon's side of the links.
 struct linked_daemon {
     explicit linked_daemon(std::size_t limit) : where(tests::unused_address()) {
--- a/tests/router/large_answers.tests.cpp
+++ b/tests/router/large_answers.tests.cpp
@@ -6,6 +6,7 @@
 #include <tests/router/daemon_group.hpp>
 
 #include <tests/http/event_loop.hpp>
+#include <tests/support/numbered_bytes.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -18,15 +19,6 @@
 
 constexpr double ten_mbit = 1'250'000;
 
-std::string body_of(std::size_t bytes) {
-    std::string result;
-    while (result.size() < bytes) {
-        result += std::to_string(result.size()) + "\n";
-    }
-    result.resize(bytes);
-    return result;
-}
-
 /// Reads the answer until it has `bytes` bytes of body; returns the body.
 std::string read_body(QTcpSocket& caller, std::size_t bytes) {
     std::string received;
@@ -59,7 +51,7 @@
     daemon_group group{{"s", "t"}, with_link(ten_mbit)};
     // About 47 parts: a busy machine sends few of them in the time of a small
     // request, since a late wake-up makes up for one at most.
-    const std::string body = body_of(1'000'000);
+    const std::string body = numbered_bytes(1'000'000);
     group.upstream(0).set_large_body(body);
     const auto large = group.begin_request(1, "/s/large");
     REQUIRE(wait_until([&] {
@@ -78,7 +70,7 @@
     "answers of several requests are put together correctly", "[router][egress]"
 ) {
     daemon_group group{{"s", "t"}, with_link(10 * ten_mbit)};
-    const std::string body = body_of(400'000);
+    const std::string body = numbered_bytes(400'000);
     group.upstream(0).set_large_body(body);
     std::vector<std::unique_ptr<QTcpSocket>> callers;
     for (int i = 0; i < 4; ++i) {
@@ -94,7 +86,7 @@
     "[router][egress]"
 ) {
     daemon_group group{{"s", "t"}, with_link(1000)};
-    const std::string body = body_of(500'000);
+    const std::string body = numbered_bytes(500'000);
     group.upstream(0).set_large_body(body);
     const auto caller = group.begin_request(0, "/s/large");
     CHECK(read_body(*caller, body.size()) == body);
@@ -106,7 +98,7 @@
     "[router][egress]"
 ) {
     daemon_group group{{"s", "t"}};
-    const std::string body = body_of(500'000);
+    const std::string body = numbered_bytes(500'000);
     group.upstream(0).set_large_body(body);
     const auto caller = group.begin_request(1, "/s/large");
     CHECK(read_body(*caller, body.size()) == body);
@@ -119,7 +111,7 @@
 ) {
     constexpr std::size_t request_count = 30;
     daemon_group group{{"s", "t"}};
-    const std::string body = body_of(4'000'000);
+    const std::string body = numbered_bytes(4'000'000);
     group.upstream(0).set_large_body(body);
     const std::unique_ptr<QTcpSocket> caller =
         group.begin_request(0, "/s/large");
@@ -152,7 +144,7 @@
 
 TEST_CASE("an answer is dropped when its caller leaves", "[router][egress]") {
     daemon_group group{{"s", "t"}, with_link(ten_mbit / 10)};
-    group.upstream(0).set_large_body(body_of(300'000));
+    group.upstream(0).set_large_body(numbered_bytes(300'000));
     auto caller = group.begin_request(1, "/s/large");
     REQUIRE(wait_until([&] {
         return has_held_answers(group, 0);
@@ -179,7 +171,7 @@
     constexpr int gateway_timeout = 504;
     constexpr int unavailable = 503;
     daemon_group group{{"s", "t"}, with_link(20'000)};
-    group.upstream(0).set_large_body(body_of(3'000'000));
+    group.upstream(0).set_large_body(numbered_bytes(3'000'000));
     // Requests of unknown origin may be nested, and are never refused.
     for (int i = 0; i < 40; ++i) {
         REQUIRE(group.request(0, "/s/small") == 200);
